--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+VENV ?= .venv
+PY = $(VENV)/bin/python
+STAMP = $(VENV)/.installed-$(shell cksum < requirements.txt | cut -d' ' -f1)
+SOURCES = figdrum standins spec bench features
+
+.PHONY: demo test spec proofs bench dist lint format
+
+$(STAMP): requirements.txt
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $@
+
+demo: $(STAMP)
+	$(PY) -m standins.demo
+
+test: $(STAMP)
+	$(PY) -m pytest
+	$(PY) -m behave --format progress features
+
+spec: $(STAMP)
+	$(PY) -m spec
+
+proofs: $(STAMP)
+	$(PY) -m bench.proofs
+
+bench: $(STAMP)
+	$(PY) -m bench
+
+dist: $(STAMP)
+	$(PY) -m bench.dist
+
+lint: $(STAMP)
+	$(VENV)/bin/yapf --diff --recursive --parallel $(SOURCES)
+	$(VENV)/bin/pylint $(SOURCES)
+
+format: $(STAMP)
+	$(VENV)/bin/yapf --in-place --recursive --parallel $(SOURCES)
--- /dev/null
+++ b/figdrum/__init__.py
@@ -0,0 +1,1 @@
+"""A layer-4 load balancer driven by approved customer contracts."""
--- /dev/null
+++ b/figdrum/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process beside one target."""
--- /dev/null
+++ b/figdrum/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer process."""
--- /dev/null
+++ b/figdrum/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/figdrum/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Customer contracts and the ordered log of their changes."""
--- /dev/null
+++ b/figdrum/core/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, clock, states and errors shared by every part."""
--- /dev/null
+++ b/figdrum/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Chains of filters that requests and packets pass."""
--- /dev/null
+++ b/figdrum/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of requests that carry an idempotency key."""
--- /dev/null
+++ b/figdrum/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The published list of back ends of each service."""
--- /dev/null
+++ b/figdrum/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between figdrum processes and their msgpack codec."""
--- /dev/null
+++ b/figdrum/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""The agent's decision on which agent holds a flow."""
--- /dev/null
+++ b/figdrum/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API and its implementations."""
--- /dev/null
+++ b/figdrum/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer's routing decision."""
--- /dev/null
+++ b/figdrum/routing/tests/test_rendezvous.py
@@ -0,0 +1,30 @@
+"""Tests of the rendezvous order."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+
+from figdrum.routing import rendezvous
+
+NAMES = strategies.sets(strategies.text(min_size=1, max_size=8),
+                        min_size=2,
+                        max_size=12)
+
+
+@hypothesis.given(strategies.binary(max_size=40), NAMES)
+def test_leave_does_not_reorder_the_rest(key, names):
+    """Guards against a leave that moves flows of other members."""
+    full = rendezvous.order(key, names)
+    gone = full[len(full) // 2]
+    rest = rendezvous.order(key, names - {gone})
+    assert rest == [name for name in full if name != gone]
+
+
+def test_first_place_is_spread_evenly():
+    """Guards against a hash that favours some member names."""
+    names = [f'fieldbook-{i}' for i in range(7)]
+    firsts = collections.Counter(
+        rendezvous.order(f'flow {i}'.encode(), names)[0] for i in range(7000))
+    # Binomial: mean 1000, standard deviation 29.3; 5 deviations either way.
+    assert all(850 < firsts[name] < 1150 for name in names)
--- /dev/null
+++ b/figdrum/settings/__init__.py
@@ -0,0 +1,1 @@
+"""INI settings and their typed schema."""
--- /dev/null
+++ b/figdrum/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and recorded traces."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Model-checker specifications of the core protocol."""
