Add the ownership decision of agents

A fence covers one datagram and not the flow: a fence on the flow would refuse every later request from the same port for 247 s. Ruled out: eviction of records from a full table, since a late copy could then start the flow again; a full table refuses new flows.

--- a/figdrum/messages/datagram.py
+++ b/figdrum/messages/datagram.py
@@ -31,6 +31,7 @@
       asker_incarnation: The asker's incarnation, or 0.
       tries: Agents that could have admitted the flow but for their load.
       uncertain: True when an earlier copy may have run somewhere.
+      asker_holds: True when the asker held the flow before it was paused.
     """
     change: int
     list_version: int
@@ -46,6 +47,7 @@
     asker_incarnation: int = 0
     tries: int = 0
     uncertain: bool = False
+    asker_holds: bool = False
 
 
 class Reply(typing.NamedTuple):
@@ -107,12 +109,14 @@
     """Offers a held flow to another member.
 
     Attributes:
+      giver: Name of the leaving member.
       flow: The flow.
       customer: Its customer.
       balancer: Balancer that carried the flow's last packet.
       observations: Encoded CoAP requests that registered observations.
       sequence: The last Observe sequence number sent.
     """
+    giver: str
     flow: ids.FlowKey
     customer: str
     balancer: ids.Address
--- a/figdrum/messages/tests/test_codec.py
+++ b/figdrum/messages/tests/test_codec.py
@@ -17,7 +17,8 @@
 SAMPLES = [
     PACKET,
     datagram.Refused('did-not-run', PACKET),
-    datagram.Handover(FLOW, 'al-sahil', ('127.0.0.1', 7000), (b'x', b'y'), 9),
+    datagram.Handover('a', FLOW, 'al-sahil', ('127.0.0.1', 7000), (b'x', b'y'),
+                      9),
     control.Delta(1, 2, (control.Entry('lists/a', '{}', 1, 2),), 40),
 ]
 
--- /dev/null
+++ b/figdrum/ownership/actions.py
@@ -0,0 +1,63 @@
+"""What the ownership decision asks an agent to do."""
+
+import enum
+import typing
+
+from figdrum.core import ids
+from figdrum.core import states
+from figdrum.membership import service_list
+from figdrum.messages import datagram
+
+
+class DropReason(enum.Enum):
+    """Why a packet goes no further."""
+    FENCED = 'fenced'
+    NO_HOLDER = 'no-holder'
+    PENDING = 'pending'
+    STALE_ASKER = 'stale-asker'
+    TABLE_FULL = 'table-full'
+    WRONG_SERVICE = 'wrong-service'
+    YIELDED = 'yielded'
+
+
+class Deliver(typing.NamedTuple):
+    """Process the packet here; `started` marks the first of a new flow."""
+    packet: datagram.Packet
+    started: bool = False
+
+
+class Send(typing.NamedTuple):
+    """Send a message to another member."""
+    to: service_list.Member
+    message: datagram.Message
+
+
+class Refuse(typing.NamedTuple):
+    """Answer the caller with a refusal."""
+    packet: datagram.Packet
+    refusal: states.Refusal
+
+
+class Drop(typing.NamedTuple):
+    """Count the packet and forget it."""
+    packet: datagram.Packet
+    reason: DropReason
+
+
+class FetchList(typing.NamedTuple):
+    """Fetch the service's list, then decide on the packet again."""
+    packet: datagram.Packet
+
+
+class Offer(typing.NamedTuple):
+    """Offer a held flow to another member before leaving."""
+    to: service_list.Member
+    flow: ids.FlowKey
+
+
+class Release(typing.NamedTuple):
+    """Forget the flow's session: another member holds the flow now."""
+    flow: ids.FlowKey
+
+
+Action = Deliver | Send | Refuse | Drop | FetchList | Offer | Release
--- /dev/null
+++ b/figdrum/ownership/flow_table.py
@@ -0,0 +1,127 @@
+"""An agent's bounded memory of flows.
+
+Explanation
+===========
+
+Records expire `COPY_LIFETIME_MS` after their last use. Until then they are
+never evicted: forgetting a pointer or a fence early could let a late copy
+start the flow a second time. A full table refuses new flows instead.
+"""
+
+import collections
+import hashlib
+import typing
+
+from figdrum.core import ids
+from figdrum.ownership import records
+
+# EXCHANGE_LIFETIME of RFC 7252 section 4.8.2: no copy of a confirmable
+# message is sent or delivered later than this after the first.
+COPY_LIFETIME_MS = 247_000
+DEFAULT_CAPACITY = 20_000
+_DIGEST_BYTES = 8
+
+
+class _Entry(typing.NamedTuple):
+    record: records.Record
+    customer: ids.CustomerId
+    used_ms: int
+
+
+class ExpiredHold(typing.NamedTuple):
+    """A flow that this agent held and that has ended."""
+    flow: ids.FlowKey
+    customer: ids.CustomerId
+
+
+def fence_key(flow: ids.FlowKey, payload: bytes) -> tuple:
+    """Returns the key under which the refusal of one datagram is kept.
+
+    A fence covers the copies of one datagram, not the flow, so that a caller
+    can send another request from the same port.
+    """
+    digest = hashlib.blake2b(payload, digest_size=_DIGEST_BYTES).digest()
+    return (flow, digest)
+
+
+class FlowTable:
+    """Records by flow, and fences by datagram, in order of last use."""
+
+    def __init__(self, capacity: int = DEFAULT_CAPACITY):
+        """Makes an empty table of at most `capacity` records and fences."""
+        self._capacity = capacity
+        self._entries: collections.OrderedDict[
+            ids.FlowKey, _Entry] = collections.OrderedDict()
+        self._fences: collections.OrderedDict[tuple, tuple[
+            records.Fence, int]] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._entries) + len(self._fences)
+
+    def is_full(self) -> bool:
+        """Returns whether no further flow can be recorded."""
+        return len(self) >= self._capacity
+
+    def get(self, flow: ids.FlowKey) -> records.Record:
+        """Returns the record of `flow`, or None."""
+        entry = self._entries.get(flow)
+        return entry.record if entry else None
+
+    def put(self, now_ms: int, flow: ids.FlowKey, record: records.Record,
+            customer: ids.CustomerId) -> None:
+        """Records the use of `flow` and its new record; None forgets it."""
+        if record is None:
+            self._entries.pop(flow, None)
+            return
+        self._entries[flow] = _Entry(record, customer, now_ms)
+        self._entries.move_to_end(flow)
+
+    def fence(self, flow: ids.FlowKey, payload: bytes) -> records.Fence | None:
+        """Returns the fence of one datagram, or None."""
+        found = self._fences.get(fence_key(flow, payload))
+        return found[0] if found else None
+
+    def put_fence(self, now_ms: int, flow: ids.FlowKey, payload: bytes,
+                  fence: records.Fence) -> None:
+        """Remembers that one datagram was refused."""
+        key = fence_key(flow, payload)
+        self._fences[key] = (fence, now_ms)
+        self._fences.move_to_end(key)
+
+    def held(self) -> list[tuple[ids.FlowKey, ids.CustomerId]]:
+        """Returns the flows that this agent holds."""
+        return [(flow, entry.customer)
+                for flow, entry in self._entries.items()
+                if isinstance(entry.record, records.Hold)]
+
+    def suspend_holds(self) -> None:
+        """Makes every held flow tentative."""
+        for flow, entry in self._entries.items():
+            if isinstance(entry.record, records.Hold):
+                self._entries[flow] = entry._replace(record=records.Hold(
+                    tentative=True))
+
+    def clear(self) -> list[ExpiredHold]:
+        """Forgets everything; returns the flows that were held."""
+        held = [ExpiredHold(*pair) for pair in self.held()]
+        self._entries.clear()
+        self._fences.clear()
+        return held
+
+    def expire(self, now_ms: int) -> list[ExpiredHold]:
+        """Forgets what was last used `COPY_LIFETIME_MS` ago or earlier."""
+        limit_ms = now_ms - COPY_LIFETIME_MS
+        expired = []
+        while self._entries:
+            flow, entry = next(iter(self._entries.items()))
+            if entry.used_ms > limit_ms:
+                break
+            del self._entries[flow]
+            if isinstance(entry.record, records.Hold):
+                expired.append(ExpiredHold(flow, entry.customer))
+        while self._fences:
+            key, (_, set_ms) = next(iter(self._fences.items()))
+            if set_ms > limit_ms:
+                break
+            del self._fences[key]
+        return expired
--- /dev/null
+++ b/figdrum/ownership/records.py
@@ -0,0 +1,38 @@
+"""What an agent remembers of a flow."""
+
+import typing
+
+from figdrum.core import states
+
+
+class Hold(typing.NamedTuple):
+    """This agent holds the flow.
+
+    Attributes:
+      tentative: True after the agent was paused, until the other members
+        have been asked whether one of them took the flow over.
+    """
+    tentative: bool = False
+
+
+class Pointer(typing.NamedTuple):
+    """Packets of the flow go on to another member.
+
+    Attributes:
+      to: Name of the member.
+      incarnation: Its incarnation when the pointer was set.
+    """
+    to: str
+    incarnation: int
+
+
+class Fence(typing.NamedTuple):
+    """The flow was refused, and later copies of its packets are too."""
+    refusal: states.Refusal
+
+
+class Pending(typing.NamedTuple):
+    """This agent asks the other members whether one holds the flow."""
+
+
+Record = Hold | Pointer | Fence | Pending | None
--- /dev/null
+++ b/figdrum/ownership/standing.py
@@ -0,0 +1,74 @@
+"""What an agent may decide, from its place in its service's list."""
+
+import typing
+
+from figdrum.core import states
+from figdrum.membership import service_list
+from figdrum.ownership import decision
+from figdrum.ownership import flow_table
+
+# An agent ticks each 100 ms. Others pass it over after 1,500 ms, so one that
+# was paused long enough to be passed over always sees a gap this large.
+WAKE_GAP_MS = 500
+
+
+class Standing(typing.NamedTuple):
+    """An agent's place in its service's list.
+
+    Attributes:
+      name: This agent.
+      incarnation: List version at which it joined.
+      draining: True once it is asked to stop.
+      inquiring_until_ms: End of rules R2, R5 and R6, on the agent's clock.
+      acknowledged: Members that have shown a list containing this agent.
+    """
+    name: str
+    incarnation: int
+    draining: bool = False
+    inquiring_until_ms: int = 0
+    acknowledged: frozenset[str] = frozenset()
+
+    def joined(self, now_ms: int,
+               members: service_list.ServiceList) -> 'Standing':
+        """Returns the standing after the first list that has this agent.
+
+        The first member that a service ever has need not ask anyone.
+        """
+        only = len(members.members) == 1 and members.version == 1
+        return self._replace(inquiring_until_ms=now_ms if only else now_ms +
+                             flow_table.COPY_LIFETIME_MS)
+
+    def woken(self, now_ms: int) -> 'Standing':
+        """Returns the standing after a gap in the agent's clock."""
+        return self._replace(inquiring_until_ms=now_ms +
+                             flow_table.COPY_LIFETIME_MS)
+
+    def acknowledge(self, member: str, list_version: int) -> 'Standing':
+        """Returns the standing after a member has shown its list version."""
+        if list_version < self.incarnation or member in self.acknowledged:
+            return self
+        return self._replace(acknowledged=self.acknowledged | {member})
+
+    def phase(self, now_ms: int, members: service_list.ServiceList,
+              zones_out: frozenset[str]) -> decision.Phase:
+        """Returns what the agent may decide now.
+
+        Args:
+          now_ms: The agent's time.
+          members: Its service's list.
+          zones_out: Zones that operators have taken out.
+        """
+        me = members.find(self.name)
+        if me is None or me.incarnation != self.incarnation or me.state in (
+                states.MemberState.LOST, states.MemberState.LEFT):
+            return decision.Phase.FENCED
+        if self.draining or me.state is states.MemberState.DRAINING:
+            return decision.Phase.DRAINING
+        # A member that joined later has read a list with this agent in it.
+        if any(m.name not in self.acknowledged and
+               m.incarnation < self.incarnation
+               for m in members.routable(zones_out)):
+            return decision.Phase.JOINING
+        if now_ms < self.inquiring_until_ms:
+            return decision.Phase.INQUIRING
+        return decision.Phase.SETTLED
