--- a/figdrum/messages/codec.py
+++ b/figdrum/messages/codec.py
@@ -37,7 +37,7 @@
                       datagram.Pong, datagram.Stale, datagram.Held,
                       datagram.Refused, datagram.Heartbeat, datagram.Handover,
                       datagram.HandoverReply, datagram.Moved, datagram.Claim,
-                      datagram.ClaimReply, datagram.Withdraw, datagram.Execute,
+                      datagram.ClaimReply, datagram.Execute,
                       datagram.ExecuteReply, control.Entry, control.Digest,
                       control.Delta, control.Pull, control.Subscribe)
 _CODES = {cls: code for code, cls in enumerate(_TYPES)}
--- a/figdrum/messages/datagram.py
+++ b/figdrum/messages/datagram.py
@@ -149,7 +149,6 @@
       executor: Agent that wants to run the request.
       incarnation: The executor's incarnation.
       list_version: List version by which the executor chose the members.
-      kind: Value of `idempotency.claim_registry.ClaimKind`.
       copy: True for a copy from a leaving member, recorded without a reply.
     """
     nonce: int
@@ -158,7 +157,6 @@
     executor: str
     incarnation: int
     list_version: int
-    kind: str
     copy: bool = False
 
 
@@ -171,7 +169,6 @@
       verdict: Value of `idempotency.claim_registry.Verdict`.
       executor: The recorded executor when the key is taken, else ''.
       incarnation: The recorded executor's incarnation, else 0.
-      kind: The recorded kind when the key is taken, else ''.
       list_version: List version that the member knows.
     """
     nonce: int
@@ -179,18 +176,9 @@
     verdict: str
     executor: str
     incarnation: int
-    kind: str
     list_version: int
 
 
-class Withdraw(typing.NamedTuple):
-    """Takes back the claim of an executor that lost the key to another."""
-    customer: str
-    key: str
-    executor: str
-    incarnation: int
-
-
 class Execute(typing.NamedTuple):
     """Asks the executor of a key for the stored or coming answer."""
     nonce: int
@@ -215,5 +203,5 @@
 
 
 Message = (Packet | Reply | Ping | Pong | Stale | Held | Refused | Heartbeat |
-           Handover | HandoverReply | Moved | Claim | ClaimReply | Withdraw |
-           Execute | ExecuteReply)
+           Handover | HandoverReply | Moved | Claim | ClaimReply | Execute |
+           ExecuteReply)
