Mend the ownership rules that the specification refuted

Cause: the model checker found seven sequences in which two agents held one flow or a refusal was false, among them a refusal under way while its sender restarted, an offer of a flow to two members, a packet passed on before its receiver was paused, and a member marked lost that did not know it yet. Ruled out: trusting a balancer's view of who is silent; withdrawing by message. Change: agents ask all others, go by their own suspicion, carry refusals back through every fence, make one offer at a time, and wait for a member that is marked lost but still heard.

--- a/figdrum/messages/codec.py
+++ b/figdrum/messages/codec.py
@@ -36,7 +36,7 @@
               ...] = (datagram.Packet, datagram.Reply, datagram.Ping,
                       datagram.Pong, datagram.Stale, datagram.Held,
                       datagram.Refused, datagram.Heartbeat, datagram.Handover,
-                      datagram.HandoverReply, datagram.Moved, datagram.Claim,
+                      datagram.HandoverReply, datagram.Claim,
                       datagram.ClaimReply, datagram.Execute,
                       datagram.ExecuteReply, control.Entry, control.Digest,
                       control.Delta, control.Pull, control.Subscribe)
--- a/figdrum/messages/datagram.py
+++ b/figdrum/messages/datagram.py
@@ -26,11 +26,15 @@
       balancer: Address of the balancer that takes the reply.
       payload: The datagram, unchanged.
       visited: Agents that passed the packet on, in order.
-      skipped: Agents passed over because they did not answer.
+      skipped: Agents that the balancer passed over because they did not answer
+        it. Agents go by their own suspicion; this is for metrics and traces.
       asker: Agent that asks the others whether one holds the flow, or ''.
       asker_incarnation: The asker's incarnation, or 0.
       tries: Agents that could have admitted the flow but for their load.
       uncertain: True when an earlier copy may have run somewhere.
+      asker_epoch: How often the asker had been paused when it asked.
+      must_ask: True when an agent may admit the flow only after asking all
+        others, those that passed the packet on included.
       asker_holds: True when the asker held the flow before it was paused.
     """
     change: int
@@ -45,8 +49,10 @@
     skipped: tuple[str, ...] = ()
     asker: str = ''
     asker_incarnation: int = 0
+    asker_epoch: int = 0
     tries: int = 0
     uncertain: bool = False
+    must_ask: bool = False
     asker_holds: bool = False
 
 
@@ -92,9 +98,13 @@
 
     Attributes:
       refusal: Value of `states.Refusal`.
+      sender: The member that sends it back.
+      sender_incarnation: The sender's incarnation.
       packet: The refused packet; its `visited` shrinks on the way back.
     """
     refusal: str
+    sender: str
+    sender_incarnation: int
     packet: Packet
 
 
@@ -132,13 +142,6 @@
     incarnation: int
 
 
-class Moved(typing.NamedTuple):
-    """Tells a member that a flow is held by another one from now on."""
-    flow: ids.FlowKey
-    holder: str
-    incarnation: int
-
-
 class Claim(typing.NamedTuple):
     """Asks a member to record who runs the request with a key.
 
@@ -203,5 +206,5 @@
 
 
 Message = (Packet | Reply | Ping | Pong | Stale | Held | Refused | Heartbeat |
-           Handover | HandoverReply | Moved | Claim | ClaimReply | Execute |
+           Handover | HandoverReply | Claim | ClaimReply | Execute |
            ExecuteReply)
--- a/figdrum/messages/tests/test_codec.py
+++ b/figdrum/messages/tests/test_codec.py
@@ -16,7 +16,7 @@
                          ('127.0.0.1', 7000), b'\x40\x01', ('a',), ('b',))
 SAMPLES = [
     PACKET,
-    datagram.Refused('did-not-run', PACKET),
+    datagram.Refused('did-not-run', 'a', 2, PACKET),
     datagram.Handover('a', FLOW, 'al-sahil', ('127.0.0.1', 7000), (b'x', b'y'),
                       9),
     control.Delta(1, 2, (control.Entry('lists/a', '{}', 1, 2),), 40),
--- a/figdrum/ownership/actions.py
+++ b/figdrum/ownership/actions.py
@@ -14,8 +14,10 @@
     FENCED = 'fenced'
     NO_HOLDER = 'no-holder'
     PENDING = 'pending'
+    STALE_REFUSAL = 'stale-refusal'
     STALE_ASKER = 'stale-asker'
     TABLE_FULL = 'table-full'
+    TAKEOVER = 'takeover'
     WRONG_SERVICE = 'wrong-service'
     YIELDED = 'yielded'
 
--- a/figdrum/ownership/decision.py
+++ b/figdrum/ownership/decision.py
@@ -1,12 +1,13 @@
-"""The decision of one agent on one packet of one flow.
+"""The decision of one agent on one packet or message of one flow.
 
 Explanation
 ===========
 
 `decide` is a pure function of the agent's view, its record of the flow and the
-packet. `Owner` keeps the records; the specification in `spec/ownership.py`
-calls the same function. The rules R3, R4 and R7 of docs/design.md are decided
-here, R1, R2, R5 and R6 by the phase that the caller passes in.
+packet; the other functions here are the same for messages of other members.
+`Owner` keeps the records; the specification in `spec/ownership.py` calls the
+same functions. The rules R3, R4, R7 and R8 of docs/design.md are decided here,
+R1, R2, R5 and R6 by the view that the caller passes in.
 
 Examples
 ========
@@ -51,6 +52,7 @@
     SETTLED = 'settled'
     DRAINING = 'draining'
     FENCED = 'fenced'
+    BEHIND = 'behind'
 
 
 class Rules(typing.NamedTuple):
@@ -60,14 +62,21 @@
       pointer_at_passing: R3.
       remembered_refusal: R4.
       visited_order: R7.
+      departure_inquiry: R8.
       claim_at_asking: An asked member points to the asker.
-      report_incarnation: The second half of R5.
+      doubt: An agent that may have forgotten a flow says so in refusals.
+      epochs: An inquiry from before a pause is void.
+      takeover_delay: A member that is marked lost but still heard is given
+        time to find out before others take its flows over.
     """
     pointer_at_passing: bool = True
     remembered_refusal: bool = True
     visited_order: bool = True
+    departure_inquiry: bool = True
     claim_at_asking: bool = True
-    report_incarnation: bool = True
+    doubt: bool = True
+    epochs: bool = True
+    takeover_delay: bool = True
 
 
 ALL_RULES = Rules()
@@ -84,6 +93,13 @@
       phase: What this agent may decide on its own.
       can_admit: Tells whether there is room for the flow here.
       suspects: Members that do not answer this agent.
+      epoch: How often this agent has been paused.
+      amnesic: True when it restarted or was paused within the copy lifetime.
+      departed_ahead: True when a member ahead of this agent left or was lost
+        within the copy lifetime.
+      lost_ahead: True when such a member was lost.
+      ghosts: Members marked lost that were still heard a moment ago.
+      ghost_ahead: True when one of them is ahead of this agent.
       rules: Rules in force.
     """
     name: str
@@ -93,6 +109,12 @@
     phase: Phase
     can_admit: collections.abc.Callable[[], bool]
     suspects: frozenset[str] = frozenset()
+    epoch: int = 0
+    amnesic: bool = False
+    departed_ahead: bool = False
+    lost_ahead: bool = False
+    ghosts: frozenset[str] = frozenset()
+    ghost_ahead: bool = False
     rules: Rules = ALL_RULES
 
     def find(self, name: str) -> service_list.Member | None:
@@ -108,11 +130,8 @@
 
     def unvisited(self, packet: datagram.Packet) -> list[service_list.Member]:
         """Returns the other members that can still be asked, in order."""
-        passed_over = self.suspects.union(packet.visited, packet.skipped)
-        return [
-            m for m in self.order
-            if m.name != self.name and m.name not in passed_over
-        ]
+        passed_over = self.suspects.union(packet.visited, (self.name,))
+        return [m for m in self.order if m.name not in passed_over]
 
 
 class Decision(typing.NamedTuple):
@@ -135,22 +154,47 @@
     """
     if view.phase is Phase.FENCED:
         return _drop(record, packet, actions.DropReason.FENCED)
+    if view.phase is Phase.BEHIND:
+        return Decision(record, (actions.FetchList(packet),))
     if isinstance(record, records.Fence) and packet.may_start:
-        return refuse(view, packet, record.refusal)
+        return refuse(view, packet._replace(visited=record.visited),
+                      record.refusal)
     if isinstance(record,
                   records.Hold) and not (record.tentative and packet.may_start):
         return _deliver_held(view, record, packet)
     if packet.list_version > view.list_version:
         return Decision(record, (actions.FetchList(packet),))
-    packet = packet._replace(list_version=view.list_version)
-    if packet.asker and packet.asker != view.name:
-        asker = view.find(packet.asker)
-        if asker is None or asker.incarnation != packet.asker_incarnation:
-            return _drop(record, packet, actions.DropReason.STALE_ASKER)
+    if _is_stale_asker(view, packet):
+        return _drop(record, packet, actions.DropReason.STALE_ASKER)
+    if view.rules.takeover_delay and _waits_for_ghost(view, record, packet):
+        return _drop(record, packet, actions.DropReason.TAKEOVER)
+    doubtful = view.amnesic or view.lost_ahead or _has_suspect_ahead(
+        view, packet)
+    packet = packet._replace(list_version=view.list_version,
+                             uncertain=packet.uncertain or
+                             (view.rules.doubt and doubtful))
+    must_ask = view.phase is Phase.INQUIRING or (view.rules.departure_inquiry
+                                                 and view.departed_ahead)
     if isinstance(record, records.Pointer):
-        record, packet, followed = _follow(view, record, packet)
-        if followed:
-            return followed
+        target = view.find(record.to)
+        if _is_alive(view, record, target):
+            if target.name not in packet.visited:
+                return _send(record, target, _visit(view, packet))
+            # The target passed the packet on without holding the flow, or
+            # asks for it itself: a newer holder may be behind it.
+            must_ask = True
+        else:
+            must_ask = must_ask or view.rules.departure_inquiry
+            packet = packet._replace(
+                uncertain=packet.uncertain or view.rules.doubt)
+        record = None
+    packet = packet._replace(must_ask=must_ask)
+    return _decide_unrouted(view, record, packet)
+
+
+def _decide_unrouted(view: View, record: records.Record,
+                     packet: datagram.Packet) -> Decision:
+    """Decides on a packet of a flow without a pointer to follow."""
     if not packet.may_start:
         return _search(view, record, packet)
     if packet.asker == view.name:
@@ -168,12 +212,15 @@
 
     Every member on the way fences the flow before the caller hears of it.
     """
-    fence = records.Fence(refusal) if view.rules.remembered_refusal else None
+    fence = None
+    if view.rules.remembered_refusal:
+        fence = records.Fence(refusal, packet.visited)
     visited = list(packet.visited)
     while visited:
         back = view.find(visited.pop())
         if back and back.name != view.name:
-            message = datagram.Refused(refusal.value,
+            message = datagram.Refused(refusal.value, view.name,
+                                       view.incarnation,
                                        packet._replace(visited=tuple(visited)))
             return Decision(fence, (actions.Send(back, message),))
     return Decision(fence, (actions.Refuse(packet, refusal),))
@@ -182,12 +229,82 @@
 def on_refused(view: View, record: records.Record,
                refused: datagram.Refused) -> Decision:
     """Fences a flow that this agent passed on and a later member refused."""
-    if isinstance(record, records.Hold):
-        return _drop(record, refused.packet, actions.DropReason.YIELDED)
+    packet = refused.packet
+    if not _expects_refusal(view, record, refused):
+        return _drop(record, packet, actions.DropReason.STALE_REFUSAL)
     refusal = states.Refusal(refused.refusal)
     if isinstance(record, records.Fence):
         refusal = _weaker(refusal, record.refusal)
-    return refuse(view, refused.packet, refusal)
+    return refuse(view, packet, refusal)
+
+
+def _expects_refusal(view: View, record: records.Record,
+                     refused: datagram.Refused) -> bool:
+    """Returns whether this agent still stands by having passed a packet on.
+
+    A refusal that was under way while its sender restarted, or while this
+    agent let another member have the flow, may no longer be true.
+    """
+    packet = refused.packet
+    if isinstance(record, records.Fence):
+        return True
+    if isinstance(record, records.Pending):
+        return packet.asker == view.name and not _is_stale_asker(view, packet)
+    return record in (records.Pointer(refused.sender,
+                                      refused.sender_incarnation),
+                      records.Pointer(packet.asker, packet.asker_incarnation))
+
+
+def on_held(view: View, record: records.Record,
+            held: datagram.Held) -> Decision:
+    """Points to the member that answered this agent's inquiry."""
+    holder = view.find(held.holder)
+    if (held.holder == view.name or holder is None or
+            holder.incarnation != held.incarnation or record == records.Hold()):
+        return Decision(record, ())
+    pointer = records.Pointer(holder.name, holder.incarnation)
+    if isinstance(record, records.Hold):
+        return Decision(pointer, (actions.Release(held.flow),))
+    return Decision(pointer, ())
+
+
+def on_handover(view: View,
+                record: records.Record,
+                handover: datagram.Handover,
+                declined: bool = False) -> Decision:
+    """Accepts a flow of a leaving member if there is room.
+
+    Args:
+      view: What the agent knows.
+      record: Its record of the flow.
+      handover: The offer.
+      declined: True when this agent has declined the flow before. It must not
+        accept a repeated offer then, since the giver may have gone on to
+        another member.
+    """
+    giver = view.find(handover.giver)
+    if giver is None:
+        return Decision(record, ())
+    has_room = view.phase in (Phase.INQUIRING,
+                              Phase.SETTLED) and view.can_admit()
+    accepted = not declined and (isinstance(record, records.Hold) or has_room)
+    if accepted:
+        record = records.Hold()
+    reply = datagram.HandoverReply(handover.flow, accepted, view.name,
+                                   view.incarnation)
+    return Decision(record, (actions.Send(giver, reply),))
+
+
+def on_handover_reply(view: View, record: records.Record,
+                      reply: datagram.HandoverReply) -> Decision:
+    """Points to the member that accepted a flow."""
+    holder = view.find(reply.name)
+    if (not reply.accepted or holder is None or
+            holder.incarnation != reply.incarnation or
+            not isinstance(record, records.Hold)):
+        return Decision(record, ())
+    return Decision(records.Pointer(holder.name, holder.incarnation),
+                    (actions.Release(reply.flow),))
 
 
 def _weaker(one: states.Refusal, other: states.Refusal) -> states.Refusal:
@@ -226,18 +343,38 @@
                     (actions.Deliver(packet),) + _held_notice(view, packet))
 
 
-def _follow(
-    view: View, record: records.Pointer, packet: datagram.Packet
-) -> tuple[records.Record, datagram.Packet, Decision | None]:
-    """Passes a packet along a pointer, or drops a pointer that is dead."""
-    target = view.find(record.to)
-    if target is None or target.incarnation != record.incarnation:
-        if view.rules.report_incarnation:
-            packet = packet._replace(uncertain=True)
-        return None, packet, None
-    if target.name in packet.visited or target.name in packet.skipped:
-        return None, packet, None
-    return record, packet, _send(record, target, _visit(view, packet))
+def _is_stale_asker(view: View, packet: datagram.Packet) -> bool:
+    """Returns whether a packet belongs to an inquiry that is void."""
+    if not packet.asker:
+        return False
+    if packet.asker == view.name:
+        return packet.asker_incarnation != view.incarnation or (
+            view.rules.epochs and packet.asker_epoch != view.epoch)
+    asker = view.find(packet.asker)
+    return asker is None or asker.incarnation != packet.asker_incarnation
+
+
+def _is_alive(view: View, pointer: records.Pointer,
+              target: service_list.Member | None) -> bool:
+    return (target is not None and target.name not in view.suspects and
+            target.incarnation == pointer.incarnation)
+
+
+def _waits_for_ghost(view: View, record: records.Record,
+                     packet: datagram.Packet) -> bool:
+    """Returns whether a member that is marked lost may still hold the flow.
+
+    It hears of the mark from the next heartbeat of any other member.
+    """
+    if isinstance(record, records.Pointer):
+        return record.to in view.ghosts
+    return packet.may_start and view.ghost_ahead
+
+
+def _has_suspect_ahead(view: View, packet: datagram.Packet) -> bool:
+    return any(
+        view.is_ahead(name)
+        for name in view.suspects.difference(packet.visited))
 
 
 def _search(view: View, record: records.Record,
@@ -251,15 +388,16 @@
 
 def _resolve(view: View, record: records.Record,
              packet: datagram.Packet) -> Decision:
-    """Decides on a packet that came back from all other members."""
-    if packet.asker_incarnation != view.incarnation:
-        return _drop(record, packet, actions.DropReason.STALE_ASKER)
+    """Decides on a packet that came back from the other members."""
+    rest = view.unvisited(packet)
+    if rest:
+        return _send(record, rest[0], packet)
     if isinstance(record, records.Hold):
         return Decision(records.Hold(), (actions.Deliver(packet),))
     if view.phase in (Phase.INQUIRING, Phase.SETTLED) and view.can_admit():
         return Decision(records.Hold(),
                         (actions.Deliver(packet, started=True),))
-    return refuse(view, packet, _refusal(view, packet))
+    return refuse(view, packet, _refusal(packet))
 
 
 def _while_asking(view: View, record: records.Pending | records.Hold,
@@ -301,20 +439,22 @@
     return Decision(record, released + (actions.Send(to, packet),))
 
 
-def _consider(view: View, packet: datagram.Packet) -> Decision:
+def _consider(view: View, packet: datagram.Packet, must_ask: bool) -> Decision:
     """Admits a new flow, asks the others, passes it on or refuses it."""
     rest = view.unvisited(packet)
     if view.rules.visited_order and rest and view.is_ahead(rest[0].name):
         return _send(None, rest[0], packet)
     if view.phase in (Phase.INQUIRING, Phase.SETTLED):
         if view.can_admit():
-            if view.phase is Phase.INQUIRING:
+            if packet.must_ask:
                 return _ask(view, records.Pending(), packet)
             return Decision(records.Hold(),
                             (actions.Deliver(packet, started=True),))
-        packet = packet._replace(tries=packet.tries + 1)
+        packet = packet._replace(tries=packet.tries + 1,
+                                 uncertain=packet.uncertain or
+                                 (view.rules.doubt and packet.must_ask))
     if packet.tries >= MAX_TRIES or not rest:
-        return refuse(view, packet, _refusal(view, packet))
+        return refuse(view, packet, _refusal(packet))
     record = None
     if view.rules.pointer_at_passing:
         record = records.Pointer(rest[0].name, rest[0].incarnation)
@@ -324,22 +464,21 @@
 def _ask(view: View, record: records.Pending | records.Hold,
          packet: datagram.Packet) -> Decision:
     """Asks the other members, or settles at once when there is none."""
-    packet = packet._replace(asker=view.name,
+    # Members that passed the packet on are asked again: one that has meanwhile
+    # given this agent up may have admitted a later copy.
+    packet = packet._replace(visited=(view.name,),
+                             asker=view.name,
                              asker_incarnation=view.incarnation,
+                             asker_epoch=view.epoch,
                              asker_holds=isinstance(record, records.Hold))
-    packet = _visit(view, packet)
     rest = view.unvisited(packet)
     if not rest:
         return _resolve(view, record, packet)
     return _send(record, rest[0], packet)
 
 
-def _refusal(view: View, packet: datagram.Packet) -> states.Refusal:
+def _refusal(packet: datagram.Packet) -> states.Refusal:
     """Returns what a refusal may truthfully say of the request."""
-    ahead = any(
-        view.is_ahead(name)
-        for name in view.suspects.union(packet.skipped)
-        if name not in packet.visited)
-    if packet.uncertain or ahead:
+    if packet.uncertain:
         return states.Refusal.OUTCOME_UNKNOWN
     return states.Refusal.DID_NOT_RUN
--- a/figdrum/ownership/flow_table.py
+++ b/figdrum/ownership/flow_table.py
@@ -94,12 +94,14 @@
                 for flow, entry in self._entries.items()
                 if isinstance(entry.record, records.Hold)]
 
-    def suspend_holds(self) -> None:
-        """Makes every held flow tentative."""
-        for flow, entry in self._entries.items():
+    def suspend(self) -> None:
+        """Makes every held flow tentative and ends every open inquiry."""
+        for flow, entry in list(self._entries.items()):
             if isinstance(entry.record, records.Hold):
                 self._entries[flow] = entry._replace(record=records.Hold(
                     tentative=True))
+            elif isinstance(entry.record, records.Pending):
+                del self._entries[flow]
 
     def clear(self) -> list[ExpiredHold]:
         """Forgets everything; returns the flows that were held."""
--- a/figdrum/ownership/owner.py
+++ b/figdrum/ownership/owner.py
@@ -7,6 +7,7 @@
 messages of other members into actions. It does no I/O and reads no clock.
 """
 
+import collections.abc
 import typing
 
 from figdrum.core import ids
@@ -19,14 +20,27 @@
 from figdrum.ownership import flow_table
 from figdrum.ownership import records
 from figdrum.ownership import standing
+from figdrum.routing import rendezvous
 
 # The inquiry is repeated by the caller's next copy after this time, in case
 # an asked member failed with the packet.
 PENDING_TIMEOUT_MS = 1_000
 
+# Three heartbeats lost in a row, and three times the gap that a paused member
+# notices itself.
+SUSPECT_AFTER_MS = 1_500
+
 Actions = tuple[actions.Action, ...]
 
 
+class _FlowOffer(typing.NamedTuple):
+    to: service_list.Member | None
+    declined: frozenset[str]
+
+
+_NO_OFFER = _FlowOffer(None, frozenset())
+
+
 class Owner:
     """Decides which flows this agent holds."""
 
@@ -50,9 +64,12 @@
         self._standing: standing.Standing | None = None
         self._list = service_list.ServiceList.empty(service)
         self._zones_out: frozenset[str] = frozenset()
-        self._suspects: frozenset[str] = frozenset()
+        self._heard_ms: dict[str, int] = {}
         self._pending_since: dict[ids.FlowKey, int] = {}
         self._last_event_ms: int | None = None
+        self._departed_ms: dict[tuple[str, int], int] = {}
+        self._offered: dict[ids.FlowKey, _FlowOffer] = {}
+        self._declined_ms: dict[ids.FlowKey, int] = {}
 
     @property
     def list_version(self) -> int:
@@ -67,14 +84,15 @@
         """Returns what this agent may decide now."""
         if self._standing is None:
             return decision.Phase.FENCED
-        return self._standing.phase(now_ms, self._list, self._zones_out)
+        return self._standing.phase(now_ms, self._list, self._zones_out,
+                                    self._silent(now_ms))
 
     def join(self, now_ms: int, incarnation: ids.Incarnation) -> Actions:
         """Starts a new incarnation; what an earlier one held is forgotten."""
         draining = self._standing is not None and self._standing.draining
-        self._standing = standing.Standing(self._name, incarnation,
-                                           draining).woken(now_ms)
+        self._standing = standing.Standing(self._name, incarnation, draining)
         self._pending_since.clear()
+        self._offered.clear()
         self._last_event_ms = now_ms
         return tuple(actions.Release(hold.flow) for hold in self._table.clear())
 
@@ -88,14 +106,14 @@
         first = self._standing is not None and (
             self._list.version < self._standing.incarnation <= members.version)
         self._list = members
+        self._note_departures(now_ms)
+        self._heard_ms = {
+            m.name: self._heard_ms.get(m.name, now_ms) for m in members.members
+        }
         if first:
             self._standing = self._standing.joined(now_ms, members)
         return ()
 
-    def set_suspects(self, suspects: frozenset[str]) -> None:
-        """Sets the members that do not answer this agent."""
-        self._suspects = suspects
-
     def on_packet(self, now_ms: int, packet: datagram.Packet,
                   admission: admission_check.AdmissionCheck) -> Actions:
         """Decides on a packet from a balancer or another member."""
@@ -120,57 +138,126 @@
         """Handles a message of another member; ignores other kinds."""
         self._notice_gap(now_ms)
         if isinstance(message, datagram.Heartbeat):
-            return self._on_heartbeat(message)
+            return self._on_heartbeat(now_ms, message)
         if isinstance(message, datagram.Refused):
             return self._on_refused(now_ms, message, admission)
-        if isinstance(message, (datagram.Held, datagram.Moved)):
-            return self._on_moved(now_ms, message)
+        if isinstance(message, datagram.Held):
+            return self._on_flow_message(now_ms, message, decision.on_held, '',
+                                         admission)
         if isinstance(message, datagram.Handover):
             return self._on_handover(now_ms, message, admission)
         if isinstance(message, datagram.HandoverReply):
-            return self._on_handover_reply(now_ms, message)
+            return self._on_handover_reply(now_ms, message, admission)
         return ()
 
     def on_tick(self, now_ms: int) -> Actions:
-        """Expires records; to be called each 100 ms."""
+        """Expires records and repeats offers; to be called each 100 ms."""
         self._notice_gap(now_ms)
-        return tuple(
+        released = tuple(
             actions.Release(hold.flow) for hold in self._table.expire(now_ms))
+        limit_ms = now_ms - flow_table.COPY_LIFETIME_MS
+        for flow, declined_ms in list(self._declined_ms.items()):
+            if declined_ms > limit_ms:
+                break
+            del self._declined_ms[flow]
+        return released + self._offers(now_ms)
 
     def start_drain(self, now_ms: int) -> Actions:
-        """Stops admitting and offers every held flow to another member."""
+        """Stops admitting and offers every held flow to another member.
+
+        Offers are repeated on each tick until a member accepts.
+        """
         self._notice_gap(now_ms)
         if self._standing is not None:
             self._standing = self._standing._replace(draining=True)
-        return self.offers(frozenset())
+        return self._offers(now_ms)
+
+    def _offers(self, now_ms: int) -> Actions:
+        """Offers each held flow to one member until that one declines.
 
-    def offers(self, declined: frozenset[str]) -> Actions:
-        """Returns offers of the held flows to members not in `declined`."""
+        Two open offers of one flow could both be accepted.
+        """
+        if self._standing is None or not self._standing.draining:
+            return ()
         offers = []
+        silent = self._silent(now_ms)
         for flow, _ in self._table.held():
-            to = self._successor(flow, declined)
-            if to is not None:
-                offers.append(actions.Offer(to, flow))
+            offer = self._offered.get(flow, _NO_OFFER)
+            if self._is_offer_over(offer, silent):
+                offer = _FlowOffer(
+                    self._successor(flow, offer.declined | silent),
+                    offer.declined)
+                self._offered[flow] = offer
+            if offer.to is not None:
+                offers.append(actions.Offer(offer.to, flow))
         return tuple(offers)
 
+    def _is_offer_over(self, offer: '_FlowOffer',
+                       silent: frozenset[str]) -> bool:
+        if offer.to is None or offer.to.name in silent:
+            return True
+        listed = self._list.find(offer.to.name)
+        return listed is None or listed.incarnation != offer.to.incarnation or (
+            listed.state is not states.MemberState.ACTIVE)
+
+    def _note_departures(self, now_ms: int) -> None:
+        """Remembers when each lost or left member was first seen as such."""
+        gone = {(m.name, m.incarnation)
+                for m in self._list.members
+                if m.state in (states.MemberState.LOST, states.MemberState.LEFT)
+               }
+        self._departed_ms = {
+            pair: self._departed_ms.get(pair, now_ms) for pair in gone
+        }
+
+    def _departed(self, now_ms: int) -> frozenset[str]:
+        limit_ms = now_ms - flow_table.COPY_LIFETIME_MS
+        return frozenset(name for (name,
+                                   _), seen_ms in self._departed_ms.items()
+                         if seen_ms > limit_ms)
+
     def _notice_gap(self, now_ms: int) -> None:
         """Applies rule R6 when this process was paused."""
         last_ms, self._last_event_ms = self._last_event_ms, now_ms
         if self._standing is None or last_ms is None:
             return
         if now_ms - last_ms >= standing.WAKE_GAP_MS:
-            self._standing = self._standing.woken(now_ms)
-            self._table.suspend_holds()
+            self._standing = self._standing.woken(now_ms, self._list)
+            self._heard_ms = dict.fromkeys(self._heard_ms, now_ms)
+            self._pending_since.clear()
+            self._table.suspend()
 
     def _view(self, now_ms: int, flow: ids.FlowKey, customer: str,
               admission: admission_check.AdmissionCheck) -> decision.View:
-        incarnation = self._standing.incarnation if self._standing else 0
-        return decision.View(
-            self._name, incarnation, self._list.version,
-            self._list.order(flow.to_bytes(), self._zones_out),
-            self.phase(now_ms),
-            lambda: admission.can_admit(now_ms, ids.CustomerId(customer)),
-            self._suspects)
+        place = self._standing or standing.Standing(self._name, 0)
+        key = flow.to_bytes()
+        departed = [
+            name for name in self._departed(now_ms)
+            if rendezvous.precedes(key, name, self._name)
+        ]
+        lost = any(
+            self._list.find(name).state is states.MemberState.LOST
+            for name in departed)
+        silent = self._silent(now_ms)
+        ghosts = frozenset(
+            m.name
+            for m in self._list.members
+            if m.state is states.MemberState.LOST and m.name not in silent)
+        return decision.View(name=self._name,
+                             incarnation=place.incarnation,
+                             list_version=self._list.version,
+                             order=self._list.order(key, self._zones_out),
+                             phase=self.phase(now_ms),
+                             can_admit=lambda: admission.can_admit(
+                                 now_ms, ids.CustomerId(customer)),
+                             suspects=silent,
+                             epoch=place.epoch,
+                             amnesic=now_ms < place.amnesic_until_ms,
+                             departed_ahead=bool(departed),
+                             lost_ahead=lost,
+                             ghosts=ghosts,
+                             ghost_ahead=any(
+                                 name in ghosts for name in departed))
 
     def _live_record(self, now_ms: int, flow: ids.FlowKey) -> records.Record:
         record = self._table.get(flow)
@@ -193,12 +280,20 @@
         self._table.put(now_ms, packet.flow, record,
                         ids.CustomerId(packet.customer))
 
-    def _on_heartbeat(self, message: datagram.Heartbeat) -> Actions:
+    def _on_heartbeat(self, now_ms: int,
+                      message: datagram.Heartbeat) -> Actions:
+        self._heard_ms[message.name] = now_ms
         if self._standing is not None:
-            self._standing = self._standing.acknowledge(message.name,
-                                                        message.list_version)
+            self._standing = self._standing.hear(message.name,
+                                                 message.list_version)
         return ()
 
+    def _silent(self, now_ms: int) -> frozenset[str]:
+        """Returns the members that have not been heard for a while."""
+        limit_ms = now_ms - SUSPECT_AFTER_MS
+        return frozenset(name for name, heard_ms in self._heard_ms.items()
+                         if heard_ms <= limit_ms and name != self._name)
+
     def _on_refused(self, now_ms: int, message: datagram.Refused,
                     admission: admission_check.AdmissionCheck) -> Actions:
         packet = message.packet
@@ -209,66 +304,50 @@
         self._store(now_ms, packet, decided.record)
         return decided.actions
 
-    def _on_moved(self, now_ms: int,
-                  message: datagram.Held | datagram.Moved) -> Actions:
+    def _on_flow_message(self, now_ms: int, message: typing.Any,
+                         decide: collections.abc.Callable[...,
+                                                          decision.Decision],
+                         customer: str,
+                         admission: admission_check.AdmissionCheck) -> Actions:
+        view = self._view(now_ms, message.flow, customer, admission)
         record = self._table.get(message.flow)
-        member = self._list.find(message.holder)
-        if (message.holder == self._name or member is None or
-                member.incarnation != message.incarnation or
-                record == records.Hold()):
-            return ()
-        self._pending_since.pop(message.flow, None)
-        self._point(now_ms, message.flow, member)
-        if isinstance(record, records.Hold):
-            return (actions.Release(message.flow),)
-        return ()
-
-    def _point(self, now_ms: int, flow: ids.FlowKey,
-               member: service_list.Member) -> None:
-        self._table.put(now_ms, flow,
-                        records.Pointer(member.name, member.incarnation),
-                        ids.CustomerId(''))
+        decided = decide(view, record, message)
+        if decided.record != record:
+            self._pending_since.pop(message.flow, None)
+            self._table.put(now_ms, message.flow, decided.record,
+                            ids.CustomerId(customer))
+        return decided.actions
 
     def _on_handover(self, now_ms: int, message: datagram.Handover,
                      admission: admission_check.AdmissionCheck) -> Actions:
-        """Accepts a flow of a leaving member if there is room."""
-        giver = self._list.find(message.giver)
-        if giver is None or self._standing is None:
-            return ()
-        customer = ids.CustomerId(message.customer)
-        held = isinstance(self._table.get(message.flow), records.Hold)
-        accepted = held or (self.phase(now_ms) in (decision.Phase.SETTLED,
-                                                   decision.Phase.INQUIRING) and
-                            not self._table.is_full() and
-                            admission.can_admit(now_ms, customer))
-        if accepted:
+        declined = message.flow in self._declined_ms or self._table.is_full()
+        view = self._view(now_ms, message.flow, message.customer, admission)
+        decided = decision.on_handover(view, self._table.get(message.flow),
+                                       message, declined)
+        if isinstance(decided.record, records.Hold):
             self._pending_since.pop(message.flow, None)
-            self._table.put(now_ms, message.flow, records.Hold(), customer)
-        reply = datagram.HandoverReply(message.flow, accepted, self._name,
-                                       self._standing.incarnation)
-        return (actions.Send(giver, reply),)
-
-    def _on_handover_reply(self, now_ms: int,
-                           message: datagram.HandoverReply) -> Actions:
-        """Points to the new holder and tells the other members of it."""
-        holder = self._list.find(message.name)
-        record = self._table.get(message.flow)
-        if (not message.accepted or holder is None or
-                not isinstance(record, records.Hold)):
+            self._table.put(now_ms, message.flow, decided.record,
+                            ids.CustomerId(message.customer))
+        elif decided.actions:
+            self._declined_ms.setdefault(message.flow, now_ms)
+        return decided.actions
+
+    def _on_handover_reply(
+            self, now_ms: int, message: datagram.HandoverReply,
+            admission: admission_check.AdmissionCheck) -> Actions:
+        offer = self._offered.get(message.flow, _NO_OFFER)
+        if offer.to is None or offer.to.name != message.name:
             return ()
-        self._point(now_ms, message.flow, holder)
-        moved = datagram.Moved(message.flow, message.name, message.incarnation)
-        others = [
-            m for m in self._list.routable(self._zones_out)
-            if m.name not in (self._name, message.name)
-        ]
-        return (actions.Release(message.flow),
-                *(actions.Send(m, moved) for m in others))
+        if not message.accepted:
+            self._offered[message.flow] = _FlowOffer(
+                None, offer.declined | {message.name})
+            return ()
+        del self._offered[message.flow]
+        return self._on_flow_message(now_ms, message,
+                                     decision.on_handover_reply, '', admission)
 
-    def _successor(
-            self, flow: ids.FlowKey,
-            declined: frozenset[str]) -> typing.Optional[service_list.Member]:
-        passed_over = self._suspects.union(declined)
+    def _successor(self, flow: ids.FlowKey,
+                   passed_over: frozenset[str]) -> service_list.Member | None:
         for member in self._list.order(flow.to_bytes(), self._zones_out):
             if (member.name != self._name and
                     member.state is states.MemberState.ACTIVE and
--- a/figdrum/ownership/records.py
+++ b/figdrum/ownership/records.py
@@ -27,8 +27,15 @@
 
 
 class Fence(typing.NamedTuple):
-    """The flow was refused, and later copies of its packets are too."""
+    """The datagram was refused, and later copies of it are too.
+
+    Attributes:
+      refusal: What the caller is told.
+      visited: Members that had passed the datagram on. Every refusal goes
+        back through them, so that each has a fence before the caller hears.
+    """
     refusal: states.Refusal
+    visited: tuple[str, ...] = ()
 
 
 class Pending(typing.NamedTuple):
--- a/figdrum/ownership/standing.py
+++ b/figdrum/ownership/standing.py
@@ -20,13 +20,21 @@
       incarnation: List version at which it joined.
       draining: True once it is asked to stop.
       inquiring_until_ms: End of rules R2, R5 and R6, on the agent's clock.
+      amnesic_until_ms: End of the time in which it may have forgotten a flow.
+      epoch: How often it was paused in this incarnation.
       acknowledged: Members that have shown a list containing this agent.
+      unheard: Members that have not been heard since this agent was paused.
+      newest: Highest list version that another member has shown.
     """
     name: str
     incarnation: int
     draining: bool = False
     inquiring_until_ms: int = 0
+    amnesic_until_ms: int = 0
+    epoch: int = 0
     acknowledged: frozenset[str] = frozenset()
+    unheard: frozenset[str] = frozenset()
+    newest: int = 0
 
     def joined(self, now_ms: int,
                members: service_list.ServiceList) -> 'Standing':
@@ -34,34 +42,55 @@
 
         The first member that a service ever has need not ask anyone.
         """
-        only = len(members.members) == 1 and members.version == 1
-        return self._replace(inquiring_until_ms=now_ms if only else now_ms +
-                             flow_table.COPY_LIFETIME_MS)
+        if len(members.members) == 1 and members.version == 1:
+            return self._replace(inquiring_until_ms=now_ms)
+        until_ms = now_ms + flow_table.COPY_LIFETIME_MS
+        me = members.find(self.name)
+        return self._replace(
+            inquiring_until_ms=until_ms,
+            amnesic_until_ms=until_ms if me and me.rejoined else now_ms)
+
+    def woken(self, now_ms: int,
+              members: service_list.ServiceList) -> 'Standing':
+        """Returns the standing after a gap in the agent's clock.
 
-    def woken(self, now_ms: int) -> 'Standing':
-        """Returns the standing after a gap in the agent's clock."""
-        return self._replace(inquiring_until_ms=now_ms +
-                             flow_table.COPY_LIFETIME_MS)
+        The agent decides nothing until it has heard the other members, since
+        it may have been marked lost and its flows taken over.
+        """
+        until_ms = now_ms + flow_table.COPY_LIFETIME_MS
+        return self._replace(
+            inquiring_until_ms=until_ms,
+            amnesic_until_ms=until_ms,
+            epoch=self.epoch + 1,
+            unheard=frozenset(
+                m.name for m in members.routable() if m.name != self.name))
 
-    def acknowledge(self, member: str, list_version: int) -> 'Standing':
-        """Returns the standing after a member has shown its list version."""
-        if list_version < self.incarnation or member in self.acknowledged:
-            return self
-        return self._replace(acknowledged=self.acknowledged | {member})
+    def hear(self, member: str, list_version: int) -> 'Standing':
+        """Returns the standing after a heartbeat of another member."""
+        acknowledged = self.acknowledged
+        if list_version >= self.incarnation:
+            acknowledged = acknowledged | {member}
+        return self._replace(acknowledged=acknowledged,
+                             unheard=self.unheard - {member},
+                             newest=max(self.newest, list_version))
 
     def phase(self, now_ms: int, members: service_list.ServiceList,
-              zones_out: frozenset[str]) -> decision.Phase:
+              zones_out: frozenset[str],
+              suspects: frozenset[str]) -> decision.Phase:
         """Returns what the agent may decide now.
 
         Args:
           now_ms: The agent's time.
           members: Its service's list.
           zones_out: Zones that operators have taken out.
+          suspects: Members that do not answer this agent.
         """
         me = members.find(self.name)
         if me is None or me.incarnation != self.incarnation or me.state in (
                 states.MemberState.LOST, states.MemberState.LEFT):
             return decision.Phase.FENCED
+        if self.newest > members.version or self.unheard - suspects:
+            return decision.Phase.BEHIND
         if self.draining or me.state is states.MemberState.DRAINING:
             return decision.Phase.DRAINING
         # A member that joined later has read a list with this agent in it.
--- a/figdrum/routing/rendezvous.py
+++ b/figdrum/routing/rendezvous.py
@@ -44,3 +44,8 @@
     return [
         name for _, name in sorted((-weight(key, name), name) for name in names)
     ]
+
+
+def precedes(key: bytes, one: str, other: str) -> bool:
+    """Returns whether `one` comes before `other` in the order of `key`."""
+    return (-weight(key, one), one) < (-weight(key, other), other)
--- /dev/null
+++ b/spec/ownership.py
@@ -0,0 +1,460 @@
+"""Specification of flow ownership.
+
+Explanation
+===========
+
+One flow, one datagram that starts it, copies of the datagram sent through
+balancers with any older list, and members that join, leave, crash, restart,
+pause and wake. The transitions call the real decision functions. To keep the
+model small and the result strong, what the rules must not depend on is left
+open: a balancer sends to any member that is or was listed, an agent may admit
+or be full at any moment, a message may be lost or overtaken, and copies never
+stop living, so that no agent ever settles again after a join.
+
+Properties: at most one member holds the flow (a leaving one that has offered
+it apart), and a refusal that says did-not-run is true.
+"""
+
+import itertools
+import typing
+
+import minicheck
+
+from figdrum.core import ids
+from figdrum.core import states
+from figdrum.membership import service_list
+from figdrum.messages import datagram
+from figdrum.ownership import actions
+from figdrum.ownership import decision
+from figdrum.ownership import records
+from figdrum.ownership import standing
+from spec import checker
+
+# Rendezvous order of the flow.
+NAMES = ('n', 's', 't')
+_FLOW = ids.FlowKey('10.1.0.1', 4000, '10.9.0.1', 5683)
+_BALANCER = ('10.0.0.9', 7000)
+_FIRST = datagram.Packet(0, 0, 'c', 'fieldbook', _FLOW, True, _BALANCER, b'')
+_LIFETIME_MS = 1
+_UP, _PAUSED, _DOWN = 'up', 'paused', 'down'
+
+
+class Phases(typing.NamedTuple):
+    """Switches for the rules that are decided by an agent's phase."""
+    acknowledged_join: bool = True
+    join_inquiry: bool = True
+    restart_inquiry: bool = True
+    wake_inquiry: bool = True
+
+
+class Budget(typing.NamedTuple):
+    """How often each event may happen."""
+    copies: int
+    joins: int = 0
+    crashes: int = 0
+    pauses: int = 0
+    leaves: int = 0
+
+
+class Process(typing.NamedTuple):
+    """One member's process."""
+    health: str
+    place: standing.Standing
+    list_version: int
+    record: records.Record
+    offered: str = ''
+    declined: bool = False
+
+
+class World(typing.NamedTuple):
+    """The state of the model.
+
+    Attributes:
+      lists: All versions of the service's list so far.
+      processes: Processes by position in `NAMES`; None before a join.
+      network: Messages in flight with their receivers.
+      budget: Events that may still happen.
+      ran: True once the datagram was delivered to a target.
+      told: True once a caller was told that it did not run.
+    """
+    lists: tuple[tuple[service_list.Member, ...], ...]
+    processes: tuple[Process | None, ...]
+    network: frozenset
+    budget: Budget
+    ran: bool
+    told: bool
+
+
+def _member(name: str, version: int, rejoined: bool) -> service_list.Member:
+    return service_list.Member(ids.AgentName(name), (name, 1), ids.ZoneName(''),
+                               ids.Incarnation(version),
+                               states.MemberState.ACTIVE, rejoined)
+
+
+class Model:
+    """Transitions of the model under given rules."""
+
+    def __init__(self, budget: Budget, rules: decision.Rules, phases: Phases):
+        """Makes the model with the events of `budget`."""
+        self._rules = rules
+        self._phases = phases
+        first = (_member('s', 1, False), _member('t', 1, False))
+        settled = [
+            Process(_UP, standing.Standing(name, 1), 1, None) for name in 'st'
+        ]
+        self.initial = World((first,), (None, *settled), frozenset(), budget,
+                             False, False)
+
+    def transitions(self, state: tuple) -> list[tuple[str, tuple]]:
+        """Returns the labelled successors of a state."""
+        world = World(*state)
+        steps = itertools.chain(self._copies(world), self._deliveries(world),
+                                self._list_events(world),
+                                self._health_events(world))
+        return [(label, tuple(after)) for label, after in steps]
+
+    def _members(self, world: World, version: int) -> service_list.ServiceList:
+        return service_list.ServiceList(ids.ServiceName('fieldbook'), version,
+                                        world.lists[version - 1])
+
+    def _view(self, world: World, index: int, admits: bool,
+              suspects: frozenset[str]) -> decision.View:
+        process = world.processes[index]
+        members = self._members(world, process.list_version)
+        by_name = {m.name: m for m in members.routable()}
+        gone = [
+            m for m in members.members
+            if m.name not in by_name and NAMES.index(m.name) < index
+        ]
+        return decision.View(
+            name=NAMES[index],
+            incarnation=process.place.incarnation,
+            list_version=process.list_version,
+            order=tuple(by_name[n] for n in NAMES if n in by_name),
+            phase=process.place.phase(0, members, frozenset(), suspects),
+            can_admit=lambda: admits,
+            suspects=suspects,
+            epoch=process.place.epoch,
+            amnesic=process.place.amnesic_until_ms > 0,
+            departed_ahead=bool(gone),
+            lost_ahead=any(m.state is states.MemberState.LOST for m in gone),
+            ghosts=self._ghosts(world, members),
+            ghost_ahead=any(
+                m.name in self._ghosts(world, members) for m in gone),
+            rules=self._rules)
+
+    def _ghosts(self, world: World,
+                members: service_list.ServiceList) -> frozenset[str]:
+        """Returns lost members that still run and do not know it.
+
+        The takeover delay is long enough for them to hear a heartbeat.
+        """
+        names = set()
+        for member in members.members:
+            process = world.processes[NAMES.index(member.name)]
+            if (member.state is states.MemberState.LOST and
+                    process.health == _UP and
+                    process.place.newest <= process.list_version):
+                names.add(member.name)
+        return frozenset(names)
+
+    def _views(self, world: World, index: int):
+        """Yields the views that an agent may have now."""
+        silent = [
+            NAMES[i]
+            for i, other in enumerate(world.processes)
+            if other and i != index and other.health != _UP
+        ]
+        for admits in (True, False):
+            yield self._view(world, index, admits, frozenset())
+            if silent:
+                yield self._view(world, index, admits, frozenset(silent))
+
+    def _copies(self, world: World):
+        """A balancer with any list sends a copy to any listed member."""
+        if not world.budget.copies:
+            return
+        budget = world.budget._replace(copies=world.budget.copies - 1)
+        for index, process in enumerate(world.processes):
+            if process and process.health == _UP:
+                yield from self._receive(world._replace(budget=budget), index,
+                                         _FIRST, 'copy reaches')
+
+    def _deliveries(self, world: World):
+        for to, message in world.network:
+            index = NAMES.index(to)
+            process = world.processes[index]
+            if process and process.health == _UP:
+                rest = world._replace(network=world.network - {(to, message)})
+                yield from self._receive(
+                    rest, index, message,
+                    f'{type(message).__name__.lower()} reaches')
+
+    def _receive(self, world: World, index: int, message: datagram.Message,
+                 label: str):
+        """Yields the outcomes of a message, one for each view."""
+        process = world.processes[index]
+        label = f'{label} {NAMES[index]}'
+        if isinstance(message, datagram.HandoverReply):
+            if message.name != process.offered:
+                return
+            if not message.accepted:
+                yield label, _put(world, index, process._replace(offered=''))
+                return
+        seen = set()
+        for view in self._views(world, index):
+            decided = _decide(view, process, message)
+            if any(
+                    isinstance(a, (actions.FetchList, actions.Drop))
+                    for a in decided.actions[:1]) or decided in seen:
+                continue
+            seen.add(decided)
+            yield label, self._apply(world, index, decided)
+
+    def _apply(self, world: World, index: int,
+               decided: decision.Decision) -> World:
+        sent = {(a.to.name, a.message)
+                for a in decided.actions
+                if isinstance(a, actions.Send)}
+        ran = any(isinstance(a, actions.Deliver) for a in decided.actions)
+        told = any(
+            isinstance(a, actions.Refuse) and
+            a.refusal is states.Refusal.DID_NOT_RUN for a in decided.actions)
+        process = world.processes[index]._replace(record=decided.record)
+        if _declines(decided):
+            process = process._replace(declined=True)
+        return _put(world, index,
+                    process)._replace(network=world.network | sent,
+                                      ran=world.ran or ran,
+                                      told=world.told or told)
+
+    def _list_events(self, world: World):
+        latest = len(world.lists)
+        for index, process in enumerate(world.processes):
+            if process is None or process.health != _UP:
+                continue
+            if process.list_version < latest:
+                after = _put(world, index,
+                             process._replace(list_version=latest))
+                yield f'{NAMES[index]} learns the list', self._beat(
+                    after, index)
+            yield f'{NAMES[index]} is heard', self._beat(world, index)
+        if world.budget.joins and world.processes[0] is None:
+            budget = world.budget._replace(joins=0)
+            yield 'n joins', self._join(world._replace(budget=budget), 0)
+        yield from self._leaves(world)
+
+    def _beat(self, world: World, index: int) -> World:
+        """All other members hear a heartbeat.
+
+        Early acknowledgements let a joiner admit soonest, which is the case
+        to check; that it can also wait longer adds nothing.
+        """
+        version = world.processes[index].list_version
+        for other, process in enumerate(world.processes):
+            if process and process.health == _UP and other != index:
+                place = process.place.hear(NAMES[index], version)
+                world = _put(world, other, process._replace(place=place))
+        return world
+
+    def _join(self, world: World, index: int) -> World:
+        """Starts a process that writes itself into the list."""
+        name, version = NAMES[index], len(world.lists) + 1
+        rest = [m for m in world.lists[-1] if m.name != name]
+        rejoined = len(rest) < len(world.lists[-1])
+        members = (*rest, _member(name, version, rejoined))
+        inquiry = (self._phases.restart_inquiry
+                   if rejoined else self._phases.join_inquiry)
+        place = standing.Standing(name,
+                                  version,
+                                  inquiring_until_ms=_LIFETIME_MS * inquiry,
+                                  amnesic_until_ms=_LIFETIME_MS *
+                                  (rejoined and inquiry))
+        if not self._phases.acknowledged_join:
+            place = place._replace(acknowledged=frozenset(NAMES))
+        return _put(world._replace(lists=world.lists + (members,)), index,
+                    Process(_UP, place, version, None))
+
+    def _leaves(self, world: World):
+        for index, process in enumerate(world.processes):
+            if process is None or process.health != _UP:
+                continue
+            name = NAMES[index]
+            if world.budget.leaves and not process.place.draining:
+                budget = world.budget._replace(leaves=0)
+                place = process.place._replace(draining=True)
+                yield f'{name} drains', _put(world._replace(budget=budget),
+                                             index,
+                                             process._replace(place=place))
+            if not process.place.draining:
+                continue
+            if process.record == records.Hold():
+                yield from self._offers(world, index)
+            elif not isinstance(process.record,
+                                (records.Hold, records.Pending)):
+                if process.place.incarnation in {
+                        m.incarnation for m in world.lists[-1] if m.name == name
+                }:
+                    yield f'{name} leaves', _put(
+                        _mark(world, name, states.MemberState.LEFT), index,
+                        process._replace(health=_DOWN, record=None))
+
+    def _offers(self, world: World, index: int):
+        """Offers the flow to one member until that one declines or is gone."""
+        process = world.processes[index]
+        members = self._members(world, process.list_version)
+        for member in members.routable():
+            other = world.processes[NAMES.index(member.name)]
+            if member.name == NAMES[index] or (process.offered and
+                                               process.offered != member.name):
+                continue
+            offer = datagram.Handover(NAMES[index], _FLOW, 'c', _BALANCER, (),
+                                      0)
+            network = world.network | {(member.name, offer)}
+            yield f'{NAMES[index]} offers', _put(
+                world._replace(network=network), index,
+                process._replace(offered=member.name))
+            if process.offered and other.health != _UP:
+                yield f'{NAMES[index]} gives the offer up', _put(
+                    world, index, process._replace(offered=''))
+
+    def _health_events(self, world: World):
+        for index, process in enumerate(world.processes):
+            if process is None:
+                continue
+            name = NAMES[index]
+            listed = any(
+                m.name == name and m.incarnation == process.place.incarnation
+                and m.state is states.MemberState.ACTIVE
+                for m in world.lists[-1])
+            if process.health == _UP:
+                yield from self._failures(world, index)
+                continue
+            if listed:
+                yield f'{name} is marked lost', _mark(world, name,
+                                                      states.MemberState.LOST)
+            if process.health == _PAUSED:
+                yield f'{name} wakes', self._wake(world, index)
+            elif not process.place.draining:
+                yield f'{name} restarts', self._join(world, index)
+
+    def _failures(self, world: World, index: int):
+        process, budget = world.processes[index], world.budget
+        if budget.crashes:
+            yield f'{NAMES[index]} crashes', _put(
+                world._replace(budget=budget._replace(crashes=budget.crashes -
+                                                      1)), index,
+                process._replace(health=_DOWN, record=None))
+        if budget.pauses:
+            yield f'{NAMES[index]} pauses', _put(
+                world._replace(budget=budget._replace(pauses=budget.pauses -
+                                                      1)), index,
+                process._replace(health=_PAUSED))
+
+    def _wake(self, world: World, index: int) -> World:
+        process = world.processes[index]._replace(health=_UP)
+        if not self._phases.wake_inquiry:
+            return _put(world, index, process)
+        members = self._members(world, process.list_version)
+        place = process.place.woken(0, members)._replace(
+            inquiring_until_ms=_LIFETIME_MS, amnesic_until_ms=_LIFETIME_MS)
+        record = process.record
+        if isinstance(record, records.Hold):
+            record = records.Hold(tentative=True)
+        elif isinstance(record, records.Pending):
+            record = None
+        return _put(world, index, process._replace(place=place, record=record))
+
+
+def _decide(view: decision.View, process: Process,
+            message: datagram.Message) -> decision.Decision:
+    record = process.record
+    if isinstance(message, datagram.Packet):
+        return decision.decide(view, record, message)
+    if isinstance(message, datagram.Refused):
+        return decision.on_refused(view, record, message)
+    if isinstance(message, datagram.Held):
+        return decision.on_held(view, record, message)
+    if isinstance(message, datagram.Handover):
+        return decision.on_handover(view, record, message, process.declined)
+    return decision.on_handover_reply(view, record, message)
+
+
+def _declines(decided: decision.Decision) -> bool:
+    return any(
+        isinstance(a, actions.Send) and
+        isinstance(a.message, datagram.HandoverReply) and not a.message.accepted
+        for a in decided.actions)
+
+
+def _put(world: World, index: int, process: Process) -> World:
+    processes = list(world.processes)
+    processes[index] = process
+    return world._replace(processes=tuple(processes))
+
+
+def _mark(world: World, name: str, state: states.MemberState) -> World:
+    members = tuple(
+        m._replace(state=state) if m.name == name else m
+        for m in world.lists[-1])
+    return world._replace(lists=world.lists + (members,))
+
+
+def _serves(world: World, process: Process) -> bool:
+    """Returns whether a process acts on packets."""
+    members = service_list.ServiceList(ids.ServiceName('fieldbook'),
+                                       process.list_version,
+                                       world.lists[process.list_version - 1])
+    return process.health == _UP and process.place.phase(
+        0, members, frozenset(),
+        frozenset(NAMES)) not in (decision.Phase.FENCED, decision.Phase.BEHIND,
+                                  decision.Phase.DRAINING)
+
+
+def _has_one_owner(fields: dict) -> bool:
+    world = World(**fields)
+    holders = [
+        p for p in world.processes
+        if p and p.record == records.Hold() and _serves(world, p)
+    ]
+    return len(holders) <= 1
+
+
+def _is_refusal_true(fields: dict) -> bool:
+    return not (fields['ran'] and fields['told'])
+
+
+def case(
+    name: str,
+    budget: Budget,
+    removed: str = '',
+    rules: decision.Rules = decision.ALL_RULES,
+    phases: Phases = Phases()
+) -> checker.Case:
+    """Returns the specification under a budget of events."""
+    model = Model(budget, rules, phases)
+    return checker.Case(
+        name, removed,
+        minicheck.Protocol(name=name,
+                           candidate=False,
+                           fields=World._fields,
+                           initial=tuple(model.initial),
+                           transitions=model.transitions,
+                           invariants={
+                               'one owner': _has_one_owner,
+                               'refusal is true': _is_refusal_true
+                           }))
+
+
+def cases() -> list[checker.Case]:
+    """Returns the full specifications and their variants."""
+    budgets = {
+        'join': Budget(copies=3, joins=1),
+        'crash': Budget(copies=3, crashes=1),
+        'pause': Budget(copies=3, pauses=1),
+        'leave': Budget(copies=2, leaves=1),
+        'join and crash': Budget(copies=2, joins=1, crashes=1),
+        'join and leave': Budget(copies=2, joins=1, leaves=1),
+    }
+    full = [case(f'ownership: {name}', b) for name, b in budgets.items()]
+    return full
