--- a/figdrum/ownership/decision.py
+++ b/figdrum/ownership/decision.py
@@ -439,7 +439,7 @@
     return Decision(record, released + (actions.Send(to, packet),))
 
 
-def _consider(view: View, packet: datagram.Packet, must_ask: bool) -> Decision:
+def _consider(view: View, packet: datagram.Packet) -> Decision:
     """Admits a new flow, asks the others, passes it on or refuses it."""
     rest = view.unvisited(packet)
     if view.rules.visited_order and rest and view.is_ahead(rest[0].name):
