--- a/figdrum/ownership/decision.py
+++ b/figdrum/ownership/decision.py
@@ -173,8 +173,8 @@
     packet = packet._replace(list_version=view.list_version,
                              uncertain=packet.uncertain or
                              (view.rules.doubt and doubtful))
-    must_ask = view.phase is Phase.INQUIRING or (view.rules.departure_inquiry
-                                                 and view.departed_ahead)
+    must_ask = packet.must_ask or view.phase is Phase.INQUIRING or (
+        view.rules.departure_inquiry and view.departed_ahead)
     if isinstance(record, records.Pointer):
         target = view.find(record.to)
         if _is_alive(view, record, target):
