--- a/figdrum/balancer/proxy_header.py
+++ b/figdrum/balancer/proxy_header.py
@@ -19,7 +19,7 @@
 >>> unpack(b'hi')
 Traceback (most recent call last):
 ...
-figdrum.core.errors.MessageError: FD101 decode PROXY header: 2 bytes are few (peer -)
+figdrum.core.errors.MessageError: FD101 decode PROXY header: 2 bytes (peer -)
 
 References
 ==========
@@ -87,7 +87,7 @@
       errors.VersionError: if the header has another version.
     """
     if len(datagram) < HEADER_BYTES:
-        raise _fault(peer, f'{len(datagram)} bytes are few')
+        raise _fault(peer, f'{len(datagram)} bytes')
     signature, command, family, length = _PREFIX.unpack_from(datagram)
     if signature != _SIGNATURE:
         raise _fault(peer, 'no signature')
