--- a/standins/http_service.py
+++ b/standins/http_service.py
@@ -46,7 +46,9 @@
     req.setHeader('Content-Type', 'application/json')
     for name, value in (headers or {}).items():
         req.setHeader(name, value)
-    req.write(json.dumps(body, sort_keys=True).encode())
+    data = json.dumps(body, sort_keys=True).encode()
+    req.setHeader('Content-Length', str(len(data)))
+    req.write(data)
     req.finish()
 
 
--- /dev/null
+++ b/standins/limited_factory.py
@@ -0,0 +1,23 @@
+"""A server factory that refuses connections above a limit."""
+
+from twisted.internet import protocol
+from twisted.protocols import policies
+
+
+class LimitedFactory(policies.WrappingFactory):
+    """Closes a new connection when `limit` others are open."""
+    noisy = False
+
+    def __init__(self, wrapped: protocol.ServerFactory, limit: int):
+        super().__init__(wrapped)
+        self._limit = limit
+
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open now."""
+        return len(self.protocols)
+
+    def buildProtocol(self, addr):
+        if self.open_connections >= self._limit:
+            return None
+        return super().buildProtocol(addr)
