Add the demo

make demo had no program. It starts the platform, the fabric, targets, balancers and agents, runs 210 flows and 2,100 requests, has a contract change approved, kills a balancer and lets an agent leave at the same moment, and counts from ledgers and callers' records only.

Each balancer and agent gets a loopback host of its own, so that no other process can take a port between its choice and its use.

--- a/standins/caller_fleet.py
+++ b/standins/caller_fleet.py
@@ -27,6 +27,8 @@
       client: Behaviour of each user; its `requests` and `pace_ms` are set by
         the fleet.
       seed: Seed of all random choices.
+      name: Part of the names of its flows and requests; two fleets of one run
+        need different ones.
     """
     flows: int = 200
     requests: int = 2_000
@@ -34,6 +36,7 @@
     ramp_ms: float = 10_000
     client: fleet_client.ClientSettings = fleet_client.ClientSettings(0, 0)
     seed: int = 0
+    name: str = ''
 
 
 class CallerFleet:
@@ -122,10 +125,10 @@
         settings = self._settings.client._replace(
             requests=share, pace_ms=self._settings.duration_ms / share)
         kind = _KINDS[(number // 2) % len(_KINDS)]
-        client = fleet_client.FleetClient(f'{service.service}.{number}', kind,
-                                          service, settings,
-                                          random.Random(self._rng.random()),
-                                          self._on_done, self._repeat)
+        client = fleet_client.FleetClient(
+            f'{service.service}{self._settings.name}.{number}', kind, service,
+            settings, random.Random(self._rng.random()), self._on_done,
+            self._repeat)
         self._open += 1
         self.clients.append(client)
 
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,243 @@
+"""Shows figdrum at work: `make demo`.
+
+Explanation
+===========
+
+Three zones with a balancer each, two services with three targets each. While
+200 flows make 2,000 requests, a contract change is proposed and approved, and
+at one moment a balancer is killed with SIGKILL and an agent is told to leave
+with SIGTERM. Users of the newly granted address begin 7 s after the approval.
+
+The last line of the output is a JSON object, counted from the targets' ledgers
+and the callers' records only. The exit code is 0 if nothing was lost,
+misrouted, run twice or broken, if every refusal was true, and if every step
+succeeded.
+"""
+
+import argparse
+import collections
+import contextlib
+import json
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.internet import threads
+
+from figdrum.core import clock
+from standins import caller_fleet
+from standins import caller_flow
+from standins import demo_plan
+from standins import demo_site
+from standins import fleet_client
+from standins import flow_verdict
+from standins import request_record
+from standins import tally
+
+FLOWS = 200
+REQUESTS = 2_000
+LATE_FLOWS = 10
+LATE_REQUESTS = 100
+DURATION_MS = 40_000
+RAMP_MS = 10_000
+ACK_TIMEOUT_MS = 1_000
+LIMIT_S = 105
+# A change is in force everywhere within this time (requirement P10).
+IN_FORCE_S = 7
+# The fabric's own check finds a dead balancer after this time.
+FABRIC_CHECK_S = 1
+_CHANGE_AT_S = 6
+_FAILURES_AT_S = 20
+_PROGRESS_S = 5
+_KILLED = 'lb-3'
+_LEAVING = 'fieldbook-2'
+_SHOWN = 10
+
+
+class Demo:
+    """Runs requests and failures against a site.
+
+    Attributes:
+      faults: Steps that failed.
+    """
+
+    def __init__(self, site: demo_site.DemoSite, seed: int):
+        self.faults: list[str] = []
+        self._site = site
+        self._started_s = time.monotonic()
+        self._fleets = [
+            self._fleet([('fieldbook', 1), ('booking', 1)], FLOWS, REQUESTS,
+                        DURATION_MS, seed),
+            self._fleet([('fieldbook', 2)], LATE_FLOWS, LATE_REQUESTS,
+                        DURATION_MS // 2, seed + 1)
+        ]
+
+    def say(self, text: str) -> None:
+        """Prints a line of progress."""
+        print(f'demo: {time.monotonic() - self._started_s:5.1f} s  {text}',
+              flush=True)
+
+    def run(self) -> None:
+        """Runs every step; faults end in `faults`."""
+        reactor.callWhenRunning(self._begin)
+        reactor.run()
+
+    def result(self) -> tally.Tally:
+        """Returns the counts, and prints what is wrong."""
+        end_ms = round(reactor.seconds() * clock.MS_PER_S)
+        rules = flow_verdict.VerdictRules(frozenset((_LEAVING,)),
+                                          demo_plan.LONGEST_GAP_MS, end_ms)
+        broken = {}
+        records = []
+        for fleet in self._fleets:
+            broken.update(fleet.broken(rules))
+            records += fleet.records
+            fleet.stop()
+        entries = self._site.ledgers()
+        for name, why in list(broken.items())[:_SHOWN]:
+            self.say(f'broken flow {name}: {why}')
+        for record in _failed(records)[:_SHOWN]:
+            self.say(f'{record.ending.value} {record.call.kind.value} '
+                     f'{record.call.nonce} of {record.flow}: {record.detail}')
+        for record in tally.false_refusals(records, entries)[:_SHOWN]:
+            self.say(f'false refusal of {record.call.nonce}')
+        refusals = collections.Counter(
+            r.refusal.value for r in records if r.refusal)
+        self.say(f'refusals {dict(refusals)}, '
+                 f'cold targets overloaded {self._site.collapses()} times')
+        return tally.count(records, entries, len(broken))
+
+    def _fleet(self, services: list[tuple[str, int]], flows: int, requests: int,
+               duration_ms: int, seed: int) -> caller_fleet.CallerFleet:
+        flow_settings = [
+            caller_flow.FlowSettings(service,
+                                     self._site.services[service, number],
+                                     ack_timeout_ms=ACK_TIMEOUT_MS)
+            for service, number in services
+        ]
+        settings = caller_fleet.FleetSettings(
+            flows,
+            requests,
+            duration_ms,
+            RAMP_MS * flows / FLOWS,
+            fleet_client.ClientSettings(0, 0),
+            seed=seed,
+            name=''.join(str(number) for _, number in services))
+        return caller_fleet.CallerFleet(services=flow_settings,
+                                        settings=settings)
+
+    def _begin(self) -> None:
+        progress = task.LoopingCall(self._show_progress)
+        progress.start(_PROGRESS_S, now=False)
+        steps = defer.gatherResults([
+            self._fleets[0].start(),
+            self._guard(self._change_contract()),
+            self._guard(self._fail_parts())
+        ])
+        steps.addTimeout(LIMIT_S, reactor)
+        steps.addErrback(lambda failure: self.faults.append(
+            f'{failure.type.__name__} {failure.value}'))
+        steps.addBoth(lambda _: reactor.stop())
+
+    def _guard(self, step: defer.Deferred) -> defer.Deferred:
+        return step.addErrback(lambda failure: self.faults.append(
+            f'{failure.type.__name__} {failure.value}'))
+
+    @defer.inlineCallbacks
+    def _change_contract(self):
+        yield task.deferLater(reactor, _CHANGE_AT_S)
+        yield threads.deferToThread(self._site.change_contract, 'fieldbook',
+                                    (1, 2))
+        self.say('contract change approved: fieldbook has a second address')
+        yield task.deferLater(reactor, IN_FORCE_S)
+        self.say(f'{LATE_FLOWS} flows begin at the second address')
+        yield self._fleets[1].start()
+
+    @defer.inlineCallbacks
+    def _fail_parts(self):
+        yield task.deferLater(reactor, _FAILURES_AT_S)
+        leaver = self._site.running[_LEAVING]
+        killed = self._site.running.pop(_KILLED)
+        killed.kill()
+        leaver.terminate()
+        self.say(f'balancer {_KILLED} killed, agent {_LEAVING} told to leave')
+        yield task.deferLater(reactor, FABRIC_CHECK_S)
+        yield threads.deferToThread(
+            self._site.set_fabric_balancers,
+            [b.name for b in self._site.balancers if b.name != _KILLED])
+        killed.wait()
+        while leaver.is_running():
+            yield task.deferLater(reactor, 0.1)
+        self._site.running.pop(_LEAVING)
+        self.say(f'agent {_LEAVING} exited {leaver.exit_code()}')
+        if leaver.exit_code():
+            self.faults.append(f'{_LEAVING} exited {leaver.exit_code()}')
+
+    def _show_progress(self) -> None:
+        endings = collections.Counter(record.ending.value
+                                      for fleet in self._fleets
+                                      for record in fleet.records)
+        done = sum(fleet.requests_done for fleet in self._fleets)
+        self.say(f'{done} requests done, attempts {dict(endings)}')
+
+
+def _failed(
+    records: list[request_record.RequestRecord]
+) -> list[request_record.RequestRecord]:
+    fine = (request_record.Ending.ANSWERED, request_record.Ending.REFUSED)
+    return [r for r in records if r.ending not in fine]
+
+
+def _run(args: argparse.Namespace, directory: pathlib.Path) -> int:
+    rng = random.Random()
+    site = demo_site.DemoSite(directory, args.binary, rng)
+    with contextlib.ExitStack() as stack:
+        stack.callback(site.stop)
+        site.start_surroundings()
+        demo = Demo(site, args.seed)
+        demo.say(f'platform, fabric and {len(site.agents)} targets started')
+        for service in demo_plan.SERVICES:
+            site.change_contract(service, (1,))
+        demo.say('contracts of both customers approved')
+        site.start_figdrum()
+        site.wait_until_joined()
+        demo.say(f'{len(site.balancers)} balancers and {len(site.agents)} '
+                 'agents joined')
+        demo.run()
+        result = demo.result()
+        try:
+            site.check_running()
+        except RuntimeError as exc:
+            demo.faults.append(str(exc))
+        for fault in demo.faults:
+            demo.say(f'step failed: {fault}')
+    print(json.dumps(result.to_json()), flush=True)
+    return 0 if result.is_clean and not demo.faults else 1
+
+
+def main() -> int:
+    """Runs the demo and returns the exit code."""
+    parser = argparse.ArgumentParser(description='Demo of figdrum')
+    parser.add_argument('--binary',
+                        default='',
+                        help='shipped file to run in place of the sources')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--keep',
+                        default='',
+                        help='directory to keep settings and logs in')
+    args = parser.parse_args()
+    if args.keep:
+        directory = pathlib.Path(args.keep)
+        directory.mkdir(parents=True, exist_ok=True)
+        return _run(args, directory)
+    with tempfile.TemporaryDirectory() as directory_name:
+        return _run(args, pathlib.Path(directory_name))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/standins/demo_plan.py
@@ -0,0 +1,121 @@
+"""What the demo consists of, and its settings files."""
+
+import json
+import typing
+
+REGION = 'om-north'
+ZONES = ('muscat-a', 'muscat-b', 'sohar-a')
+SERVICES = ('fieldbook', 'booking')
+CUSTOMERS = {'fieldbook': 'al-sahil', 'booking': 'cabeleira'}
+LINGER_MS = 3_000
+DRAIN_MS = 20_000
+NOTIFY_MS = 5_000
+# Three notifications may be lost in a row before a feed counts as silent.
+LONGEST_GAP_MS = 4 * NOTIFY_MS
+LIMITS = {'flows': 3_000, 'new_flows': 300, 'requests': 300}
+
+
+class BalancerPlan(typing.NamedTuple):
+    """Where a balancer listens.
+
+    Attributes:
+      name: Its name.
+      zone: Its zone.
+      host: Address of all its ports.
+      packet_port: UDP, from the fabric.
+      frame_port: UDP, agents.
+      control_port: TCP, gossip and subscriptions.
+    """
+    name: str
+    zone: str
+    host: str
+    packet_port: int
+    frame_port: int
+    control_port: int
+
+    @property
+    def control(self) -> str:
+        """The control address as `host:port`."""
+        return f'{self.host}:{self.control_port}'
+
+    def settings(self, platform: str, fabric: str, peers: list[str]) -> str:
+        """Returns the settings file."""
+        return '\n'.join([
+            *_process_lines(self.name, self.zone),
+            '[balancer]',
+            f'packet_host = {self.host}',
+            f'packet_port = {self.packet_port}',
+            f'frame_port = {self.frame_port}',
+            f'control_port = {self.control_port}',
+            f'fabric = {fabric}',
+            f'peers = {", ".join(peers)}',
+            f'linger_ms = {LINGER_MS}',
+            *_platform_lines(platform),
+        ])
+
+
+class AgentPlan(typing.NamedTuple):
+    """Where an agent listens.
+
+    Attributes:
+      name: Its name, and its target's.
+      service: Service that its target serves.
+      zone: Its zone.
+      host: Address of the frame port.
+      frame_port: UDP, frames.
+    """
+    name: str
+    service: str
+    zone: str
+    host: str
+    frame_port: int
+
+    def settings(self, platform: str, target: str, balancers: list[str]) -> str:
+        """Returns the settings file."""
+        return '\n'.join([
+            *_process_lines(self.name, self.zone),
+            '[agent]',
+            f'service = {self.service}',
+            f'frame_host = {self.host}',
+            f'frame_port = {self.frame_port}',
+            f'balancers = {", ".join(balancers)}',
+            f'target = {target}',
+            'slots = 1',
+            f'drain_ms = {DRAIN_MS}',
+            f'linger_ms = {LINGER_MS}',
+            f'notify_ms = {NOTIFY_MS}',
+            *_platform_lines(platform),
+        ])
+
+
+def operator_settings(platform: str) -> str:
+    """Returns the settings file of the operators' commands."""
+    return '\n'.join(
+        ['[process]', 'name = operator', *_platform_lines(platform)])
+
+
+def contract(customer: str, service: str, addresses: list[tuple[str,
+                                                                int]]) -> str:
+    """Returns a contract that grants `service` at each address."""
+    grants = [{
+        'service': service,
+        'host': host,
+        'port': port
+    } for host, port in addresses]
+    return json.dumps({
+        'customer': customer,
+        'grants': grants,
+        'sources': ['127.0.0.0/8'],
+        'limits': LIMITS,
+        'rank': 1
+    })
+
+
+def _process_lines(name: str, zone: str) -> list[str]:
+    return [
+        '[process]', f'name = {name}', f'zone = {zone}', f'region = {REGION}'
+    ]
+
+
+def _platform_lines(platform: str) -> list[str]:
+    return ['[platform]', f'url = http://{platform}', '']
--- a/standins/process.py
+++ b/standins/process.py
@@ -2,11 +2,13 @@
 
 import collections.abc
 import json
+import pathlib
 import subprocess
 import sys
 import typing
 
 STOP_S = 20
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
 class Process:
@@ -15,17 +17,25 @@
     Attributes:
       name: Name in messages.
       announced: The first JSON line.
+
+    Args:
+      name: Name in messages.
+      args: Program and arguments.
+      log: File for stderr.
+      log_stdout: Whether stdout goes to `log` too.
     """
 
     def __init__(self,
                  name: str,
                  args: collections.abc.Sequence[str],
-                 log: typing.IO | None = None):
+                 log: typing.IO | None = None,
+                 log_stdout: bool = False):
         self.name = name
         self._popen = subprocess.Popen(  # pylint: disable=consider-using-with
             list(args),
+            cwd=_ROOT,
             stdin=subprocess.DEVNULL,
-            stdout=subprocess.PIPE,
+            stdout=log if log_stdout else subprocess.PIPE,
             stderr=log,
             text=True)
         self.announced: dict[str, typing.Any] = {}
@@ -59,9 +69,13 @@
         """Returns the next line on stdout, or the empty string at the end."""
         return self._popen.stdout.readline()
 
+    def exit_code(self) -> int | None:
+        """Returns the exit code, or None while the process runs."""
+        return self._popen.poll()
+
     def is_running(self) -> bool:
         """Whether the process has not ended."""
-        return self._popen.poll() is None
+        return self.exit_code() is None
 
     def terminate(self) -> None:
         """Sends SIGTERM."""
@@ -88,5 +102,6 @@
         except subprocess.TimeoutExpired:
             self.kill()
             code = self.wait()
-        self._popen.stdout.close()
+        if self._popen.stdout is not None:
+            self._popen.stdout.close()
         return code
