Test the stand-ins, and let an overloaded cold target collapse

A test in virtual time found that a target with one or two slots never collapsed: the rate that it bears grew by one with each completion, as fast as its starts. It now grows by one for two completions, which an agent that grows its rate by half after as many completions never exceeds.

--- a/standins/warmth.py
+++ b/standins/warmth.py
@@ -14,9 +14,9 @@
 
 COLD_RATE = 4.0
 FULL_RATE = 200.0
-# An agent whose rate grows by half after as many completions as its rate has
-# seen two completions for each start a second above the first two.
-GROWTH_PER_COMPLETION = 1.0
+# A rate that grows by half after as many completions as the rate itself has
+# grown by one for every two completions.
+GROWTH_PER_COMPLETION = 0.5
 COLLAPSE_MS = 5_000
 _WINDOW_MS = 1_000
 
