Add the HTTP and in-memory clients of the object API

Store had no implementation. HttpStore speaks the JSON form on Twisted's Agent with a persistent pool. Repeating a write inside the client was ruled out: its outcome after a failure is unknown and only the caller can recognise its own value. The pool's own retry is off for the same reason. Reads are repeated with a jittered pause.

MemoryStore has switches for outage, delay and lost answers, and Link cuts one client off. Before: no store. After: both pass pylint and their doctests; the HTTP client has no test against a server yet.

--- /dev/null
+++ b/figdrum/platform/http_store.py
@@ -0,0 +1,182 @@
+"""Client of the platform's object API over HTTP with JSON.
+
+Explanation
+===========
+
+Reads are repeated with a growing, jittered pause while the platform fails. A
+write is sent once: after a failure its outcome is unknown and the caller reads
+back. The header `X-Client` names the process, so that the platform can count
+calls by client.
+
+References
+==========
+
+RFC 9110, HTTP Semantics, section 9.2.2: a client may repeat a request by
+itself only when its method is idempotent and repeating it is harmless.
+"""
+
+import io
+import json
+import random
+import typing
+import urllib.parse
+
+from twisted.internet import defer
+from twisted.web import client
+from twisted.web import http_headers
+
+from figdrum.core import clock
+from figdrum.core import errors
+from figdrum.platform import store
+
+READ_ATTEMPTS = 3
+FIRST_PAUSE_MS = 100
+LONGEST_PAUSE_MS = 2_000
+IDLE_CONNECTION_S = 30
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+HTTP_TOO_LARGE = 413
+
+
+class HttpStore(store.Store):
+    """The platform's object API over HTTP.
+
+    Attributes:
+      timeout_ms: Longest wait for an answer; a watch waits for its own time
+        on top.
+    """
+
+    def __init__(self,
+                 reactor: typing.Any,
+                 url: str,
+                 client_name: str,
+                 timeout_ms: int,
+                 rng: random.Random | None = None):
+        self._reactor = reactor
+        self._url = url.rstrip('/')
+        self._headers = http_headers.Headers({
+            b'X-Client': [client_name.encode()],
+            b'Content-Type': [b'application/json'],
+        })
+        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self._pool.retryAutomatically = False
+        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        self._agent = client.Agent(reactor,
+                                   connectTimeout=timeout_ms / clock.MS_PER_S,
+                                   pool=self._pool)
+        self._rng = rng or random.Random()
+        self.timeout_ms = timeout_ms
+
+    def close(self) -> defer.Deferred:
+        """Closes idle connections; the Deferred fires when they are closed."""
+        return self._pool.closeCachedConnections()
+
+    def get(self, key):
+        return self._read(
+            'get', self._object_path(key), 0, lambda status, doc: None
+            if status == HTTP_NOT_FOUND else _item(doc))
+
+    def list(self, prefix):
+        return self._read('list', '/objects?' + _query(prefix=prefix), 0,
+                          _listing)
+
+    @defer.inlineCallbacks
+    def put(self, key, value, if_version):
+        path = f'{self._object_path(key)}?{_query(if_version=if_version)}'
+        body = json.dumps({'value': value}).encode()
+        status, doc = yield self._request('put', b'PUT', path, body, 0)
+        if status == HTTP_CONFLICT:
+            raise errors.ConflictError(
+                'put', self._url, f'{key} does not have version {if_version}')
+        if status == HTTP_TOO_LARGE:
+            raise errors.ValueTooLargeError(
+                'put', self._url, f'{key} has {len(value.encode())} bytes')
+        return self._parse('put', status, doc, lambda _, doc: _item(doc))
+
+    def watch(self, prefix, since_revision, timeout_ms):
+        query = _query(prefix=prefix,
+                       since=since_revision,
+                       timeout_ms=timeout_ms)
+        return self._read('watch', '/watch?' + query, timeout_ms, _listing)
+
+    def _object_path(self, key: str) -> str:
+        return '/objects/' + urllib.parse.quote(key, safe='/')
+
+    @defer.inlineCallbacks
+    def _read(self, step: str, path: str, wait_ms: int, parse):
+        pause_ms = FIRST_PAUSE_MS
+        for attempt in range(1, READ_ATTEMPTS + 1):
+            try:
+                status, doc = yield self._request(step, b'GET', path, None,
+                                                  wait_ms)
+                return self._parse(step, status, doc, parse)
+            except errors.StoreError:
+                if attempt == READ_ATTEMPTS:
+                    raise
+            yield self._pause(self._rng.uniform(pause_ms / 2, pause_ms))
+            pause_ms = min(2 * pause_ms, LONGEST_PAUSE_MS)
+        raise AssertionError('unreachable')
+
+    def _pause(self, pause_ms: float) -> defer.Deferred:
+        fired: defer.Deferred = defer.Deferred()
+        self._reactor.callLater(pause_ms / clock.MS_PER_S, fired.callback, None)
+        return fired
+
+    def _parse(self, step: str, status: int, doc, parse):
+        if status != HTTP_OK and not (step == 'get' and
+                                      status == HTTP_NOT_FOUND):
+            raise errors.StoreError(step, self._url, f'HTTP status {status}')
+        try:
+            return parse(status, doc)
+        except (KeyError, TypeError, ValueError) as exc:
+            raise errors.StoreError(step, self._url,
+                                    f'bad answer: {exc!r}') from exc
+
+    @defer.inlineCallbacks
+    def _request(self, step: str, method: bytes, path: str, body: bytes | None,
+                 wait_ms: int):
+        """Fires with (status, parsed body or None)."""
+        producer = None
+        if body is not None:
+            producer = client.FileBodyProducer(io.BytesIO(body))
+        exchange = self._exchange(method, (self._url + path).encode(), producer)
+        exchange.addTimeout((self.timeout_ms + wait_ms) / clock.MS_PER_S,
+                            self._reactor)
+        try:
+            status, data = yield exchange
+        except Exception as exc:  # pylint: disable=broad-exception-caught
+            # The transport, the pool and the body reader raise many types;
+            # each means that no whole answer came.
+            raise errors.StoreError(step, self._url, repr(exc)) from exc
+        try:
+            return status, json.loads(data)
+        except ValueError:
+            return status, None
+
+    @defer.inlineCallbacks
+    def _exchange(self, method: bytes, uri: bytes, producer):
+        response = yield self._agent.request(method, uri, self._headers,
+                                             producer)
+        data = yield client.readBody(response)
+        return response.code, data
+
+
+def _query(**fields) -> str:
+    return urllib.parse.urlencode(fields)
+
+
+def _item(doc) -> store.Item:
+    item = store.Item(doc['key'], doc['value'], doc['version'], doc['revision'])
+    if not (isinstance(item.value, str) and isinstance(item.version, int) and
+            isinstance(item.revision, int)):
+        raise TypeError('an item has fields of other types')
+    return item
+
+
+def _listing(_status: int, doc):
+    revision = doc['revision']
+    if not isinstance(revision, int):
+        raise TypeError('the revision is not an integer')
+    return tuple(_item(row) for row in doc['items']), revision
--- /dev/null
+++ b/figdrum/platform/memory_store.py
@@ -0,0 +1,228 @@
+"""A store in memory with switchable faults, for tests and benches.
+
+Explanation
+===========
+
+Several clients share one `MemoryStore`, or each uses a `Link` to it that can be
+cut off alone. Faults are switches: `down`, `delay_ms` and
+`lose_next_answers`. Without a delay every Deferred has already fired.
+
+Examples
+========
+
+>>> store = MemoryStore(NoTimers())
+>>> store.put('lists/a', '{}', 0).result.version
+1
+>>> store.get('lists/a').result.revision
+1
+"""
+
+import typing
+
+from twisted.internet import defer
+
+from figdrum.core import errors
+from figdrum.core import ports
+from figdrum.platform import store
+
+PEER = 'memory store'
+
+
+class NoTimers(ports.Timers):
+    """Timers for stores without a delay, whose watches do not wait."""
+
+    def call_later(self, delay_ms, fn):
+        raise NotImplementedError('a store with delays or watches needs timers')
+
+
+class _Watch(typing.NamedTuple):
+    prefix: str
+    since_revision: int
+    answer: defer.Deferred
+    timer: typing.Any
+
+
+class MemoryStore(store.Store):
+    """The platform's object API in memory.
+
+    Attributes:
+      down: Calls fail without effect, and waiting watches fail, while True.
+      delay_ms: Time between a call's effect and its answer.
+      effect_delay_ms: Time between a call and its effect.
+      lose_next_answers: Number of next writes that take effect and then fail
+        with `errors.StoreError`.
+      calls: Number of calls by kind.
+    """
+
+    def __init__(self, timers: ports.Timers | None = None):
+        self._timers = timers or NoTimers()
+        self._items: dict[str, store.Item] = {}
+        self._revision = 0
+        self._watches: list[_Watch] = []
+        self._down = False
+        self.delay_ms = 0
+        self.effect_delay_ms = 0
+        self.lose_next_answers = 0
+        self.calls: dict[str, int] = {}
+
+    @property
+    def revision(self) -> int:
+        """The revision of the last write."""
+        return self._revision
+
+    @property
+    def down(self) -> bool:
+        """Whether the store is out of service."""
+        return self._down
+
+    @down.setter
+    def down(self, value: bool) -> None:
+        self._down = value
+        if value:
+            for watch in list(self._watches):
+                self._end_watch(watch, errors.StoreError('watch', PEER, 'down'))
+
+    def get(self, key):
+        return self._call('get', lambda: self._items.get(key))
+
+    def list(self, prefix):
+
+        def read():
+            items = [
+                item for key, item in sorted(self._items.items())
+                if key.startswith(prefix)
+            ]
+            return tuple(items), self._revision
+
+        return self._call('list', read)
+
+    def put(self, key, value, if_version):
+        return self._call('put', lambda: self._write(key, value, if_version))
+
+    def watch(self, prefix, since_revision, timeout_ms):
+        return self._call(
+            'watch', lambda: self._wait(prefix, since_revision, timeout_ms))
+
+    def _call(self, kind: str, effect) -> defer.Deferred:
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+        answer: defer.Deferred = defer.Deferred()
+        self._after(self.effect_delay_ms,
+                    lambda: self._act(kind, effect, answer))
+        return answer
+
+    def _act(self, kind: str, effect, answer: defer.Deferred) -> None:
+        if self._down:
+            exc = errors.StoreError(kind, PEER, 'down')
+            self._after(self.delay_ms, lambda: _fire(answer, exc))
+            return
+        try:
+            result = effect()
+        except errors.FigdrumError as exc:
+            result = exc
+        if kind == 'put' and self.lose_next_answers > 0:
+            self.lose_next_answers -= 1
+            result = errors.StoreError(kind, PEER, 'answer lost')
+        if isinstance(result, defer.Deferred):
+            result.addBoth(lambda value: self._after(
+                self.delay_ms, lambda: _fire(answer, value)))
+        else:
+            self._after(self.delay_ms, lambda: _fire(answer, result))
+
+    def _after(self, delay_ms: int, fn) -> None:
+        if delay_ms > 0:
+            self._timers.call_later(delay_ms, fn)
+        else:
+            fn()
+
+    def _write(self, key: str, value: str, if_version: int) -> store.Item:
+        if len(value.encode()) > store.VALUE_LIMIT_BYTES:
+            raise errors.ValueTooLargeError('put', PEER, f'{key} is too large')
+        held = self._items.get(key)
+        version = held.version if held else 0
+        if version != if_version:
+            raise errors.ConflictError(
+                'put', PEER, f'{key} has version {version}, not {if_version}')
+        self._revision += 1
+        item = store.Item(key, value, version + 1, self._revision)
+        self._items[key] = item
+        for watch in [w for w in self._watches if key.startswith(w.prefix)]:
+            self._end_watch(watch,
+                            self._changes(watch.prefix, watch.since_revision))
+        return item
+
+    def _changes(self, prefix: str, since_revision: int):
+        items = [
+            item for key, item in self._items.items()
+            if key.startswith(prefix) and item.revision > since_revision
+        ]
+        return (tuple(sorted(items,
+                             key=lambda item: item.revision)), self._revision)
+
+    def _wait(self, prefix: str, since_revision: int, timeout_ms: int):
+        items, revision = self._changes(prefix, since_revision)
+        if items or timeout_ms <= 0:
+            return items, revision
+        waiting: defer.Deferred = defer.Deferred()
+        watch = None
+
+        def expire():
+            self._end_watch(watch, ((), self._revision))
+
+        watch = _Watch(prefix, since_revision, waiting,
+                       self._timers.call_later(timeout_ms, expire))
+        self._watches.append(watch)
+        return waiting
+
+    def _end_watch(self, watch: _Watch, result) -> None:
+        if watch not in self._watches:
+            return
+        self._watches.remove(watch)
+        watch.timer.cancel()
+        _fire(watch.answer, result)
+
+
+class Link(store.Store):
+    """One client's access to a shared store, which can be cut off.
+
+    Attributes:
+      cut_off: Calls fail without effect while True; answers on their way are
+        lost.
+    """
+
+    def __init__(self, shared: store.Store):
+        self._shared = shared
+        self.cut_off = False
+
+    def get(self, key):
+        return self._pass('get', lambda: self._shared.get(key))
+
+    def list(self, prefix):
+        return self._pass('list', lambda: self._shared.list(prefix))
+
+    def put(self, key, value, if_version):
+        return self._pass('put',
+                          lambda: self._shared.put(key, value, if_version))
+
+    def watch(self, prefix, since_revision, timeout_ms):
+        return self._pass(
+            'watch',
+            lambda: self._shared.watch(prefix, since_revision, timeout_ms))
+
+    def _pass(self, kind: str, call) -> defer.Deferred:
+        if self.cut_off:
+            return defer.fail(errors.StoreError(kind, PEER, 'cut off'))
+        return call().addBoth(lambda result: self._arrive(kind, result))
+
+    def _arrive(self, kind: str, result):
+        if self.cut_off:
+            raise errors.StoreError(kind, PEER, 'cut off')
+        return result
+
+
+def _fire(answer: defer.Deferred, result) -> None:
+    if answer.called:
+        return
+    if isinstance(result, Exception):
+        answer.errback(result)
+    else:
+        answer.callback(result)
