Add contracts, the fold of changes and the change log

An approval that appends first and records later lets a rejection between the two succeed, so that a proposal is rejected and in force. Recording first was ruled out: a crash would leave an approval without a change. An approver now writes the intended number to the proposal before it appends, and a rejection waits for that number to be decided.

--- /dev/null
+++ b/figdrum/contracts/change_log.py
@@ -0,0 +1,469 @@
+"""The ordered log of approved changes, kept in the platform.
+
+Explanation
+===========
+
+A change is proposed, approved by another operator, and appended as
+`changes/<n>` by create-if-absent, which decides every race. An approval takes
+three writes, each of which may lose its answer:
+
+1. the intent: a conditional update of the proposal names number n;
+2. the append: `changes/<n>` is created;
+3. the record: a conditional update marks the proposal as approved.
+
+The append decides. Before an intent for another number is written, the earlier
+number is seen taken by another change, so one proposal never leads to two
+entries. A writer that lost an answer reads back and recognises its own value.
+Whoever next reads a proposal whose change is in the log completes step 3.
+
+All methods return Deferreds. They fail with `errors.ContractError` (not valid),
+`errors.ApprovalError` (not allowed), `errors.ChangeRaceError` (another change
+came first; the reason names it) or `errors.StoreError` (the platform does not
+answer; calling again with the same arguments is safe).
+"""
+
+import json
+import logging
+import typing
+import uuid
+
+from twisted.internet import defer
+
+from figdrum.contracts import change as change_lib
+from figdrum.contracts import contract as contract_lib
+from figdrum.contracts import proposals
+from figdrum.contracts import state as state_lib
+from figdrum.core import clock as clock_lib
+from figdrum.core import errors
+from figdrum.core import ids
+from figdrum.platform import store as store_lib
+
+SNAPSHOT_INTERVAL = 100
+"""Changes between two snapshots."""
+
+BODY_LIMIT_BYTES = 12_000
+"""Largest body, so that an entry fits into one control message of 16 KB."""
+
+OPERATOR_LIMIT = 100
+"""Longest operator name in characters."""
+
+WRITE_ATTEMPTS = 3
+RACE_ATTEMPTS = 20
+
+_log = logging.getLogger(__name__)
+
+
+class Loaded(typing.NamedTuple):
+    """The log's state as read from the platform.
+
+    Attributes:
+      state: All changes folded.
+      revision: Revision of the last change's object, or 0.
+      snapshot_change: Number of the change that the stored snapshot ends at.
+      snapshot_version: Version of the stored snapshot, or 0.
+    """
+    state: state_lib.ContractState
+    revision: int
+    snapshot_change: int
+    snapshot_version: int
+
+
+class AuditRecord(typing.NamedTuple):
+    """A proposal and the change that it led to.
+
+    Attributes:
+      proposal: The proposal as stored.
+      change: The entry of the log, or None.
+    """
+    proposal: proposals.Proposal
+    change: change_lib.Change | None
+
+
+class ChangeLog:
+    """Reads and writes the change log through a `Store`."""
+
+    def __init__(self,
+                 store: store_lib.Store,
+                 clock: clock_lib.Clock,
+                 new_id: typing.Callable[[], str] | None = None):
+        self._store = store
+        self._clock = clock
+        self._new_id = new_id or (lambda: uuid.uuid4().hex[:12])
+
+    @defer.inlineCallbacks
+    def load(self):
+        """Returns a Deferred of `Loaded`: the snapshot and all changes after
+        it."""
+        item = yield self._store.get(state_lib.SNAPSHOT_KEY)
+        loaded = Loaded(state_lib.ContractState.empty(), 0, 0, 0)
+        if item is not None:
+            snapshot = state_lib.Snapshot.from_json(item.value)
+            loaded = Loaded(snapshot.state, snapshot.revision,
+                            snapshot.state.change, item.version)
+        return (yield self._catch_up(loaded))
+
+    @defer.inlineCallbacks
+    def _catch_up(self, loaded: Loaded):
+        """Fires with `loaded` and the changes appended since."""
+        items, _ = yield self._store.watch(change_lib.PREFIX, loaded.revision,
+                                           0)
+        state, revision = loaded.state, loaded.revision
+        for item in sorted(items, key=lambda item: item.key):
+            if change_lib.number(item.key) <= state.change:
+                continue
+            state = state_lib.fold(state,
+                                   change_lib.Change.from_json(item.value))
+            revision = item.revision
+        return loaded._replace(state=state, revision=revision)
+
+    def propose_zone_out(self, zone: str, proposer: str):
+        """Proposes to take `zone` out; see `propose`."""
+        return self.propose(change_lib.ZoneOut(ids.ZoneName(zone)), proposer)
+
+    def propose_zone_in(self, zone: str, proposer: str):
+        """Proposes to put `zone` back; see `propose`."""
+        return self.propose(change_lib.ZoneIn(ids.ZoneName(zone)), proposer)
+
+    def propose_contract(self, contract: contract_lib.Contract, proposer: str):
+        """Proposes to add or replace a contract; see `propose`."""
+        return self.propose(change_lib.ContractSet(contract), proposer)
+
+    @defer.inlineCallbacks
+    def propose(self,
+                body: change_lib.Body,
+                proposer: str,
+                proposal_id: str = ''):
+        """Stores a proposal.
+
+        Args:
+          body: What is to change.
+          proposer: Operator.
+          proposal_id: Id to use; a repetition with the same id and body returns
+            the stored proposal. By default a new id.
+
+        Returns:
+          A Deferred of the `Proposal`.
+        """
+        _check_operator('propose', proposer)
+        size = len(json.dumps(body.to_dict()).encode())
+        if size > BODY_LIMIT_BYTES:
+            raise errors.ContractError(
+                'propose', body.subject,
+                f'{size} bytes exceed the limit of {BODY_LIMIT_BYTES}')
+        name = proposal_id or self._new_id()
+        key = proposals.key(name)
+        if proposal_id:
+            earlier = yield self._store.get(key)
+            if earlier is not None:
+                return _same_proposal(earlier, body, proposer)
+        loaded = yield self.load()
+        state_lib.preview(loaded.state, body)
+        proposal = proposals.Proposal(name, proposer, self._clock.wall_ms(),
+                                      loaded.state.version(body.subject), body)
+        try:
+            yield self._write(key, proposal.to_json(), 0)
+        except errors.ConflictError:
+            return _same_proposal((yield self._store.get(key)), body, proposer)
+        return proposal
+
+    @defer.inlineCallbacks
+    def show(self, proposal_id: str):
+        """Returns a Deferred of the `Proposal`, repaired if its approval was
+        cut short."""
+        item, proposal = yield self._read_proposal(proposal_id)
+        return (yield self._repaired(item, proposal))[1]
+
+    @defer.inlineCallbacks
+    def list(self, status: proposals.Status | None = None):
+        """Returns a Deferred of all proposals, oldest first, or of those with
+        `status`."""
+        items, _ = yield self._store.list(proposals.PREFIX)
+        found = []
+        for item in items:
+            proposal = proposals.Proposal.from_json(item.value)
+            found.append((yield self._repaired(item, proposal))[1])
+        return tuple(
+            sorted((p for p in found if status in (None, p.status)),
+                   key=lambda p: (p.time_ms, p.id)))
+
+    @defer.inlineCallbacks
+    def history(self, subject: str = ''):
+        """Returns a Deferred of all changes in order, or of those of
+        `subject` (see `change.contract_subject`)."""
+        items, _ = yield self._store.list(change_lib.PREFIX)
+        changes = [change_lib.Change.from_json(item.value) for item in items]
+        return tuple(c for c in sorted(changes, key=lambda c: c.n)
+                     if subject in ('', c.body.subject))
+
+    @defer.inlineCallbacks
+    def audit(self):
+        """Returns a Deferred of an `AuditRecord` for every proposal."""
+        listed = yield self.list()
+        changes = {c.proposal: c for c in (yield self.history())}
+        return tuple(AuditRecord(p, changes.get(p.id)) for p in listed)
+
+    @defer.inlineCallbacks
+    def approve(self, proposal_id: str, approver: str):
+        """Approves a proposal and appends its change.
+
+        Repeating it returns the same change.
+
+        Args:
+          proposal_id: The proposal.
+          approver: Operator; not the proposer.
+
+        Returns:
+          A Deferred of the `Change`.
+        """
+        _check_operator('approve', approver)
+        loaded = None
+        for _ in range(RACE_ATTEMPTS):
+            item, proposal = yield self._read_proposal(proposal_id)
+            _check_approver(proposal, approver)
+            change = yield self._own_change(proposal)
+            if change is not None:
+                return (yield self._finish(item, proposal, change, loaded))
+            _check_open('approve', proposal)
+            loaded = yield (self.load()
+                            if loaded is None else self._catch_up(loaded))
+            change = yield self._try_append(item, proposal, approver,
+                                            loaded.state)
+            if change is not None:
+                item, proposal = yield self._read_proposal(proposal_id)
+                return (yield self._finish(item, proposal, change, loaded))
+        raise errors.ChangeRaceError(
+            'approve', proposal_id,
+            f'other changes came first {RACE_ATTEMPTS} times')
+
+    @defer.inlineCallbacks
+    def _try_append(self, item: store_lib.Item, proposal: proposals.Proposal,
+                    approver: str, state: state_lib.ContractState):
+        """Fires with the appended change, or None when a race was lost."""
+        change = yield self._check_valid(proposal, state)
+        if change is not None:
+            return change
+        n = state.change + 1
+        if not (proposal.change == n and proposal.decider == approver):
+            proposal = proposal.with_intent(n, approver, self._clock.wall_ms())
+            try:
+                item = yield self._write(item.key, proposal.to_json(),
+                                         item.version)
+            except errors.ConflictError:
+                return None
+        change = proposal.to_change(n)
+        try:
+            yield self._write(change_lib.key(n), change.to_json(), 0)
+        except errors.ConflictError:
+            return (yield self._own_change(proposal))
+        return change
+
+    @defer.inlineCallbacks
+    def _check_valid(self, proposal: proposals.Proposal,
+                     state: state_lib.ContractState):
+        """Fails unless the proposal still fits `state`.
+
+        Fires with the proposal's own change when that is in `state` already,
+        and else with None.
+        """
+        latest = state.version(proposal.body.subject)
+        if latest == proposal.base_version:
+            state_lib.preview(state, proposal.body)
+            return None
+        winner = yield self._read_change(latest)
+        if winner.id == change_lib.id_of(proposal.id):
+            return winner
+        raise errors.ChangeRaceError(
+            'approve', proposal.id,
+            f'{winner.describe()} came after the proposal, which is based on '
+            f'change {proposal.base_version}')
+
+    @defer.inlineCallbacks
+    def _read_change(self, n: int):
+        """Fires with change `n`, which is in the log."""
+        item = yield self._store.get(change_lib.key(n))
+        if item is None:
+            raise errors.StoreError('read change', change_lib.key(n),
+                                    'it is in the log but was not found')
+        return change_lib.Change.from_json(item.value)
+
+    @defer.inlineCallbacks
+    def _own_change(self, proposal: proposals.Proposal):
+        """Fires with the change at the proposal's number if it is its own."""
+        if proposal.change == 0:
+            return None
+        item = yield self._store.get(change_lib.key(proposal.change))
+        if item is None:
+            return None
+        change = change_lib.Change.from_json(item.value)
+        return change if change.id == change_lib.id_of(proposal.id) else None
+
+    @defer.inlineCallbacks
+    def _finish(self, item: store_lib.Item, proposal: proposals.Proposal,
+                change: change_lib.Change, loaded: Loaded | None):
+        """Records the approval; the change is in force even if that fails."""
+        try:
+            yield self._record(item, proposal, change)
+            yield self._snapshot(change, loaded)
+        except errors.StoreError as exc:
+            _log.warning('contracts: change %d is in the log; %s', change.n,
+                         exc)
+        return change
+
+    @defer.inlineCallbacks
+    def _record(self, item: store_lib.Item, proposal: proposals.Proposal,
+                change: change_lib.Change):
+        """Fires with the stored (item, proposal), marked as approved."""
+        if proposal.status is proposals.Status.APPROVED:
+            return item, proposal
+        proposal = proposal.approved(change)
+        try:
+            item = yield self._write(item.key, proposal.to_json(), item.version)
+        except errors.ConflictError:
+            # Another reader of the proposal records the same approval.
+            return (yield self._read_proposal(proposal.id))
+        return item, proposal
+
+    @defer.inlineCallbacks
+    def _repaired(self, item: store_lib.Item, proposal: proposals.Proposal):
+        """Fires with (item, proposal) after step 3 of a cut-off approval."""
+        if not proposal.has_intent:
+            return item, proposal
+        change = yield self._own_change(proposal)
+        if change is None:
+            return item, proposal
+        try:
+            return (yield self._record(item, proposal, change))
+        except errors.StoreError as exc:
+            _log.warning('contracts: proposal %s not repaired; %s', proposal.id,
+                         exc)
+            return item, proposal.approved(change)
+
+    @defer.inlineCallbacks
+    def _snapshot(self, change: change_lib.Change, loaded: Loaded | None):
+        """Writes a snapshot when the last one is `SNAPSHOT_INTERVAL` behind."""
+        if (loaded is None or
+                change.n - loaded.snapshot_change < SNAPSHOT_INTERVAL):
+            return
+        loaded = yield self._catch_up(loaded)
+        snapshot = state_lib.Snapshot(loaded.state, loaded.revision)
+        try:
+            yield self._write(state_lib.SNAPSHOT_KEY, snapshot.to_json(),
+                              loaded.snapshot_version)
+        except errors.ConflictError:
+            pass  # Another approver wrote a snapshot.
+        except errors.ValueTooLargeError as exc:
+            _log.warning('contracts: no snapshot: %s', exc)
+
+    @defer.inlineCallbacks
+    def reject(self, proposal_id: str, operator: str, reason: str = ''):
+        """Rejects a proposal; repeating it returns the same proposal.
+
+        Args:
+          proposal_id: The proposal.
+          operator: Operator; the proposer may withdraw a proposal so.
+          reason: Why, for the audit.
+
+        Returns:
+          A Deferred of the rejected `Proposal`.
+        """
+        _check_operator('reject', operator)
+        for _ in range(RACE_ATTEMPTS):
+            item, proposal = yield self._read_proposal(proposal_id)
+            item, proposal = yield self._repaired(item, proposal)
+            if (proposal.status is proposals.Status.REJECTED and
+                    proposal.decider == operator):
+                return proposal
+            _check_open('reject', proposal)
+            yield self._check_intent_failed(proposal)
+            decided = proposal.rejected(operator, reason, self._clock.wall_ms())
+            try:
+                yield self._write(item.key, decided.to_json(), item.version)
+                return decided
+            except errors.ConflictError:
+                continue
+        raise errors.ChangeRaceError('reject', proposal_id,
+                                     'other operators keep changing it')
+
+    @defer.inlineCallbacks
+    def _check_intent_failed(self, proposal: proposals.Proposal):
+        """Fails while an approver's append may still arrive."""
+        if not proposal.has_intent:
+            return
+        key = change_lib.key(proposal.change)
+        if (yield self._store.get(key)) is None:
+            raise errors.ApprovalError(
+                'reject', proposal.id,
+                f'{proposal.decider} is approving it as {key}; it can be '
+                'approved again, or rejected once another change has that '
+                'number')
+
+    @defer.inlineCallbacks
+    def _read_proposal(self, proposal_id: str):
+        """Fires with (item, proposal)."""
+        item = yield self._store.get(proposals.key(proposal_id))
+        if item is None:
+            raise errors.ContractError('read proposal', proposal_id,
+                                       'no such proposal')
+        return item, proposals.Proposal.from_json(item.value)
+
+    @defer.inlineCallbacks
+    def _write(self, key: str, value: str, if_version: int):
+        """Writes, and after a failure reads back and tries again.
+
+        Fires with the stored item. Fails with `errors.ConflictError` only when
+        the object at `if_version + 1` is not this write's.
+        """
+        last = None
+        for _ in range(WRITE_ATTEMPTS):
+            try:
+                return (yield self._store.put(key, value, if_version))
+            except errors.StoreError as exc:
+                last = exc
+            except errors.ConflictError:
+                # An earlier attempt may have taken effect.
+                item = yield self._store.get(key)
+                if _is_write(item, value, if_version):
+                    return item
+                raise
+            try:
+                item = yield self._store.get(key)
+            except errors.StoreError as exc:
+                last = exc
+                continue
+            if _is_write(item, value, if_version):
+                return item
+        raise last
+
+
+def _is_write(item: store_lib.Item | None, value: str, if_version: int) -> bool:
+    return (item is not None and item.version == if_version + 1 and
+            item.value == value)
+
+
+def _same_proposal(item: store_lib.Item, body: change_lib.Body,
+                   proposer: str) -> proposals.Proposal:
+    stored = proposals.Proposal.from_json(item.value)
+    if stored.body != body or stored.proposer != proposer:
+        raise errors.ContractError('propose', stored.id,
+                                   'the id names another proposal')
+    return stored
+
+
+def _check_operator(step: str, operator: str) -> None:
+    if not operator.strip() or len(operator) > OPERATOR_LIMIT:
+        raise errors.ApprovalError(
+            step, '-', f'an operator name has 1 to {OPERATOR_LIMIT} characters')
+
+
+def _check_approver(proposal: proposals.Proposal, approver: str) -> None:
+    if approver == proposal.proposer:
+        raise errors.ApprovalError(
+            'approve', proposal.id,
+            f'{approver} proposed it; another operator must approve it')
+
+
+def _check_open(step: str, proposal: proposals.Proposal) -> None:
+    if proposal.status is not proposals.Status.PROPOSED:
+        raise errors.ApprovalError(
+            step, proposal.id, f'{proposal.decider} {proposal.status.value} it'
+            f'{": " + proposal.reason if proposal.reason else ""}')
--- /dev/null
+++ b/figdrum/contracts/contract.py
@@ -0,0 +1,217 @@
+"""A customer's contract: grants, sources, limits and rank.
+
+Explanation
+===========
+
+A contract says which service each of the customer's addresses reaches, from
+which networks its callers may come, how much load it may place, and how long it
+is kept when capacity shrinks. All values are immutable and valid: building one
+from bad input raises `errors.ContractError`.
+
+Examples
+========
+
+>>> contract = Contract('al-sahil',
+...                     (Grant('al-sahil', 'fieldbook', ('10.9.0.1', 5683)),),
+...                     ('192.0.2.0/24',), Limits(2000, 100, 40), 1)
+>>> Contract.from_json(contract.to_json()) == contract
+True
+>>> contract.allows_source('192.0.2.7'), contract.allows_source('198.51.100.1')
+(True, False)
+>>> Limits(-1, 0, 0)
+Traceback (most recent call last):
+...
+figdrum.core.errors.ContractError: FD400 check contract: limit flows is -1 \
+(peer limits)
+"""
+
+import dataclasses
+import functools
+import ipaddress
+import json
+import re
+import typing
+
+from figdrum.core import errors
+from figdrum.core import ids
+
+BEST_RANK = 1
+WORST_RANK = 9
+HIGHEST_PORT = 65_535
+
+# Names appear in keys of the platform, in log lines and in metrics.
+_NAME = re.compile(r'[a-z0-9][a-z0-9._-]{0,62}')
+
+
+def check_name(kind: str, name: typing.Any) -> None:
+    """Raises `errors.ContractError` unless `name` may name a `kind`."""
+    if not isinstance(name, str) or not _NAME.fullmatch(name):
+        raise _fault(kind, f'{kind} name {str(name)[:70]!r} is not valid')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """One address at which a customer reaches a service.
+
+    Attributes:
+      customer: Customer that holds the grant.
+      service: Service that packets to the address reach.
+      address: IPv4 address and UDP port of the service for this customer.
+    """
+    customer: ids.CustomerId
+    service: ids.ServiceName
+    address: ids.Address
+
+    def __post_init__(self):
+        check_name('customer', self.customer)
+        check_name('service', self.service)
+        try:
+            host, port = self.address
+            canonical = str(ipaddress.IPv4Address(host))
+        except (TypeError, ValueError) as exc:
+            raise _fault('grant', f'address: {exc}') from exc
+        if canonical != host or not isinstance(host, str):
+            raise _fault('grant', f'host {host!r} is not in dotted form')
+        if not _is_int(port) or not 1 <= port <= HIGHEST_PORT:
+            raise _fault('grant', f'port {port!r} is out of range')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Load that a customer may place on each service that it reaches.
+
+    Attributes:
+      flows: Open flows.
+      new_flows: New flows a second.
+      requests: Requests in progress.
+    """
+    flows: int
+    new_flows: int
+    requests: int
+
+    def __post_init__(self):
+        for field in dataclasses.fields(self):
+            value = getattr(self, field.name)
+            if not _is_int(value) or value < 0:
+                raise _fault('limits', f'limit {field.name} is {value!r}')
+
+
+# No slots: the cached property needs the instance's dictionary.
+@dataclasses.dataclass(frozen=True)
+class Contract:
+    """One customer's contract.
+
+    Attributes:
+      customer: The customer.
+      grants: Its addresses, each at most once.
+      sources: Networks of its callers in CIDR form; empty admits any.
+      limits: Limits for each service that it reaches.
+      rank: 1 is kept longest when capacity shrinks, 9 is shed first.
+    """
+    customer: ids.CustomerId
+    grants: tuple[Grant, ...]
+    sources: tuple[str, ...]
+    limits: Limits
+    rank: int
+
+    def __post_init__(self):
+        check_name('customer', self.customer)
+        addresses = [grant.address for grant in self.grants]
+        if len(set(addresses)) != len(addresses):
+            raise _fault(self.customer, 'an address is granted twice')
+        for grant in self.grants:
+            if grant.customer != self.customer:
+                raise _fault(self.customer,
+                             f'a grant names customer {grant.customer}')
+        for source in self.sources:
+            try:
+                ipaddress.IPv4Network(source)
+            except ValueError as exc:
+                raise _fault(self.customer, f'source: {exc}') from exc
+        if not _is_int(self.rank) or not BEST_RANK <= self.rank <= WORST_RANK:
+            raise _fault(self.customer, f'rank {self.rank!r} is out of range')
+
+    @functools.cached_property
+    def services(self) -> frozenset[str]:
+        """The services that the customer reaches."""
+        return frozenset(grant.service for grant in self.grants)
+
+    def allows_source(self, host: str) -> bool:
+        """Returns whether a caller at IPv4 address `host` is admitted."""
+        if not self._networks:
+            return True
+        address = int(ipaddress.IPv4Address(host))
+        return any(address & mask == net for net, mask in self._networks)
+
+    @functools.cached_property
+    def _networks(self) -> tuple[tuple[int, int], ...]:
+        networks = [ipaddress.IPv4Network(source) for source in self.sources]
+        return tuple(
+            (int(net.network_address), int(net.netmask)) for net in networks)
+
+    def to_dict(self) -> dict:
+        """Returns the contract as a JSON object."""
+        return {
+            'customer': self.customer,
+            'grants': [{
+                'service': grant.service,
+                'host': grant.address[0],
+                'port': grant.address[1],
+            } for grant in self.grants],
+            'sources': list(self.sources),
+            'limits': dataclasses.asdict(self.limits),
+            'rank': self.rank,
+        }
+
+    def to_json(self) -> str:
+        """Returns the contract as JSON text."""
+        return json.dumps(self.to_dict(), sort_keys=True)
+
+    @classmethod
+    def from_dict(cls, doc: typing.Any) -> 'Contract':
+        """Reads a JSON object.
+
+        Raises:
+          errors.ContractError: if it is not a valid contract or has an unknown
+            field.
+        """
+        try:
+            _check_fields(doc, cls)
+            customer = doc['customer']
+            grants = tuple(
+                Grant(customer, row['service'], (row['host'], row['port']))
+                for row in doc['grants'])
+            return cls(customer, grants, _strings(doc['sources']),
+                       Limits(**doc['limits']), doc['rank'])
+        except (KeyError, TypeError, ValueError) as exc:
+            raise _fault('contract', repr(exc)) from exc
+
+    @classmethod
+    def from_json(cls, text: str) -> 'Contract':
+        """Reads JSON text; see `from_dict`."""
+        try:
+            doc = json.loads(text)
+        except (ValueError, RecursionError) as exc:
+            raise _fault('contract', repr(exc)) from exc
+        return cls.from_dict(doc)
+
+
+def _check_fields(doc: typing.Any, cls: type) -> None:
+    names = {field.name for field in dataclasses.fields(cls)}
+    if set(doc) != names:
+        raise ValueError(f'fields are {sorted(doc)}, not {sorted(names)}')
+
+
+def _strings(values: typing.Any) -> tuple[str, ...]:
+    if not isinstance(values, list) or not all(
+            isinstance(value, str) for value in values):
+        raise TypeError('expected a list of strings')
+    return tuple(values)
+
+
+def _is_int(value: typing.Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _fault(peer: str, reason: str) -> errors.ContractError:
+    return errors.ContractError('check contract', str(peer), reason)
--- /dev/null
+++ b/figdrum/contracts/state.py
@@ -0,0 +1,204 @@
+"""What all approved changes up to a number add up to.
+
+Explanation
+===========
+
+`ContractState` is an immutable fold of the change log. `fold` applies the next
+change and refuses one that does not fit, so that the same check guards a
+proposal, an approval and a node that replays the log.
+
+Examples
+========
+
+>>> state = ContractState.empty()
+>>> state.change, state.lookup(('10.9.0.1', 5683))
+(0, None)
+>>> 'muscat-a' in preview(state, change_lib.ZoneOut('muscat-a')).zones_out
+True
+"""
+
+import json
+import typing
+
+from figdrum.contracts import change as change_lib
+from figdrum.contracts import contract as contract_lib
+from figdrum.core import errors
+from figdrum.core import ids
+
+SNAPSHOT_KEY = 'snapshots/contracts'
+
+
+class ContractState:
+    """Contracts and zones after change number `change`; immutable.
+
+    Attributes:
+      change: Number of the last change folded in.
+      zones_out: Zones that operators have taken out.
+    """
+
+    def __init__(self, change: int, contracts: dict[str, contract_lib.Contract],
+                 zones_out: frozenset[str], versions: dict[str, int]):
+        self.change = change
+        self.zones_out: frozenset[ids.ZoneName] = frozenset(zones_out)
+        self._contracts = contracts
+        self._versions = versions
+        self._grants = {
+            grant.address: grant for contract in contracts.values()
+            for grant in contract.grants
+        }
+
+    @classmethod
+    def empty(cls) -> 'ContractState':
+        """Returns the state before the first change."""
+        return cls(0, {}, frozenset(), {})
+
+    def __eq__(self, other):
+        if not isinstance(other, ContractState):
+            return NotImplemented
+        return self.to_dict() == other.to_dict()
+
+    def __hash__(self):
+        return hash(self.change)
+
+    def lookup(self, address: ids.Address) -> contract_lib.Grant | None:
+        """Returns the grant of `address`, or None."""
+        return self._grants.get(address)
+
+    def contract(self, customer: str) -> contract_lib.Contract | None:
+        """Returns the customer's contract, or None."""
+        return self._contracts.get(customer)
+
+    def contracts(self) -> tuple[contract_lib.Contract, ...]:
+        """Returns all contracts by customer name."""
+        return tuple(self._contracts[name] for name in sorted(self._contracts))
+
+    def allows(self, customer: str, service: str, src_host: str) -> bool:
+        """Returns whether a caller at `src_host` may use `service`."""
+        contract = self._contracts.get(customer)
+        return (contract is not None and service in contract.services and
+                contract.allows_source(src_host))
+
+    def version(self, subject: str) -> int:
+        """Returns the number of the last change of `subject`, or 0."""
+        return self._versions.get(subject, 0)
+
+    def to_dict(self) -> dict:
+        """Returns the state as a JSON object."""
+        return {
+            'change': self.change,
+            'contracts': [contract.to_dict() for contract in self.contracts()],
+            'zones_out': sorted(self.zones_out),
+            'versions': self._versions,
+        }
+
+    @classmethod
+    def from_dict(cls, doc: typing.Any) -> 'ContractState':
+        """Reads a JSON object.
+
+        Raises:
+          errors.ContractError: if it is not a valid state.
+        """
+        try:
+            contracts = [
+                contract_lib.Contract.from_dict(row) for row in doc['contracts']
+            ]
+            versions = {str(k): int(v) for k, v in doc['versions'].items()}
+            return cls(int(doc['change']), {c.customer: c for c in contracts},
+                       frozenset(doc['zones_out']), versions)
+        except (AttributeError, KeyError, TypeError, ValueError) as exc:
+            raise errors.ContractError('read state', SNAPSHOT_KEY,
+                                       repr(exc)) from exc
+
+    def apply(self, body: change_lib.Body, n: int) -> 'ContractState':
+        """Returns the state after change number `n` with `body`.
+
+        Raises:
+          errors.ContractError: if the body does not fit this state.
+        """
+        contracts = dict(self._contracts)
+        zones_out = self.zones_out
+        if isinstance(body, change_lib.ContractSet):
+            self._check_grants(body.contract)
+            contracts[body.contract.customer] = body.contract
+        elif isinstance(body, change_lib.ContractRemove):
+            if contracts.pop(body.customer, None) is None:
+                raise _fault(body, 'the customer has no contract')
+        elif isinstance(body, change_lib.ZoneOut):
+            if body.zone in zones_out:
+                raise _fault(body, 'the zone is out already')
+            zones_out = zones_out | {body.zone}
+        elif isinstance(body, change_lib.ZoneIn):
+            if body.zone not in zones_out:
+                raise _fault(body, 'the zone is in service already')
+            zones_out = zones_out - {body.zone}
+        return ContractState(n, contracts, zones_out,
+                             self._versions | {body.subject: n})
+
+    def _check_grants(self, contract: contract_lib.Contract) -> None:
+        for grant in contract.grants:
+            held = self.lookup(grant.address)
+            if held is not None and held.customer != contract.customer:
+                host, port = grant.address
+                n = self.version(change_lib.contract_subject(held.customer))
+                raise errors.ContractError(
+                    'check change', contract.customer,
+                    f'{host}:{port} is granted to customer {held.customer} '
+                    f'since change {n}')
+
+
+class Snapshot(typing.NamedTuple):
+    """A stored state.
+
+    Attributes:
+      state: The state.
+      revision: Revision of the object `changes/<state.change>`: every later
+        change has a higher one.
+    """
+    state: ContractState
+    revision: int
+
+    def to_json(self) -> str:
+        """Returns the value to store under `snapshots/contracts`."""
+        return json.dumps(
+            {
+                'state': self.state.to_dict(),
+                'revision': self.revision
+            },
+            sort_keys=True)
+
+    @classmethod
+    def from_json(cls, text: str) -> 'Snapshot':
+        """Reads the value of `snapshots/contracts`.
+
+        Raises:
+          errors.ContractError: if it is not a valid snapshot.
+        """
+        try:
+            doc = json.loads(text)
+            return cls(ContractState.from_dict(doc['state']),
+                       int(doc['revision']))
+        except (KeyError, TypeError, ValueError, RecursionError) as exc:
+            raise errors.ContractError('read snapshot', SNAPSHOT_KEY,
+                                       repr(exc)) from exc
+
+
+def preview(state: ContractState, body: change_lib.Body) -> ContractState:
+    """Returns the state that `body` would lead to as the next change."""
+    return state.apply(body, state.change + 1)
+
+
+def fold(state: ContractState, change: change_lib.Change) -> ContractState:
+    """Returns the state after `change`, which must be the next one.
+
+    Raises:
+      errors.ContractError: if `change` is not the next one or does not fit.
+    """
+    if change.n != state.change + 1:
+        raise errors.ContractError(
+            'fold change', change_lib.key(change.n),
+            f'change {state.change + 1} is the next one')
+    return state.apply(change.body, change.n)
+
+
+def _fault(body: change_lib.Body, reason: str) -> errors.ContractError:
+    return errors.ContractError('check change', body.subject, reason)
--- /dev/null
+++ b/figdrum/contracts/tests/test_change_log.py
@@ -0,0 +1,296 @@
+"""Tests of the change log under lost answers, races and outages."""
+
+import itertools
+import random
+
+import pytest
+from twisted.internet import defer
+
+from figdrum.contracts import change as change_lib
+from figdrum.contracts import change_log
+from figdrum.contracts import contract as contract_lib
+from figdrum.contracts import proposals
+from figdrum.contracts import state as state_lib
+from figdrum.core import clock
+from figdrum.core import errors
+from figdrum.platform import memory_store
+from figdrum.platform import store as store_lib
+
+
+def make_contract(customer: str, port: int = 5683) -> contract_lib.Contract:
+    """Returns a small contract with one address."""
+    grant = contract_lib.Grant(customer, 'fieldbook', ('10.9.0.1', port))
+    return contract_lib.Contract(customer, (grant,), (),
+                                 contract_lib.Limits(10, 10, 10), 1)
+
+
+def make_log(store: store_lib.Store) -> change_log.ChangeLog:
+    """Returns a change log over `store` with ids p1, p2 and so on."""
+    ids = (f'p{i}' for i in itertools.count(1))
+    return change_log.ChangeLog(store, clock.ManualClock(1), lambda: next(ids))
+
+
+def result(deferred: defer.Deferred):
+    """Returns the result of a fired Deferred or raises its error."""
+    found = []
+    deferred.addBoth(found.append)
+    assert found, 'not fired'
+    if hasattr(found[0], 'raiseException'):
+        found[0].raiseException()
+    return found[0]
+
+
+class Hooked(memory_store.Link):
+    """A link that runs `before(kind, key)` ahead of each call."""
+
+    def __init__(self, shared):
+        super().__init__(shared)
+        self.before = lambda kind, key: None
+
+    def get(self, key):
+        self.before('get', key)
+        return super().get(key)
+
+    def put(self, key, value, if_version):
+        self.before('put', key)
+        return super().put(key, value, if_version)
+
+
+def assert_log_sound(store) -> tuple[change_lib.Change, ...]:
+    """Checks that the log has no gap, no double entry and agrees with the
+    proposals."""
+    log = make_log(store)
+    changes = result(log.history())
+    assert [c.n for c in changes] == list(range(1, len(changes) + 1))
+    assert len({c.id for c in changes}) == len(changes)
+    for record in result(log.audit()):
+        approved = record.proposal.status is proposals.Status.APPROVED
+        assert approved == (record.change is not None)
+        assert not approved or record.proposal.change == record.change.n
+    assert result(log.load()).state.change == len(changes)
+    return changes
+
+
+def test_approved_change_is_in_the_log_with_its_audit():
+    """Guards against an entry that lacks who proposed and approved it."""
+    store = memory_store.MemoryStore()
+    log = make_log(store)
+    proposal = result(log.propose_contract(make_contract('a'), 'ana'))
+    change = result(log.approve(proposal.id, 'bo'))
+    assert (change.n, change.proposer, change.approver) == (1, 'ana', 'bo')
+    assert result(log.show(proposal.id)).status is proposals.Status.APPROVED
+    assert assert_log_sound(store) == (change,)
+
+
+def test_proposer_cannot_approve():
+    """Guards against a change that one operator makes alone."""
+    log = make_log(memory_store.MemoryStore())
+    proposal = result(log.propose_zone_out('z', 'ana'))
+    with pytest.raises(errors.ApprovalError):
+        result(log.approve(proposal.id, 'ana'))
+
+
+def test_address_of_another_contract_is_refused_twice():
+    """Guards against one address that leads to two customers."""
+    log = make_log(memory_store.MemoryStore())
+    first = result(log.propose_contract(make_contract('a'), 'ana'))
+    second = result(log.propose_contract(make_contract('b'), 'ana'))
+    result(log.approve(first.id, 'bo'))
+    with pytest.raises(errors.ContractError, match='customer a since change 1'):
+        result(log.approve(second.id, 'bo'))
+    with pytest.raises(errors.ContractError, match='customer a since change 1'):
+        result(log.propose_contract(make_contract('c'), 'ana'))
+
+
+def test_loser_is_told_what_won():
+    """Guards against an approval based on a contract that has changed."""
+    log = make_log(memory_store.MemoryStore())
+    one, two = [
+        result(log.propose_contract(make_contract('a', port), 'ana'))
+        for port in (1, 2)
+    ]
+    result(log.approve(two.id, 'bo'))
+    with pytest.raises(errors.ChangeRaceError,
+                       match='change 1 .*approved by b'):
+        result(log.approve(one.id, 'cy'))
+
+
+def test_race_on_a_number_appends_both_unrelated_changes():
+    """Guards against an approval lost because another took its number."""
+    store = memory_store.MemoryStore()
+    link = Hooked(store)
+    log, other = make_log(link), make_log(store)
+    mine = result(log.propose_zone_out('z1', 'ana'))
+    theirs = result(other.propose(change_lib.ZoneOut('z2'), 'ana', 'other'))
+
+    def overtake(kind, key):
+        if kind == 'put' and key == change_lib.key(1):
+            link.before = lambda kind, key: None
+            result(other.approve(theirs.id, 'bo'))
+
+    link.before = overtake
+    assert result(log.approve(mine.id, 'bo')).n == 2
+    assert len(assert_log_sound(store)) == 2
+
+
+@pytest.mark.parametrize('step', range(12))
+@pytest.mark.parametrize('rival', ['approve', 'reject'])
+def test_rival_decision_at_any_step_of_an_approval(step, rival):
+    """Guards against a proposal that is both approved and rejected, or
+    appended twice, when a second operator acts between any two calls."""
+    store = memory_store.MemoryStore()
+    link = Hooked(store)
+    log, other = make_log(link), make_log(store)
+    proposal = result(log.propose_zone_out('z', 'ana'))
+    left = [step]
+    rejected = []
+
+    def act(_kind, _key):
+        left[0] -= 1
+        if left[0] == -1:
+            try:
+                decided = result(getattr(other, rival)(proposal.id, 'cy'))
+                rejected.append(rival == 'reject' and decided)
+            except errors.ApprovalError:
+                pass
+
+    link.before = act
+    try:
+        change = result(log.approve(proposal.id, 'bo'))
+        assert not any(rejected)
+        assert change.n == 1
+    except errors.ApprovalError:
+        assert any(rejected)
+    changes = assert_log_sound(store)
+    assert len(changes) == (0 if any(rejected) else 1)
+
+
+@pytest.mark.parametrize('lost', [1, 2, 3, 4])
+@pytest.mark.parametrize('write', range(4))
+def test_lost_answers_at_any_write(write, lost):
+    """Guards against a second entry when answers to writes are lost."""
+    store = memory_store.MemoryStore()
+    link = Hooked(store)
+    log = make_log(link)
+    left = [write]
+
+    def lose(kind, _key):
+        if kind == 'put':
+            left[0] -= 1
+            if left[0] == -1:
+                store.lose_next_answers = lost
+
+    link.before = lose
+    proposal = result(log.propose_zone_out('z', 'ana'))
+    change = result(log.approve(proposal.id, 'bo'))
+    assert result(log.approve(proposal.id, 'bo')) == change
+    assert assert_log_sound(store) == (change,)
+
+
+@pytest.mark.parametrize('calls', range(14))
+def test_crash_between_any_two_calls_is_repaired(calls):
+    """Guards against a half-done approval that stays half done."""
+    store = memory_store.MemoryStore()
+    link = Hooked(store)
+    proposal = result(make_log(store).propose_zone_out('z', 'ana'))
+    left = [calls]
+
+    def cut(_kind, _key):
+        left[0] -= 1
+        link.cut_off = left[0] < 0
+
+    link.before = cut
+    try:
+        result(make_log(link).approve(proposal.id, 'bo'))
+    except errors.StoreError:
+        pass
+    assert_log_sound(store)
+    change = result(make_log(store).approve(proposal.id, 'cy'))
+    assert assert_log_sound(store) == (change,)
+
+
+def test_rejected_proposal_is_not_approved():
+    """Guards against an approval after a rejection."""
+    log = make_log(memory_store.MemoryStore())
+    proposal = result(log.propose_zone_out('z', 'ana'))
+    result(log.reject(proposal.id, 'bo', 'not this week'))
+    with pytest.raises(errors.ApprovalError, match='not this week'):
+        result(log.approve(proposal.id, 'cy'))
+    assert result(log.reject(proposal.id, 'bo')).reason == 'not this week'
+
+
+def test_proposal_repeated_after_a_lost_answer_is_one_proposal():
+    """Guards against two proposals from one command."""
+    store = memory_store.MemoryStore()
+    log = make_log(store)
+    store.lose_next_answers = 5
+    body = change_lib.ZoneOut('z')
+    first = result(log.propose(body, 'ana', 'x'))
+    assert result(log.propose(body, 'ana', 'x')) == first
+    with pytest.raises(errors.ContractError):
+        result(log.propose(change_lib.ZoneOut('y'), 'ana', 'x'))
+
+
+def test_snapshot_and_replay_give_the_same_state():
+    """Guards against a snapshot that loses or doubles changes."""
+    store = memory_store.MemoryStore()
+    log = make_log(store)
+    for i in range(change_log.SNAPSHOT_INTERVAL + 7):
+        propose = log.propose_zone_in if i % 2 else log.propose_zone_out
+        result(log.approve(result(propose('z', 'ana')).id, 'bo'))
+    loaded = result(log.load())
+    assert loaded.snapshot_change == change_log.SNAPSHOT_INTERVAL
+    state = state_lib.ContractState.empty()
+    for change in result(log.history()):
+        state = state_lib.fold(state, change)
+    assert loaded.state == state
+
+
+def test_platform_down_fails_with_a_store_error():
+    """Guards against an operator who waits without an answer."""
+    store = memory_store.MemoryStore()
+    store.down = True
+    with pytest.raises(errors.StoreError):
+        result(make_log(store).propose_zone_out('z', 'ana'))
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_random_operators_and_faults_keep_the_log_sound(seed):
+    """Guards against orders of operators' steps and faults not thought of."""
+    rng = random.Random(seed)
+    store = memory_store.MemoryStore()
+    names = iter(f'q{i}' for i in itertools.count())
+    links = [Hooked(store) for _ in range(3)]
+    logs = [make_log(link) for link in links]
+    depth = [0]
+
+    def disturb(_kind, _key):
+        if rng.random() < 0.1:
+            store.lose_next_answers = rng.randrange(4)
+        if depth[0] < 2 and rng.random() < 0.1:
+            act()
+
+    def act():
+        depth[0] += 1
+        log = rng.choice(logs)
+        listed = [
+            item.key.removeprefix(proposals.PREFIX)
+            for item in store.list(proposals.PREFIX).result[0]
+        ]
+        try:
+            if not listed or rng.random() < 0.4:
+                kind = rng.choice([change_lib.ZoneOut, change_lib.ZoneIn])
+                result(log.propose(kind(rng.choice('xyz')), 'ana', next(names)))
+            elif rng.random() < 0.8:
+                result(log.approve(rng.choice(listed), rng.choice('bc')))
+            else:
+                result(log.reject(rng.choice(listed), 'dee'))
+        except errors.FigdrumError:
+            pass
+        depth[0] -= 1
+
+    for link in links:
+        link.before = disturb
+    for _ in range(60):
+        act()
+    assert assert_log_sound(store)
