--- a/figdrum/messages/control.py
+++ b/figdrum/messages/control.py
@@ -30,6 +30,7 @@
       confirmed_age_ms: Time since a reader confirmed this revision with the
         platform, as known to the sender; -1 when never.
       platform_up: False when the last call to the platform failed.
+      change: Number of the last contract change that the sender has applied.
     """
     name: str
     zone: str
@@ -38,6 +39,7 @@
     revision: int
     confirmed_age_ms: int
     platform_up: bool
+    change: int = 0
 
 
 class Delta(typing.NamedTuple):
--- /dev/null
+++ b/figdrum/sync/tests/simulation.py
@@ -0,0 +1,200 @@
+"""Balancers, their streams and a platform in virtual time, for tests."""
+
+import heapq
+import itertools
+import random
+
+from figdrum.contracts import change as change_lib
+from figdrum.core import clock as clock_lib
+from figdrum.core import errors
+from figdrum.core import ports
+from figdrum.messages import codec
+from figdrum.messages import control
+from figdrum.platform import loader
+from figdrum.platform import memory_store
+from figdrum.sync import actions as actions_lib
+from figdrum.sync import gossip
+from figdrum.sync import registry as registry_lib
+from figdrum.sync import replica as replica_lib
+
+TICK_MS = 100
+
+
+class _Timer:
+    """A pending call."""
+
+    def __init__(self, fn):
+        self.fn = fn
+
+    def cancel(self) -> None:
+        """Makes the call do nothing."""
+        self.fn = lambda: None
+
+
+class VirtualTime(ports.Timers, clock_lib.ManualClock):
+    """A clock and its timers."""
+
+    def __init__(self):
+        super().__init__()
+        self._heap = []
+        self._order = itertools.count()
+
+    def call_later(self, delay_ms, fn):
+        timer = _Timer(fn)
+        due = self.now_ms() + int(delay_ms)
+        heapq.heappush(self._heap, (due, next(self._order), timer))
+        return timer
+
+    def run_until(self, until_ms: int) -> None:
+        """Runs all calls up to `until_ms`."""
+        while self._heap and self._heap[0][0] <= until_ms:
+            due, _, timer = heapq.heappop(self._heap)
+            self.advance(due - self.now_ms())
+            timer.fn()
+        self.advance(until_ms - self.now_ms())
+
+
+class Node:
+    """A balancer process without its packets."""
+
+    def __init__(self, sim: 'Simulation', balancer: registry_lib.Balancer,
+                 seeds):
+        self.sim = sim
+        self.balancer = balancer
+        self.link = memory_store.Link(sim.store)
+        self.replica = replica_lib.Replica()
+        now_ms = sim.time.now_ms()
+        self.gossip = gossip.GossipController(
+            gossip.GossipConfig(balancer.name, balancer.zone, balancer.address,
+                                seeds), self.replica,
+            random.Random(sim.rng.random()), now_ms)
+        self.alive = True
+        self.sent: list[tuple[int, int]] = []
+        self.seen = (0, 0)
+        sim.time.call_later(sim.rng.randrange(TICK_MS), self._tick)
+
+    def carry_out(self, actions, answer_to=None) -> None:
+        """Carries out `actions`; replies go to node `answer_to`."""
+        for action in actions:
+            if isinstance(action, actions_lib.Send):
+                self._send(self.sim.nodes.get(action.address), action.message)
+            elif isinstance(action, actions_lib.Reply):
+                self._send(answer_to, action.message)
+            elif isinstance(action, actions_lib.Load):
+                self._read(loader.load(self.link, action.prefixes))
+            elif isinstance(action, actions_lib.Watch):
+                self._read(
+                    loader.watch(self.link, action.since_revision,
+                                 action.timeout_ms))
+        self._check_monotone()
+
+    def _tick(self) -> None:
+        if self.alive:
+            self.carry_out(self.gossip.on_tick(self.sim.time.now_ms()))
+            self.sim.time.call_later(TICK_MS, self._tick)
+
+    def _send(self, peer: 'Node | None', message: control.Message) -> None:
+        data = codec.encode(message)
+        self.sent.append((self.sim.time.now_ms(), len(data)))
+        if peer is not None:
+            self.sim.carry(self, peer, data)
+
+    def receive(self, sender: 'Node', data: bytes) -> None:
+        """Handles a message that `sender` sent."""
+        if not self.alive:
+            return
+        now_ms = self.sim.time.now_ms()
+        message = codec.decode(data)
+        handler = {
+            control.Digest: self.gossip.on_digest,
+            control.Delta: self.gossip.on_delta,
+            control.Pull: self.gossip.on_pull,
+        }[type(message)]
+        self.carry_out(handler(now_ms, message), sender)
+
+    def _read(self, reading) -> None:
+        asked_ms = self.sim.time.now_ms()
+
+        def failed(failure):
+            failure.trap(errors.StoreError)
+
+        def report(delta):
+            if self.alive:
+                self.carry_out(
+                    self.gossip.on_store_result(
+                        self.sim.time.now_ms(),
+                        actions_lib.StoreResult(asked_ms, delta)))
+
+        reading.addErrback(failed).addCallback(report)
+
+    def _check_monotone(self) -> None:
+        seen = (self.replica.revision, self.replica.contracts.change)
+        assert seen[0] >= self.seen[0] and seen[1] >= self.seen[1]
+        self.seen = seen
+
+
+class Simulation:
+    """Nodes spread over zones, and the platform.
+
+    Attributes:
+      loss: Share of messages lost.
+      repeat: Share of messages that arrive twice.
+      slowest_ms: Longest delay of a message.
+      cut: Zones that only reach each other.
+    """
+
+    def __init__(self, seed: int):
+        self.rng = random.Random(seed)
+        self.time = VirtualTime()
+        self.store = memory_store.MemoryStore(self.time)
+        self.nodes: dict[tuple, Node] = {}
+        self.loss = 0.0
+        self.repeat = 0.0
+        self.slowest_ms = 4
+        self.cut: frozenset[str] = frozenset()
+
+    def start(self, count: int, zones: int) -> None:
+        """Registers and starts `count` nodes."""
+        balancers = [
+            registry_lib.Balancer(f'lb-{i}', f'zone-{i % zones}',
+                                  (f'10.0.{i // 250}.{i % 250}', 7400))
+            for i in range(count)
+        ]
+        for zone in sorted({b.zone for b in balancers}):
+            members = tuple(b for b in balancers if b.zone == zone)
+            self.store.put(registry_lib.key(zone),
+                           registry_lib.Registry(zone, 0, members).to_json(), 0)
+        for balancer in balancers:
+            self.start_node(balancer)
+
+    def start_node(self, balancer: registry_lib.Balancer) -> Node:
+        """Starts a node; an earlier one with its address ends."""
+        earlier = self.nodes.get(balancer.address)
+        if earlier is not None:
+            earlier.alive = False
+        seeds = tuple(self.nodes)[:3]
+        node = self.nodes[balancer.address] = Node(self, balancer, seeds)
+        return node
+
+    def append(self, n: int) -> None:
+        """Appends change `n`, which takes a zone out or in."""
+        kind = change_lib.ZoneOut if n % 2 else change_lib.ZoneIn
+        change = change_lib.Change(n, f'id-{n}', f'p-{n}', 'ana', 'bo', n,
+                                   max(0, n - 1), n, kind('z'))
+        written = self.store.put(change_lib.key(n), change.to_json(), 0)
+        assert not isinstance(written.result, Exception)
+
+    def carry(self, sender: Node, peer: Node, data: bytes) -> None:
+        """Delivers a message late, twice or never."""
+        apart = (sender.balancer.zone in self.cut) != (peer.balancer.zone
+                                                       in self.cut)
+        if apart or self.rng.random() < self.loss:
+            return
+        for _ in range(2 if self.rng.random() < self.repeat else 1):
+            self.time.call_later(
+                self.rng.randint(1, self.slowest_ms),
+                lambda: self.nodes[peer.balancer.address].receive(sender, data))
+
+    def changes(self) -> set[int]:
+        """Returns the numbers of the last changes that nodes have applied."""
+        return {n.replica.contracts.change for n in self.nodes.values()}
--- /dev/null
+++ b/figdrum/sync/tests/test_gossip.py
@@ -0,0 +1,119 @@
+"""Tests of gossip among many nodes in virtual time."""
+
+import pytest
+
+from figdrum.sync import freshness
+from figdrum.sync import token_bucket
+from figdrum.sync.tests import simulation
+
+IN_FORCE_MS = 7_000
+"""P10: a change is in force on every balancer within this time."""
+
+WARM_UP_MS = 3_000
+
+
+@pytest.mark.parametrize('count,zones', [(3, 3), (30, 3), (100, 8), (300, 8)])
+def test_change_is_in_force_in_time_within_the_budget(count, zones):
+    """Guards against a change that spreads too slowly or costs too much."""
+    sim = simulation.Simulation(count)
+    sim.start(count, zones)
+    sim.time.run_until(WARM_UP_MS)
+    assert all(node.gossip.may_serve for node in sim.nodes.values())
+    for n in range(1, 4):
+        sim.append(n)
+        start_ms = sim.time.now_ms()
+        sim.time.run_until(start_ms + IN_FORCE_MS)
+        assert sim.changes() == {n}
+    span_ms = sim.time.now_ms() - WARM_UP_MS
+    for node in sim.nodes.values():
+        sent = sum(size for at, size in node.sent if at > WARM_UP_MS)
+        assert sent * 1_000 <= token_bucket.CONTROL_RATE * span_ms
+        assert not node.gossip.is_behind(sim.time.now_ms())
+
+
+def test_platform_calls_stay_few():
+    """Guards against every node reading the platform instead of two a zone."""
+    sim = simulation.Simulation(1)
+    sim.start(100, 8)
+    sim.time.run_until(20_000)
+    before = sim.store.calls['watch']
+    sim.time.run_until(30_000)
+    reads_a_second = (sim.store.calls['watch'] - before) / 10
+    # Two readers in each of 8 zones, one watch each 2 s.
+    assert reads_a_second <= 2 * 8 / 2 + 1
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_faults_never_lower_a_node_and_all_converge(seed):
+    """Guards against a reversal or a lasting difference after lost, repeated
+    and late messages, restarts, a cut between zones and platform faults.
+
+    Every node checks on each step that nothing decreases.
+    """
+    sim = simulation.Simulation(seed)
+    rng = sim.rng
+    sim.start(24, 4)
+    n = 0
+    for step in range(60):
+        sim.time.run_until((step + 1) * 500)
+        sim.loss, sim.repeat = rng.choice([0, 0.3, 0.8]), rng.choice([0, 0.5])
+        sim.slowest_ms = rng.choice([4, 900, 3_000])
+        sim.cut = frozenset(rng.choice([(), (), ('zone-0',), ('zone-1',)]))
+        sim.store.down = rng.random() < 0.3
+        sim.store.delay_ms = rng.choice([0, 0, 700, 4_000])
+        for node in sim.nodes.values():
+            node.link.cut_off = rng.random() < 0.2
+        if rng.random() < 0.4:
+            sim.start_node(rng.choice(list(sim.nodes.values())).balancer)
+        if not sim.store.down and not sim.store.delay_ms:
+            n += 1
+            sim.append(n)
+    sim.loss, sim.repeat, sim.slowest_ms, sim.cut = 0, 0, 4, frozenset()
+    sim.store.down, sim.store.delay_ms = False, 0
+    for node in sim.nodes.values():
+        node.link.cut_off = False
+    # Answers that are on their way take up to 4 s more.
+    sim.time.run_until(sim.time.now_ms() + 4_000 + IN_FORCE_MS)
+    assert n > 5
+    assert sim.changes() == {n}
+    assert all(node.gossip.may_serve for node in sim.nodes.values())
+
+
+def test_losing_both_readers_of_a_zone_delays_no_change():
+    """Guards against a zone that depends on two machines."""
+    sim = simulation.Simulation(3)
+    sim.start(12, 1)
+    sim.time.run_until(WARM_UP_MS)
+    for node in sim.nodes.values():
+        node.alive = not node.gossip.is_reader(sim.time.now_ms())
+    dead = [a for a, node in sim.nodes.items() if not node.alive]
+    assert len(dead) == 2
+    sim.append(1)
+    sim.time.run_until(sim.time.now_ms() + IN_FORCE_MS)
+    for address in dead:
+        del sim.nodes[address]
+    assert sim.changes() == {1}
+
+
+def test_fresh_node_with_the_platform_down_serves_the_highest_revision():
+    """Guards against a restarted node that serves an old state, or none."""
+    sim = simulation.Simulation(4)
+    sim.start(9, 3)
+    sim.append(1)
+    sim.time.run_until(WARM_UP_MS)
+    sim.store.down = True
+    node = sim.start_node(next(iter(sim.nodes.values())).balancer)
+    sim.time.run_until(WARM_UP_MS + freshness.PEER_WAIT_MS - 200)
+    assert not node.gossip.may_serve
+    sim.time.run_until(WARM_UP_MS + freshness.PEER_WAIT_MS + 1_000)
+    assert node.gossip.may_serve
+    assert node.replica.contracts.change == 1
+
+
+def test_fresh_node_alone_with_the_platform_down_does_not_serve():
+    """Guards against a node that serves without any state."""
+    sim = simulation.Simulation(5)
+    sim.store.down = True
+    sim.start(1, 1)
+    sim.time.run_until(20_000)
+    assert not next(iter(sim.nodes.values())).gossip.may_serve
