--- a/figdrum/sync/gossip.py
+++ b/figdrum/sync/gossip.py
@@ -137,9 +137,9 @@
         """Returns whether the node knows that it is behind."""
         return self._behind.is_behind(now_ms)
 
-    def is_reader(self, now_ms: int) -> bool:
+    def is_reader(self) -> bool:
         """Returns whether the node is one of its zone's readers."""
-        return self._election.is_reader(now_ms)
+        return self._election.is_reader()
 
     def confirmed_age_ms(self, now_ms: int) -> int:
         """Returns the age of the platform's last confirmation, or -1."""
@@ -152,7 +152,7 @@
     def silent_peers(self, now_ms: int) -> tuple[str, ...]:
         """Returns the balancers that this reader is to prune from the zone's
         registry; empty for other balancers."""
-        if not self._election.is_reader(now_ms):
+        if not self._election.is_reader():
             return ()
         return self._silence.silent(now_ms)
 
@@ -173,7 +173,7 @@
         if self._news_since is not None and now_ms >= self._next_news_ms:
             actions += self._push(now_ms, token_bucket.KEEP_FOR_ANSWERS)
         self._silence.on_tick(now_ms)
-        if self._election.is_reader(now_ms) or not self._gate.is_open:
+        if self._election.is_reader() or not self._gate.is_open:
             wait_ms = self._cfg.watch_ms if self._gate.is_open else 0
             actions += self._reads.due(now_ms, self.replica.revision, wait_ms)
         self._open_gate(now_ms)
@@ -183,7 +183,7 @@
         """Handles a peer's digest: pulls when behind, offers when ahead."""
         if digest.name == self._cfg.name:
             return ()
-        self._election.on_heard(now_ms, digest.name, digest.platform_up)
+        self._election.on_heard(digest.name, digest.platform_up)
         self._silence.on_heard(now_ms, digest.name)
         self._peers.on_digest(digest)
         self._confirmation.on_peer(now_ms, digest.confirmed_age_ms,
@@ -330,7 +330,7 @@
             for peer in self._peers.registered.values()
             if peer.zone == self._cfg.zone
         ]
-        self._election.on_names(now_ms, names)
+        self._election.on_names(names)
         self._silence.on_names(now_ms, names)
 
     def _ask_peers(self, now_ms: int) -> Actions:
--- a/figdrum/sync/readers.py
+++ b/figdrum/sync/readers.py
@@ -18,7 +18,6 @@
 """
 
 import collections.abc
-import typing
 
 from figdrum.routing import rendezvous
 
@@ -30,8 +29,8 @@
 PROBE_MS = 1_000
 """Probe interval of the first balancer that is not a reader."""
 
-MISSED_PROBES = 2.5
-"""A balancer silent for as many probe intervals is not live."""
+MISSED_PROBES = 2
+"""A balancer that left more probes unanswered is not live."""
 
 
 def order(zone: str, names: collections.abc.Iterable[str]) -> list[str]:
@@ -39,73 +38,81 @@
     return rendezvous.order(zone.encode(), names)
 
 
-class Heard(typing.NamedTuple):
-    """The last sign of life of a balancer.
+class _Candidate:
+    """A balancer that may be a reader ahead of this one.
 
     Attributes:
-      at_ms: When.
+      unanswered: Probes since the last sign of life.
       platform_up: Whether it reached the platform then.
     """
-    at_ms: int
-    platform_up: bool
+
+    def __init__(self):
+        self.unanswered = 0
+        self.platform_up = True
+
+    @property
+    def is_live(self) -> bool:
+        """Whether it answers probes."""
+        return self.unanswered <= MISSED_PROBES
 
 
 class ReaderElection:
-    """Decides whether one balancer is a reader."""
+    """Decides whether one balancer is a reader.
+
+    Explanation: unanswered probes are counted and not time, so that a balancer
+    that was paused does not take all others for dead.
+    """
 
     def __init__(self, name: str, zone: str, now_ms: int):
         self._name = name
         self._zone = zone
-        self._heard: dict[str, Heard] = {}
-        self._ahead: list[str] = []
-        self._probed: list[str] = []
+        self._rank = 0
+        self._candidates: dict[str, _Candidate] = {}
         self._next_probe_ms = now_ms
 
-    def on_heard(self, now_ms: int, name: str, platform_up: bool) -> None:
+    def on_heard(self, name: str, platform_up: bool) -> None:
         """Notes a sign of life of balancer `name`."""
-        if name in self._heard:
-            self._heard[name] = Heard(now_ms, platform_up)
+        candidate = self._candidates.get(name)
+        if candidate is not None:
+            candidate.unanswered = 0
+            candidate.platform_up = platform_up
 
-    def on_names(self, now_ms: int,
-                 names: collections.abc.Iterable[str]) -> None:
+    def on_names(self, names: collections.abc.Iterable[str]) -> None:
         """Sets the registered balancers of the zone.
 
         A balancer that is new to this one counts as live at first.
         """
-        ahead = order(self._zone, set(names) | {self._name})
-        self._ahead = ahead[:ahead.index(self._name)]
-        others = [name for name in ahead if name != self._name]
-        self._probed = self._ahead or others[:1]
-        self._heard = {
-            name: self._heard.get(name, Heard(now_ms, True))
-            for name in self._probed
+        ranked = order(self._zone, set(names) | {self._name})
+        self._rank = ranked.index(self._name)
+        probed = ranked[:self._rank] or ranked[1:2]
+        self._candidates = {
+            name: self._candidates.get(name, _Candidate()) for name in probed
         }
 
     def on_tick(self, now_ms: int) -> tuple[str, ...]:
         """Returns the balancers to probe now."""
         if now_ms < self._next_probe_ms:
             return ()
-        self._next_probe_ms = now_ms + self._interval_ms()
+        interval = PROBE_MS * max(1, self._rank - READERS_PER_ZONE + 1)
+        self._next_probe_ms = now_ms + interval
         probed = []
-        useful = 0
-        for name in self._probed:
-            probed.append(name)
-            useful += self._is_live(now_ms, name)
-            if useful == READERS_PER_ZONE:
+        live: list[_Candidate] = []
+        for name, candidate in self._candidates.items():
+            if _are_enough(live):
                 break
+            probed.append(name)
+            candidate.unanswered += 1
+            if candidate.is_live:
+                live.append(candidate)
         return tuple(probed)
 
-    def is_reader(self, now_ms: int) -> bool:
+    def is_reader(self) -> bool:
         """Returns whether this balancer reads the platform now."""
-        live = [name for name in self._ahead if self._is_live(now_ms, name)]
-        if len(live) >= MOST_READERS:
-            return False
-        useful = [name for name in live if self._heard[name].platform_up]
-        return len(useful) < READERS_PER_ZONE
-
-    def _interval_ms(self) -> int:
-        return PROBE_MS * max(1, len(self._ahead) - READERS_PER_ZONE + 1)
-
-    def _is_live(self, now_ms: int, name: str) -> bool:
-        silent_ms = now_ms - self._heard[name].at_ms
-        return silent_ms <= MISSED_PROBES * self._interval_ms()
+        return self._rank == 0 or not _are_enough(
+            [c for c in self._candidates.values() if c.is_live])
+
+
+def _are_enough(live: list[_Candidate]) -> bool:
+    """Returns whether the live balancers ahead read for the zone."""
+    useful = sum(candidate.platform_up for candidate in live)
+    return useful >= READERS_PER_ZONE or len(live) >= MOST_READERS
--- a/figdrum/sync/tests/test_gossip.py
+++ b/figdrum/sync/tests/test_gossip.py
@@ -85,7 +85,7 @@
     sim.start(12, 1)
     sim.time.run_until(WARM_UP_MS)
     for node in sim.nodes.values():
-        node.alive = not node.gossip.is_reader(sim.time.now_ms())
+        node.alive = not node.gossip.is_reader()
     dead = [a for a, node in sim.nodes.items() if not node.alive]
     assert len(dead) == 2
     sim.append(1)
