Test the HTTP store and close connections whose answer stalls

A test against a server in memory found that a request body was not sent without the global reactor's scheduler, and that a body that stops coming kept its connection, as Twisted's readBody cannot abort it. Raising the pool's limits was ruled out: it hides the leak. Bodies are now written at once and collected by a protocol that closes the connection on cancellation. A watch that waits is no longer repeated inside the client, so its reader notices an outage.

--- a/figdrum/platform/http_store.py
+++ b/figdrum/platform/http_store.py
@@ -3,10 +3,11 @@
 Explanation
 ===========
 
-Reads are repeated with a growing, jittered pause while the platform fails. A
-write is sent once: after a failure its outcome is unknown and the caller reads
-back. The header `X-Client` names the process, so that the platform can count
-calls by client.
+Reads are repeated with a growing, jittered pause while the platform fails; a
+watch that waits is not, since its caller watches again and has to notice the
+outage. A write is sent once: after a failure its outcome is unknown and the
+caller reads back. The header `X-Client` names the process, so that the platform
+can count calls by client.
 
 References
 ==========
@@ -15,7 +16,6 @@
 itself only when its method is idempotent and repeating it is harmless.
 """
 
-import io
 import json
 import random
 import typing
@@ -27,6 +27,7 @@
 
 from figdrum.core import clock
 from figdrum.core import errors
+from figdrum.platform import http_body
 from figdrum.platform import store
 
 READ_ATTEMPTS = 3
@@ -107,13 +108,14 @@
     @defer.inlineCallbacks
     def _read(self, step: str, path: str, wait_ms: int, parse):
         pause_ms = FIRST_PAUSE_MS
-        for attempt in range(1, READ_ATTEMPTS + 1):
+        attempts = 1 if wait_ms else READ_ATTEMPTS
+        for attempt in range(1, attempts + 1):
             try:
                 status, doc = yield self._request(step, b'GET', path, None,
                                                   wait_ms)
                 return self._parse(step, status, doc, parse)
             except errors.StoreError:
-                if attempt == READ_ATTEMPTS:
+                if attempt == attempts:
                     raise
             yield self._pause(self._rng.uniform(pause_ms / 2, pause_ms))
             pause_ms = min(2 * pause_ms, LONGEST_PAUSE_MS)
@@ -140,7 +142,7 @@
         """Fires with (status, parsed body or None)."""
         producer = None
         if body is not None:
-            producer = client.FileBodyProducer(io.BytesIO(body))
+            producer = http_body.BytesProducer(body)
         exchange = self._exchange(method, (self._url + path).encode(), producer)
         exchange.addTimeout((self.timeout_ms + wait_ms) / clock.MS_PER_S,
                             self._reactor)
@@ -159,7 +161,7 @@
     def _exchange(self, method: bytes, uri: bytes, producer):
         response = yield self._agent.request(method, uri, self._headers,
                                              producer)
-        data = yield client.readBody(response)
+        data = yield http_body.read(response)
         return response.code, data
 
 
--- /dev/null
+++ b/figdrum/platform/tests/test_http_store.py
@@ -0,0 +1,196 @@
+"""Tests of the HTTP client against a server in memory and virtual time."""
+
+import json
+import random
+
+import pytest
+from twisted.internet import testing
+from twisted.test import iosim
+from twisted.web import resource
+from twisted.web import server
+
+from figdrum.core import errors
+from figdrum.platform import http_store
+from figdrum.platform import store as store_lib
+
+TIMEOUT_MS = 1_000
+ITEM = {'key': 'lists/a b', 'value': '{}', 'version': 3, 'revision': 9}
+
+
+class Server(resource.Resource):
+    """Answers requests by a script and records them.
+
+    Attributes:
+      script: Pairs of status and JSON value (or bytes) for the next requests;
+        None leaves a request unanswered, 'close' closes its connection, 'stall'
+        sends a part of an answer.
+      requests: Method, URI and body of each request.
+    """
+    isLeaf = True
+
+    def __init__(self):
+        super().__init__()
+        self.script = []
+        self.requests = []
+        self.clients = set()
+
+    def render(self, request):
+        self.requests.append(
+            (request.method, request.uri, request.content.read()))
+        self.clients.add(request.getHeader('X-Client'))
+        answer = self.script.pop(0)
+        if answer == 'close':
+            request.transport.abortConnection()
+            return server.NOT_DONE_YET
+        if answer == 'stall':
+            request.setHeader('Content-Length', '99')
+            request.write(b'{"key"')
+            return server.NOT_DONE_YET
+        if answer is None:
+            return server.NOT_DONE_YET
+        status, doc = answer
+        request.setResponseCode(status)
+        return doc if isinstance(doc, bytes) else json.dumps(doc).encode()
+
+
+class Bench:
+    """A store and a server joined in memory."""
+
+    def __init__(self):
+        self.reactor = testing.MemoryReactorClock()
+        self.server = Server()
+        self.store = http_store.HttpStore(self.reactor, 'http://127.0.0.1:1',
+                                          'lb-1', TIMEOUT_MS, random.Random(1))
+        self._pumps = []
+        self._joined = 0
+
+    def run(self, deferred, span_ms: int = 0):
+        """Lets `span_ms` pass and returns the result or raises the error."""
+        found = []
+
+        def keep(result):
+            found.append(result)
+            return result
+
+        deferred.addBoth(keep)
+        for _ in range(span_ms // 10 + 1):
+            self._join()
+            for pump in self._pumps:
+                pump.flush()
+            if found:
+                break
+            self.reactor.advance(0.01)
+        if not found:
+            return 'waiting'
+        deferred.addErrback(lambda _: None)
+        if hasattr(found[0], 'raiseException'):
+            found[0].raiseException()
+        return found[0]
+
+    def _join(self):
+        site = server.Site(self.server, reactor=self.reactor)
+        for call in self.reactor.tcpClients[self._joined:]:
+            ours = call[2].buildProtocol(None)
+            theirs = site.buildProtocol(None)
+            self._pumps.append(
+                iosim.connect(theirs, iosim.makeFakeServer(theirs), ours,
+                              iosim.makeFakeClient(ours)))
+        self._joined = len(self.reactor.tcpClients)
+
+    @property
+    def connections(self) -> int:
+        """Number of connections opened."""
+        return self._joined
+
+
+def test_calls_and_answers():
+    """Guards against a request or an answer in another form than the
+    platform's."""
+    bench = Bench()
+    item = store_lib.Item('lists/a b', '{}', 3, 9)
+    bench.server.script = [(200, ITEM), (404, {}),
+                           (200, {
+                               'items': [ITEM],
+                               'revision': 12
+                           }), (200, ITEM), (200, {
+                               'items': [],
+                               'revision': 13
+                           })]
+    store = bench.store
+    assert bench.run(store.get('lists/a b')) == item
+    assert bench.run(store.get('none')) is None
+    assert bench.run(store.list('lists/')) == ((item,), 12)
+    assert bench.run(store.put('lists/a b', '{}', 2)) == item
+    assert bench.run(store.watch('', 12, 500)) == ((), 13)
+    assert bench.server.requests == [
+        (b'GET', b'/objects/lists/a%20b', b''),
+        (b'GET', b'/objects/none', b''),
+        (b'GET', b'/objects?prefix=lists%2F', b''),
+        (b'PUT', b'/objects/lists/a%20b?if_version=2', b'{"value": "{}"}'),
+        (b'GET', b'/watch?prefix=&since=12&timeout_ms=500', b''),
+    ]
+    assert bench.server.clients == {'lb-1'}
+    assert bench.connections == 1
+
+
+@pytest.mark.parametrize('status,error', [
+    (409, errors.ConflictError),
+    (413, errors.ValueTooLargeError),
+    (404, errors.StoreError),
+    (429, errors.StoreError),
+    (500, errors.StoreError),
+    (302, errors.StoreError),
+])
+def test_write_errors_have_types_and_one_attempt(status, error):
+    """Guards against a write sent twice or an error of another type."""
+    bench = Bench()
+    bench.server.script = [(status, {})]
+    with pytest.raises(error):
+        bench.run(bench.store.put('a', '{}', 0), 9_000)
+    assert len(bench.server.requests) == 1
+
+
+@pytest.mark.parametrize('answer', [None, 'close', 'stall', (503, b'busy')])
+def test_failed_write_is_not_repeated(answer):
+    """Guards against a write that takes effect twice, and an endless wait."""
+    bench = Bench()
+    bench.server.script = [answer]
+    with pytest.raises(errors.StoreError):
+        bench.run(bench.store.put('a', '{}', 0), 2 * TIMEOUT_MS)
+    assert len(bench.server.requests) == 1
+
+
+@pytest.mark.parametrize('answer', [
+    None, 'close', 'stall', (500, {}), (429, {}), (200, b'no JSON'), (200, {}),
+    (200, []), (200, {
+        **ITEM, 'version': 'x'
+    })
+])
+def test_failed_read_is_repeated(answer):
+    """Guards against a read that gives up at the first fault, and against a
+    malformed answer that passes."""
+    bench = Bench()
+    bench.server.script = [answer, (200, ITEM)]
+    assert bench.run(bench.store.get('lists/a b'), 5 * TIMEOUT_MS).version == 3
+    assert len(bench.server.requests) == 2
+
+
+def test_read_gives_up_in_bounded_time():
+    """Guards against an operator's command that never ends."""
+    bench = Bench()
+    bench.server.script = [None] * 9
+    with pytest.raises(errors.StoreError):
+        bench.run(bench.store.list(''), 5 * TIMEOUT_MS)
+    assert len(bench.server.requests) == http_store.READ_ATTEMPTS
+
+
+def test_watch_waits_for_its_own_time_and_is_not_repeated():
+    """Guards against a watch cut off early, and against one that hides an
+    outage from its reader by repeating."""
+    bench = Bench()
+    bench.server.script = [None]
+    watch = bench.store.watch('', 1, 5_000)
+    assert bench.run(watch, 5_000) == 'waiting'
+    with pytest.raises(errors.StoreError):
+        bench.run(watch, 2 * TIMEOUT_MS)
+    assert len(bench.server.requests) == 1
