Add the balancer's routing decision

Missing: nothing chose the agent for a packet, noticed silent agents or stopped a balancer that is behind.

The router compares the weights of members whose hash input is prepared once per list and zones out, and sorts only while some agent is suspected. Remembering whole decisions per flow was ruled out, as balancers keep no flow state.

If all members are suspected, the first in order gets the packet as if none were.

Before: no code.

--- /dev/null
+++ b/figdrum/routing/drop_reason.py
@@ -0,0 +1,14 @@
+"""Why a balancer drops a packet."""
+
+import enum
+
+
+class DropReason(enum.Enum):
+    """Reason of a drop; the value is part of a metric's name."""
+    NOT_SERVING = 'not_serving'
+    BEHIND = 'behind'
+    OWN_ZONE_OUT = 'own_zone_out'
+    UNKNOWN_ADDRESS = 'unknown_address'
+    SOURCE_NOT_ALLOWED = 'source_not_allowed'
+    MALFORMED = 'malformed'
+    NO_MEMBER = 'no_member'
--- /dev/null
+++ b/figdrum/routing/router.py
@@ -0,0 +1,164 @@
+"""The balancer's decision: to which agent a packet goes.
+
+Explanation
+===========
+
+After the filter chain, a packet goes to the first member in the flow's
+rendezvous order that is not suspected; the suspected ones before it are named
+in the packet, because an agent may only admit a flow when every member ahead
+of it was visited or is known not to answer. When all members are suspected,
+the fault is probably the balancer's own, and the packet goes to the first one
+as if none were.
+
+Members' hash inputs and names are prepared once for each list and set of zones
+that are out. No state of a flow is kept.
+
+Examples
+========
+
+See `figdrum/routing/tests/test_router.py`.
+"""
+
+import collections.abc
+import typing
+
+import xxhash
+
+from figdrum.core import errors
+from figdrum.core import ids
+from figdrum.filters import chain
+from figdrum.filters import filter  # pylint: disable=redefined-builtin
+from figdrum.filters import packet_address
+from figdrum.filters import packet_context
+from figdrum.filters import packet_serving
+from figdrum.filters import packet_source
+from figdrum.filters import packet_zone
+from figdrum.membership import service_list
+from figdrum.messages import datagram
+from figdrum.routing import classifier
+from figdrum.routing import drop_reason
+from figdrum.routing import serving
+from figdrum.routing import suspicion
+
+ListLookup = collections.abc.Callable[[str], service_list.ServiceList]
+
+
+class Forward(typing.NamedTuple):
+    """The packet goes to `member`."""
+    member: service_list.Member
+    packet: datagram.Packet
+
+
+class Dropped(typing.NamedTuple):
+    """The packet goes nowhere."""
+    reason: drop_reason.DropReason
+
+
+class _Candidates(typing.NamedTuple):
+    """A list's routable members, prepared for hashing.
+
+    Attributes:
+        source: The list from which the rest was computed.
+        zones_out: The zones that were left out.
+        rows: (hash input after the flow key, member), by name.
+    """
+    source: service_list.ServiceList
+    zones_out: frozenset[str]
+    rows: tuple[tuple[bytes, service_list.Member], ...]
+
+
+def packet_chain(zone: ids.ZoneName,
+                 gate: serving.ServingGate) -> chain.FilterChain:
+    """Returns the balancer's filters in their order."""
+    return chain.FilterChain(packet_serving.PacketServingFilter(gate),
+                             packet_zone.PacketZoneFilter(zone),
+                             packet_address.PacketAddressFilter(),
+                             packet_source.PacketSourceFilter())
+
+
+class Router:
+    """Routes packets; keeps suspicions but no flows."""
+
+    def __init__(self, filters: chain.FilterChain,
+                 packet_classifier: classifier.PacketClassifier,
+                 suspicions: suspicion.SuspicionTable, balancer: ids.Address):
+        self._filters = filters
+        self._classifier = packet_classifier
+        self._suspicions = suspicions
+        self._balancer = balancer
+        self._candidates: dict[str, _Candidates] = {}
+
+    def route(self, now_ms: int, src: ids.Address, dst: ids.Address,
+              payload: bytes, contracts: typing.Any,
+              lists: ListLookup) -> Forward | Dropped:
+        """Decides where a packet goes.
+
+        Args:
+            now_ms: Own clock.
+            src: The caller's address.
+            dst: The service address that the caller sent to.
+            payload: The caller's datagram.
+            contracts: The `contracts.state.ContractState` in force.
+            lists: Returns a service's list, for example
+                `Replica.service_list`.
+        """
+        verdict = self._filters.run(
+            packet_context.PacketContext(now_ms, src, dst, contracts))
+        if isinstance(verdict, filter.Answer):
+            return Dropped(verdict.value)
+        try:
+            may_start = self._classifier.may_start(payload)
+        except errors.MessageError:
+            return Dropped(drop_reason.DropReason.MALFORMED)
+        grant = verdict.ctx.grant
+        members = lists(grant.service)
+        flow = ids.FlowKey(*src, *dst)
+        member, skipped = self._choose(flow, members, contracts.zones_out)
+        if member is None:
+            return Dropped(drop_reason.DropReason.NO_MEMBER)
+        self._suspicions.on_sent(now_ms, member.address)
+        return Forward(
+            member,
+            datagram.Packet(contracts.change, members.version, grant.customer,
+                            grant.service, flow, may_start, self._balancer,
+                            payload, (), skipped))
+
+    def _choose(
+        self, flow: ids.FlowKey, members: service_list.ServiceList,
+        zones_out: frozenset[str]
+    ) -> tuple[service_list.Member | None, tuple[str, ...]]:
+        """Returns the member to send to and the names skipped before it."""
+        if self._suspicions.any_suspected:
+            return self._choose_unsuspected(
+                members.order(flow.to_bytes(), zones_out))
+        key = flow.to_bytes()
+        best = None
+        best_weight = -1
+        # As in `rendezvous.order`: rows are sorted by name, so that of equal
+        # weights the lower name wins.
+        for suffix, member in self._rows(members, zones_out):
+            weight = xxhash.xxh3_64_intdigest(key + suffix)
+            if weight > best_weight:
+                best = member
+                best_weight = weight
+        return best, ()
+
+    def _choose_unsuspected(
+        self, order: tuple[service_list.Member, ...]
+    ) -> tuple[service_list.Member | None, tuple[str, ...]]:
+        for position, member in enumerate(order):
+            if not self._suspicions.is_suspected(member.address):
+                return member, tuple(m.name for m in order[:position])
+        return (order[0] if order else None), ()
+
+    def _rows(
+        self, members: service_list.ServiceList, zones_out: frozenset[str]
+    ) -> tuple[tuple[bytes, service_list.Member], ...]:
+        known = self._candidates.get(members.service)
+        if (known is None or known.source is not members or
+                known.zones_out is not zones_out):
+            rows = tuple((b'\0' + m.name.encode(), m)
+                         for m in members.routable(zones_out))
+            known = _Candidates(members, zones_out, rows)
+            self._candidates[members.service] = known
+        return known.rows
--- /dev/null
+++ b/figdrum/routing/tests/test_classifier.py
@@ -0,0 +1,36 @@
+"""Tests of the CoAP classifier."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from figdrum.core import errors
+from figdrum.routing import classifier
+
+
+@hypothesis.given(strategies.binary(max_size=40))
+def test_random_bytes_raise_only_message_errors(payload):
+    """Guards against a caller's datagram that ends the process."""
+    try:
+        classifier.CoapClassifier().may_start(payload)
+    except errors.MessageError:
+        pass
+
+
+@pytest.mark.parametrize('payload', [
+    b'', b'\x40', b'\x40\x01\x00', b'\x00\x01\x00\x01', b'\x80\x01\x00\x01',
+    b'\xc0\x01\x00\x01'
+])
+def test_other_protocols_are_refused(payload):
+    """Guards against flows that datagrams of another protocol start."""
+    with pytest.raises(errors.MessageError):
+        classifier.CoapClassifier().may_start(payload)
+
+
+@pytest.mark.parametrize('code, expected', [(0x00, False), (0x01, True),
+                                            (0x1f, True), (0x20, False),
+                                            (0x45, False), (0xa0, False)])
+def test_only_requests_may_start(code, expected):
+    """Guards against a late acknowledgement that starts a flow."""
+    payload = bytes((0x40, code, 0, 1))
+    assert classifier.CoapClassifier().may_start(payload) is expected
