Read settings files into typed sections

Missing: the processes had no way to learn their addresses, zone and periods; section 10 of the design names the sections and keys only.

Ruled out: pydantic's own conversion of text, which takes "10.0" and "1_000" for whole numbers, and configparser's strict mode, which stops at the first duplicate. A [DEFAULT] section would add keys to every section, so it is an unknown section here.

Rules between keys (a skipped member sees its own pause, a key outlives its copies) are checked too. check_ports refuses ports that are in use.

Before: no settings.

Conclusion: processes call loader.load(path, role) and loader.check_ports.

--- /dev/null
+++ b/figdrum/settings/loader.py
@@ -0,0 +1,277 @@
+"""Reads a settings file and reports all of its faults.
+
+Explanation
+===========
+
+`load` returns typed settings or raises one error that names every fault.
+`read` returns the faults as values, for `figdrum check`. `check_ports` finds
+ports that another process uses, before the process starts to serve.
+
+Examples
+========
+
+>>> fault = Fault('a.ini', 'agent', 'slots', 'two', 'expected a whole number')
+>>> str(fault)
+"a.ini: [agent] slots = 'two': expected a whole number"
+
+References
+==========
+
+configparser documents the file format.
+"""
+
+import configparser
+import difflib
+import re
+import socket
+import typing
+
+import pydantic
+
+from figdrum.core import errors
+from figdrum.settings import schema
+
+_HEADER = re.compile(r'\[(?P<name>[^]]*)\]')
+_OPTION = re.compile(r'(?P<name>[^\s#;=:][^=:]*?)\s*[=:]')
+
+
+class Fault(typing.NamedTuple):
+    """One fault of a settings file.
+
+    Attributes:
+      file: Path of the file.
+      section: Section, or '' when the fault is not in one.
+      key: Key, or ''.
+      value: The faulty text, or ''.
+      reason: What is wrong, in one sentence.
+    """
+    file: str
+    section: str
+    key: str
+    value: str
+    reason: str
+
+    def __str__(self) -> str:
+        place = self.file + ':'
+        if self.section:
+            place += f' [{self.section}]'
+        if self.key:
+            place += f' {self.key}'
+        if self.value:
+            place += f' = {self.value!r}'
+        return f'{place.rstrip(":")}: {self.reason}'
+
+
+class Reading(typing.NamedTuple):
+    """What a file holds: settings, or the faults that prevent them."""
+    settings: schema.Settings | None
+    faults: tuple[Fault, ...]
+
+
+class _Collector:
+    """Collects the faults of one file."""
+
+    def __init__(self, path: str):
+        self._path = path
+        self.faults: list[Fault] = []
+
+    def add(self, section: str, key: str, value: str, reason: str) -> None:
+        """Notes one fault."""
+        self.faults.append(Fault(self._path, section, key, value, reason))
+
+
+def load(path: str, role: str = '') -> schema.Settings:
+    """Returns the settings in the file `path`.
+
+    Args:
+      path: An INI file.
+      role: 'balancer' or 'agent' when the file must have that section.
+
+    Raises:
+      errors.SettingsError: if the file cannot be read or has any fault; the
+        reason names all faults.
+    """
+    reading = read(path, role)
+    if reading.settings is None:
+        raise errors.SettingsError(
+            'load settings', path,
+            '; '.join(str(fault) for fault in reading.faults))
+    return reading.settings
+
+
+def read(path: str, role: str = '') -> Reading:
+    """Returns the settings in the file `path`, or all of its faults."""
+    found = _Collector(path)
+    try:
+        with open(path, encoding='utf-8') as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as exc:
+        found.add('', '', '', f'cannot read the file: {exc}')
+        return Reading(None, tuple(found.faults))
+    return read_text(text, path, role)
+
+
+def read_text(text: str, path: str, role: str = '') -> Reading:
+    """Returns the settings in `text`; `path` names it in faults."""
+    found = _Collector(path)
+    _find_duplicates(text, found)
+    sections = _parse(text, found)
+    built = {}
+    for name, pairs in sections.items():
+        if name not in schema.SECTIONS:
+            found.add(name, '', '',
+                      'unknown section' + _hint(name, schema.SECTIONS))
+            continue
+        section = _build(name, pairs, found)
+        if section is not None:
+            built[name] = section
+    _check_sections(sections, role, found)
+    _check_values(built, found)
+    if found.faults:
+        return Reading(None, tuple(found.faults))
+    return Reading(schema.Settings(**built), ())
+
+
+def _parse(text: str, found: _Collector) -> dict[str, dict[str, str]]:
+    # Without an impossible default section, [DEFAULT] would add its keys to
+    # every other section.
+    parser = configparser.ConfigParser(interpolation=None,
+                                       strict=False,
+                                       default_section='\0')
+    parser.optionxform = str
+    try:
+        parser.read_string(text)
+    except configparser.MissingSectionHeaderError as exc:
+        found.add('', '', exc.line.strip(),
+                  f'line {exc.lineno} stands before the first section')
+        return {}
+    except configparser.ParsingError as exc:
+        for lineno, line in exc.errors:
+            found.add('', '', str(line), f'line {lineno} is not key = value')
+    return {name: dict(parser.items(name)) for name in parser.sections()}
+
+
+def _find_duplicates(text: str, found: _Collector) -> None:
+    seen: set[tuple[str, str]] = set()
+    section = ''
+    for lineno, line in enumerate(text.splitlines(), 1):
+        header, option = _HEADER.match(line), _OPTION.match(line)
+        if header:
+            section = header['name']
+        elif not option:
+            continue
+        place = (section, '' if header else option['name'])
+        if place in seen:
+            found.add(*place, '', f'line {lineno} repeats an earlier one')
+        seen.add(place)
+
+
+def _build(name: str, pairs: dict[str, str],
+           found: _Collector) -> schema.Section | None:
+    cls = schema.SECTIONS[name]
+    try:
+        return cls.model_validate(pairs)
+    except pydantic.ValidationError as exc:
+        for error in exc.errors(include_url=False):
+            key = str(error['loc'][0])
+            found.add(name, key, str(pairs.get(key, '')),
+                      _reason(error, key, cls))
+    return None
+
+
+def _reason(error: typing.Any, key: str, cls: type[schema.Section]) -> str:
+    kind = error['type']
+    if kind == 'extra_forbidden':
+        return 'unknown key' + _hint(key, cls.model_fields)
+    if kind == 'missing':
+        return 'a value is required'
+    reason = error['msg'].removeprefix('Value error, ')
+    if key.endswith('_ms') and kind == 'value_error':
+        reason += '; the value is in ms'
+    return reason
+
+
+def _hint(name: str, known: typing.Iterable[str]) -> str:
+    close = difflib.get_close_matches(name, list(known), n=1)
+    return f'; did you mean {close[0]}?' if close else ''
+
+
+def _check_sections(sections: dict[str, dict[str, str]], role: str,
+                    found: _Collector) -> None:
+    for name in ('process', 'platform') + ((role,) if role else ()):
+        if name not in sections:
+            found.add(name, '', '', 'the section is required')
+    if not any(name in sections for name in schema.ROLES):
+        return
+    for key in ('zone', 'region'):
+        if 'process' in sections and not sections['process'].get(key):
+            found.add('process', key, '', 'a balancer or agent requires it')
+
+
+def _check_values(built: dict[str, typing.Any], found: _Collector) -> None:
+    for rule in schema.ORDERS:
+        section = built.get(rule.section)
+        if section is None:
+            continue
+        low, high = getattr(section, rule.low), getattr(section, rule.high)
+        if low >= high:
+            found.add(rule.section, rule.low, str(low),
+                      f'must be below {rule.high} = {high}: {rule.reason}')
+    balancer = built.get('balancer')
+    if balancer and balancer.packet_port == balancer.frame_port != 0:
+        found.add('balancer', 'frame_port', str(balancer.frame_port),
+                  'packet_port has the same UDP port')
+    agent = built.get('agent')
+    if agent and agent.cold_rate > agent.full_rate:
+        found.add('agent', 'cold_rate', str(agent.cold_rate),
+                  f'must not be above full_rate = {agent.full_rate}')
+
+
+class _Endpoint(typing.NamedTuple):
+    """A local port that a process is about to open."""
+    section: str
+    key: str
+    kind: socket.SocketKind
+    host: str
+    port: int
+
+
+def check_ports(cfg: schema.Settings, path: str, role: str) -> None:
+    """Checks that the ports of `role` are free.
+
+    Args:
+      cfg: Settings with the section of `role`.
+      path: The settings file, for the error.
+      role: 'balancer' or 'agent'.
+
+    Raises:
+      errors.SettingsError: naming every port that cannot be opened.
+    """
+    found = _Collector(path)
+    for endpoint in _endpoints(cfg, role):
+        with socket.socket(socket.AF_INET, endpoint.kind) as sock:
+            if endpoint.kind == socket.SOCK_STREAM:
+                # A listener also opens a port that old connections linger on.
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((endpoint.host, endpoint.port))
+            except OSError as exc:
+                found.add(
+                    endpoint.section, endpoint.key, str(endpoint.port),
+                    f'cannot open the port on {endpoint.host}: {exc.strerror}')
+    if found.faults:
+        raise errors.SettingsError('open ports', path,
+                                   '; '.join(str(f) for f in found.faults))
+
+
+def _endpoints(cfg: schema.Settings, role: str) -> tuple[_Endpoint, ...]:
+    udp, tcp = socket.SOCK_DGRAM, socket.SOCK_STREAM
+    if role == 'agent':
+        agent = cfg.agent
+        return (_Endpoint(role, 'frame_port', udp, agent.frame_host,
+                          agent.frame_port),)
+    balancer = cfg.balancer
+    host = balancer.packet_host
+    return (_Endpoint(role, 'packet_port', udp, host, balancer.packet_port),
+            _Endpoint(role, 'frame_port', udp, host, balancer.frame_port),
+            _Endpoint(role, 'control_port', tcp, host, balancer.control_port))
