--- /dev/null
+++ b/figdrum/telemetry/trace.py
@@ -0,0 +1,334 @@
+"""Records the decisions of a process for replay (`--record FILE`).
+
+Explanation
+===========
+
+An adapter builds its controllers by `Trace.build`. `NullTrace` returns the
+controller itself; `TraceWriter` returns a proxy that writes one JSON line per
+method call:
+
+    {"v": 1, "step": 3, "controller": "owner#1", "method": "on_packet",
+     "now_ms": 1250, "args": [...], "kwargs": {...}, "asked": [...],
+     "actions": ...}
+
+The method "build" holds the factory's arguments. An argument that is not a
+value, such as an admission check or a clock, is replaced by an oracle: what
+the decision code asks it and what it answers is recorded under "asked", so
+that the replay can answer the same. The form of values is that of `values`.
+
+Examples
+========
+
+>>> trace = NullTrace()
+>>> trace.build('set', set, (1, 2))
+{1, 2}
+"""
+
+import abc
+import collections.abc
+import inspect
+import json
+import os
+import typing
+
+from figdrum.core import errors
+from figdrum.telemetry import values
+
+TRACE_VERSION = 1
+BUILD = 'build'
+DEFAULT_LIMIT_BYTES = 64_000_000
+# A longer line is not written by a TraceWriter: its arguments are messages of
+# at most one datagram and lists of at most 1 MB.
+MAX_LINE_BYTES = 8_000_000
+
+
+class Step(typing.NamedTuple):
+    """One recorded decision.
+
+    Attributes:
+      step: Number of the line, from 1.
+      controller: Kind and number of the controller, such as 'owner#1'.
+      method: Method called, or `BUILD`.
+      now_ms: Time given to the method, or None.
+      args: Encoded positional arguments without the time.
+      kwargs: Encoded keyword arguments.
+      asked: Questions to oracles: [oracle, name, arguments, answer]; the
+        arguments are None for an attribute.
+      actions: Encoded result, or {'raised': code} for an error.
+    """
+    step: int
+    controller: str
+    method: str
+    now_ms: int | None
+    args: list
+    kwargs: dict
+    asked: list
+    actions: typing.Any
+
+    @property
+    def kind(self) -> str:
+        """The kind under which the controller's factory is registered."""
+        return self.controller.partition('#')[0]
+
+
+class Trace(abc.ABC):
+    """Builds controllers, and records what they decide or does not."""
+
+    @abc.abstractmethod
+    def build(self, kind: str, factory: collections.abc.Callable, *args:
+              typing.Any, **kwargs: typing.Any) -> typing.Any:
+        """Returns `factory(*args, **kwargs)` or a proxy of it.
+
+        Args:
+          kind: Name of the factory in the registry of the replay.
+          factory: Makes the controller.
+          *args: Arguments of the factory.
+          **kwargs: Keyword arguments of the factory.
+        """
+
+
+class NullTrace(Trace):
+    """Records nothing and costs nothing."""
+
+    def build(self, kind: str, factory: collections.abc.Callable, *args:
+              typing.Any, **kwargs: typing.Any) -> typing.Any:
+        return factory(*args, **kwargs)
+
+
+class TraceWriter(Trace):
+    """Records decisions to a file of bounded size.
+
+    A fault of the file ends the recording and never reaches the caller.
+
+    Attributes:
+      steps: Decisions recorded.
+      skipped: Decisions not recorded since the recording ended.
+    """
+
+    def __init__(self, path: str, limit_bytes: int = DEFAULT_LIMIT_BYTES):
+        """Opens `path` for a new trace.
+
+        Args:
+          path: File to write; an existing one is replaced.
+          limit_bytes: Size at which the recording ends.
+
+        Raises:
+          errors.TraceError: if the file cannot be opened.
+        """
+        self.steps = 0
+        self.skipped = 0
+        self._left = limit_bytes
+        self._counts: dict[str, int] = {}
+        self._oracles = 0
+        self._asked: list = []
+        try:
+            # A trace holds customers' requests, so only its owner may read it.
+            fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+            self._file: typing.Any = os.fdopen(fd, 'w', encoding='utf-8')
+        except OSError as exc:
+            raise errors.TraceError('open trace', path, str(exc)) from exc
+
+    def build(self, kind: str, factory: collections.abc.Callable, *args:
+              typing.Any, **kwargs: typing.Any) -> typing.Any:
+        number = self._counts[kind] = self._counts.get(kind, 0) + 1
+        name = f'{kind}#{number}'
+        controller = self.record(name, BUILD, factory, False, args, kwargs)
+        return _ControllerProxy(self, name, controller)
+
+    def record(self, name: str, method: str, fn: collections.abc.Callable,
+               timed: bool, args: tuple, kwargs: dict) -> typing.Any:
+        """Calls `fn` and writes the call and its result.
+
+        Args:
+          name: Kind and number of the controller.
+          method: Name of the method, or `BUILD`.
+          fn: What to call.
+          timed: True when the first argument is the time in ms.
+          args: Its arguments.
+          kwargs: Its keyword arguments.
+
+        Returns:
+          What `fn` returned.
+        """
+        if self._file is None:
+            self.skipped += 1
+            return fn(*args, **kwargs)
+        given, shown = self._watch(args)
+        named, shown_named = self._watch(tuple(kwargs.values()))
+        keys = tuple(kwargs)
+        outer, self._asked = self._asked, []
+        outcome: typing.Any = None
+        try:
+            result = fn(*given, **dict(zip(keys, named)))
+            outcome = None if method == BUILD else values.encode(result)
+            return result
+        except Exception as exc:
+            outcome = raised(exc)
+            raise
+        finally:
+            self._write(
+                Step(self.steps + 1, name, method,
+                     args[0] if timed and args else None,
+                     shown[1 if timed and args else 0:],
+                     dict(zip(keys, shown_named)), self._asked, outcome))
+            self._asked = outer
+
+    def note(self, oracle: str, name: str, args: tuple | None,
+             answer: typing.Any) -> None:
+        """Notes what an oracle answered during the current call.
+
+        Args:
+          oracle: Name of the oracle.
+          name: Method or attribute asked for.
+          args: Arguments of the method, or None for an attribute.
+          answer: The answer.
+        """
+        shown = None if args is None else values.encode(args)
+        self._asked.append([oracle, name, shown, values.encode(answer)])
+
+    def close(self) -> None:
+        """Ends the recording."""
+        file, self._file = self._file, None
+        if file is not None:
+            try:
+                file.close()
+            except OSError:
+                pass
+
+    def _watch(self, args: tuple) -> tuple[list, list]:
+        given, shown = [], []
+        for arg in args:
+            form = values.encode(arg)
+            if isinstance(form, dict) and 'o' in form:
+                self._oracles += 1
+                oracle = f'{form["o"]}#{self._oracles}'
+                arg, form = _OracleProxy(self, oracle, arg), {'o': oracle}
+            given.append(arg)
+            shown.append(form)
+        return given, shown
+
+    def _write(self, step: Step) -> None:
+        row = {'v': TRACE_VERSION, **step._asdict()}
+        line = json.dumps(row, separators=(',', ':')) + '\n'
+        self._left -= len(line)
+        try:
+            if self._left < 0 or len(line) > MAX_LINE_BYTES:
+                self.skipped += 1
+                self.close()
+            else:
+                self._file.write(line)
+                self.steps += 1
+        except OSError:
+            self.skipped += 1
+            self.close()
+
+
+class _ControllerProxy:
+    """Passes calls to a controller on and has them recorded."""
+
+    def __init__(self, writer: TraceWriter, name: str, controller: typing.Any):
+        self._writer = writer
+        self._name = name
+        self._controller = controller
+
+    def __getattr__(self, name: str) -> typing.Any:
+        found = getattr(self._controller, name)
+        if name.startswith('_') or not inspect.ismethod(found):
+            return found
+        timed = next(iter(inspect.signature(found).parameters), '') == 'now_ms'
+
+        def call(*args, **kwargs):
+            return self._writer.record(self._name, name, found, timed, args,
+                                       kwargs)
+
+        # The next call finds the wrapper without looking the method up.
+        self.__dict__[name] = call
+        return call
+
+
+class _OracleProxy:
+    """Passes questions to an object on and has the answers recorded."""
+
+    def __init__(self, writer: TraceWriter, oracle: str, wrapped: typing.Any):
+        self._writer = writer
+        self._oracle = oracle
+        self._wrapped = wrapped
+
+    def __call__(self, *args: typing.Any) -> typing.Any:
+        answer = self._wrapped(*args)
+        self._writer.note(self._oracle, '__call__', args, answer)
+        return answer
+
+    def __getattr__(self, name: str) -> typing.Any:
+        found = getattr(self._wrapped, name)
+        if not callable(found):
+            self._writer.note(self._oracle, name, None, found)
+            return found
+
+        def ask(*args):
+            answer = found(*args)
+            self._writer.note(self._oracle, name, args, answer)
+            return answer
+
+        return ask
+
+
+def raised(exc: Exception) -> dict:
+    """Returns the form in which a trace keeps an error."""
+    return {'raised': getattr(exc, 'code', type(exc).__name__)}
+
+
+class TraceReader:
+    """Reads the steps of a trace file.
+
+    The last line is left out when it has no line end: the process was killed
+    while it wrote.
+    """
+
+    def __init__(self, path: str):
+        self._path = path
+
+    def steps(self) -> collections.abc.Iterator[Step]:
+        """Yields the steps in order.
+
+        Raises:
+          errors.TraceError: if the file cannot be read or a line is not a
+            step of a known version.
+        """
+        try:
+            with open(self._path, encoding='utf-8') as file:
+                number = 0
+                while line := file.readline(MAX_LINE_BYTES + 1):
+                    number += 1
+                    if not line.endswith('\n'):
+                        if len(line) > MAX_LINE_BYTES:
+                            raise self._fault(number, 'the line is too long')
+                        return
+                    yield self._parse(line, number)
+        except (OSError, UnicodeDecodeError) as exc:
+            raise errors.TraceError('read trace', self._path, str(exc)) from exc
+
+    def _parse(self, line: str, number: int) -> Step:
+        try:
+            row = json.loads(line)
+            version = row.pop('v')
+            if version != TRACE_VERSION:
+                raise self._fault(number, f'format version {version!r:.20}')
+            step = Step(**row)
+        except (AttributeError, KeyError, RecursionError, TypeError,
+                ValueError) as exc:
+            raise self._fault(number, repr(exc)) from exc
+        wanted = (int, str, str, int | None, list, dict, list)
+        if not all(
+                isinstance(field, kind) for field, kind in zip(step, wanted)):
+            raise self._fault(number, 'a field has a wrong type')
+        return step
+
+    def _fault(self, number: int, reason: str) -> errors.TraceError:
+        return errors.TraceError('read trace', self._path,
+                                 f'line {number}: {reason}')
+
+
+def open_trace(path: str, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> Trace:
+    """Returns a writer to `path`, or a `NullTrace` when `path` is empty."""
+    return TraceWriter(path, limit_bytes) if path else NullTrace()
