Add leases, the lister and the registry of balancers

Missing: members of a list could not join, notice a silent member, mark it as lost or be fenced, and balancers could not announce themselves.

Change: `LeaseTable` decides by heartbeats in virtual time. `updates.Updater` is the conditional update with read-back that `Lister` and `Registry` share: after a write without an answer the edit runs again on the value read back, and finds its change or repeats it. A join without an answer is recognised by the incarnation that was tried and the own address. A nonce in the member was ruled out, as the version that a join creates names one write already.

The limit on lost marks counts marks from the attempt, so that a lost answer does not raise it, and the silent members are asked for again once the list was read. `ReactorTimers` is added because the tests run on twisted's test clock.

Before: no code.

--- /dev/null
+++ b/figdrum/balancer/reactor_timers.py
@@ -0,0 +1,26 @@
+"""Timers on a Twisted reactor or on its clock for tests.
+
+Examples
+========
+
+>>> from twisted.internet import task
+>>> clock = task.Clock()
+>>> _ = ReactorTimers(clock).call_later(200, lambda: print('now'))
+>>> clock.advance(0.2)
+now
+"""
+
+import typing
+
+from figdrum.core import clock
+from figdrum.core import ports
+
+
+class ReactorTimers(ports.Timers):
+    """Calls functions by an `IReactorTime`."""
+
+    def __init__(self, reactor: typing.Any):
+        self._reactor = reactor
+
+    def call_later(self, delay_ms, fn):
+        return self._reactor.callLater(delay_ms / clock.MS_PER_S, fn)
--- /dev/null
+++ b/figdrum/membership/leases.py
@@ -0,0 +1,193 @@
+"""Which members of the own service's list give signs of life.
+
+Explanation
+===========
+
+Members of a list send each other heartbeats each 500 ms. A member is suspected
+after 1,500 ms of silence and due to be published as lost after 3,000 ms, by
+the first live member in name order. Silence is counted from when this process
+first saw the member's incarnation, and anew after a gap in its own clock,
+because after a pause the heartbeats of others are still unread.
+
+A heartbeat carries the sender's list version. One with a version at or above
+the own incarnation acknowledges the own join (rule R1). Members with a higher
+incarnation joined on top of a list with the own member and need not do so.
+
+Examples
+========
+
+>>> from figdrum.core import states
+>>> a, b = [service_list.Member(n, ('10.0.0.1', port), 'a', port - 6999,
+...                             states.MemberState.ACTIVE)
+...         for n, port in (('s-1', 7000), ('s-2', 7001))]
+>>> table = LeaseTable('s-2')
+>>> table.on_list(0, service_list.ServiceList('s', 2, (a, b)), 2)
+>>> table.acknowledged()
+False
+>>> table.on_heartbeat(100, datagram.Heartbeat('s-1', 1, 2))
+>>> table.acknowledged()
+True
+>>> sorted(table.suspected(1600)), table.due_lost(3099), table.due_lost(3100)
+(['s-1'], (), (LostMember(name='s-1', incarnation=1),))
+
+References
+==========
+
+Gray and Cheriton, "Leases: an efficient fault-tolerant mechanism for
+distributed file cache consistency", SOSP 1989.
+"""
+
+import dataclasses
+import typing
+
+from figdrum.core import ids
+from figdrum.membership import service_list
+from figdrum.messages import datagram
+
+
+class LeaseLimits(typing.NamedTuple):
+    """Times of the leases.
+
+    Attributes:
+        heartbeat_ms: Time between heartbeats.
+        suspect_after_ms: Silence after which a member is passed over.
+        lost_after_ms: Silence after which it is due to be published as lost.
+        own_gap_ms: Gap between ticks after which this process counts as woken.
+    """
+    heartbeat_ms: int = 500
+    suspect_after_ms: int = 1500
+    lost_after_ms: int = 3000
+    own_gap_ms: int = 500
+
+
+class LostMember(typing.NamedTuple):
+    """A member's life that ended without a leave."""
+    name: ids.AgentName
+    incarnation: ids.Incarnation
+
+
+class Tick(typing.NamedTuple):
+    """What a tick found to do.
+
+    Attributes:
+        gap_ms: Length of a gap in the own clock, 0 without one.
+        heartbeat: Heartbeat to send now, or None.
+        to: The members to send it to.
+    """
+    gap_ms: int
+    heartbeat: datagram.Heartbeat | None
+    to: tuple[service_list.Member, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    member: service_list.Member
+    heard_ms: int
+    list_version: int = 0
+
+
+class LeaseTable:
+    """Heartbeats of the other members of one list."""
+
+    def __init__(self, name: ids.AgentName,
+                 limits: LeaseLimits = LeaseLimits()):
+        self._name = name
+        self._limits = limits
+        self._incarnation = ids.Incarnation(0)
+        self._list = service_list.ServiceList.empty('')
+        self._leases: dict[str, _Lease] = {}
+        self._last_tick_ms: int | None = None
+        self._next_heartbeat_ms = 0
+
+    def on_list(self, now_ms: int, members: service_list.ServiceList,
+                incarnation: ids.Incarnation) -> None:
+        """Takes a new list; one older than the present is ignored.
+
+        Args:
+            now_ms: Own clock.
+            members: The list.
+            incarnation: Own incarnation, 0 before the join.
+        """
+        if incarnation != self._incarnation:
+            # A new incarnation has its own acknowledgements; the others'
+            # versions at or above it may be known already.
+            self._incarnation = incarnation
+            self._next_heartbeat_ms = now_ms
+        if members.version < self._list.version:
+            return
+        self._list = members
+        leases = {}
+        for member in members.routable():
+            if member.name == self._name:
+                continue
+            known = self._leases.get(member.name)
+            if known is None or known.member.incarnation < member.incarnation:
+                known = _Lease(member, now_ms)
+            known.member = member
+            leases[member.name] = known
+        self._leases = leases
+
+    def on_heartbeat(self, now_ms: int, heartbeat: datagram.Heartbeat) -> None:
+        """Takes a sign of life; one of an earlier incarnation is ignored."""
+        lease = self._leases.get(heartbeat.name)
+        if (lease is None or heartbeat.incarnation < lease.member.incarnation):
+            return
+        lease.heard_ms = max(lease.heard_ms, now_ms)
+        lease.list_version = max(lease.list_version, heartbeat.list_version)
+
+    def on_tick(self, now_ms: int) -> Tick:
+        """Finds a gap in the own clock and the heartbeat that is due.
+
+        Call this each 100 ms.
+        """
+        gap_ms = 0
+        if (self._last_tick_ms is not None and
+                now_ms - self._last_tick_ms >= self._limits.own_gap_ms):
+            gap_ms = now_ms - self._last_tick_ms
+            for lease in self._leases.values():
+                lease.heard_ms = now_ms
+        self._last_tick_ms = now_ms
+        if not self._incarnation or now_ms < self._next_heartbeat_ms:
+            return Tick(gap_ms, None, ())
+        self._next_heartbeat_ms = now_ms + self._limits.heartbeat_ms
+        return Tick(
+            gap_ms,
+            datagram.Heartbeat(self._name, self._incarnation,
+                               self._list.version),
+            tuple(lease.member for lease in self._leases.values()))
+
+    def acknowledged(self) -> bool:
+        """Returns True if every other routable member knows the own join."""
+        if not self._incarnation or self._list.version < self._incarnation:
+            return False
+        return all(lease.list_version >= self._incarnation or
+                   lease.member.incarnation > self._incarnation
+                   for lease in self._leases.values())
+
+    def suspected(self, now_ms: int) -> frozenset[ids.AgentName]:
+        """Returns the names of members that are passed over."""
+        return frozenset(lease.member.name
+                         for lease in self._leases.values()
+                         if now_ms -
+                         lease.heard_ms >= self._limits.suspect_after_ms)
+
+    def is_first_live(self, now_ms: int) -> bool:
+        """Returns True if no live member comes before this one by name."""
+        suspected = self.suspected(now_ms)
+        return self._in_list() and not any(
+            name < self._name and name not in suspected
+            for name in self._leases)
+
+    def due_lost(self, now_ms: int) -> tuple[LostMember, ...]:
+        """Returns the members that this one has to publish as lost."""
+        if not self.is_first_live(now_ms):
+            return ()
+        return tuple(
+            LostMember(lease.member.name, lease.member.incarnation)
+            for lease in self._leases.values()
+            if now_ms - lease.heard_ms >= self._limits.lost_after_ms)
+
+    def _in_list(self) -> bool:
+        own = next((m for m in self._list.routable() if m.name == self._name),
+                   None)
+        return own is not None and own.incarnation == self._incarnation
--- /dev/null
+++ b/figdrum/membership/tests/test_leases.py
@@ -0,0 +1,114 @@
+"""Tests of the lease table in virtual time."""
+
+import random
+
+import pytest
+
+from figdrum.core import states
+from figdrum.membership import leases
+from figdrum.membership import service_list
+from figdrum.messages import datagram
+
+
+def _members(count, version=None):
+    members = service_list.ServiceList.empty('s')
+    for i in range(1, count + 1):
+        members = members.with_member(
+            service_list.Member(f's-{i}', ('10.0.0.1', 7000 + i), 'a', i,
+                                states.MemberState.ACTIVE))
+    return members._replace(version=version or count)
+
+
+def _beat(i, list_version=9):
+    return datagram.Heartbeat(f's-{i}', i, list_version)
+
+
+def test_a_join_needs_all_earlier_members():
+    """Guards against R1 broken by one member that has not seen the join."""
+    table = leases.LeaseTable('s-3')
+    table.on_list(0, _members(5), 3)
+    table.on_heartbeat(1, _beat(1, 3))
+    table.on_heartbeat(1, _beat(2, 2))
+    assert not table.acknowledged()
+    table.on_heartbeat(2, _beat(2, 3))
+    assert table.acknowledged()
+
+
+def test_a_lost_member_need_not_acknowledge():
+    """Guards against a join that waits for a dead member for ever."""
+    table = leases.LeaseTable('s-2')
+    members = _members(2)
+    table.on_list(0, members, 2)
+    assert not table.acknowledged()
+    lost = members.members[0]._replace(state=states.MemberState.LOST)
+    table.on_list(1, members.with_member(lost)._replace(version=3), 2)
+    assert table.acknowledged()
+
+
+def test_a_new_incarnation_needs_new_acknowledgements():
+    """Guards against a rejoined member that trusts old acknowledgements."""
+    table = leases.LeaseTable('s-2')
+    table.on_list(0, _members(2), 2)
+    table.on_heartbeat(1, _beat(1, 2))
+    own = _members(2).members[1]._replace(incarnation=3)
+    table.on_list(2, _members(2).with_member(own)._replace(version=3), 3)
+    assert not table.acknowledged()
+
+
+def test_an_earlier_incarnation_gives_no_sign_of_life():
+    """Guards against a delayed heartbeat that keeps a dead member alive."""
+    table = leases.LeaseTable('s-1')
+    table.on_list(0, _members(2), 1)
+    table.on_heartbeat(1400, datagram.Heartbeat('s-2', 1, 2))
+    assert table.suspected(1500) == {'s-2'}
+
+
+def test_an_older_list_is_ignored():
+    """Guards against a member that comes back by a late list."""
+    table = leases.LeaseTable('s-1')
+    table.on_list(0, _members(2, version=5), 1)
+    table.on_list(1, _members(3, version=4), 1)
+    assert table.suspected(5000) == {'s-2'}
+
+
+@pytest.mark.parametrize('gap_ms', [500, 4000, 600_000])
+def test_own_gap_is_found_and_suspects_nobody(gap_ms):
+    """Guards against a woken member that marks all others as lost."""
+    table = leases.LeaseTable('s-1')
+    table.on_list(0, _members(3), 1)
+    assert [table.on_tick(t).gap_ms for t in (100, 200, 699)] == [0, 0, 0]
+    assert table.on_tick(699 + gap_ms).gap_ms == gap_ms
+    assert not table.suspected(699 + gap_ms + 1499)
+    assert not table.due_lost(699 + gap_ms + 2999)
+
+
+def test_heartbeats_go_to_the_others_each_500_ms():
+    """Guards against a heartbeat that is late, early or sent to itself."""
+    table = leases.LeaseTable('s-1')
+    table.on_list(0, _members(3), 0)
+    assert table.on_tick(0).heartbeat is None
+    table.on_list(50, _members(3), 1)
+    sent = [t for t in range(100, 2100, 100) if table.on_tick(t).heartbeat]
+    assert sent == [100, 600, 1100, 1600]
+    assert [m.name for m in table.on_tick(2100).to] == ['s-2', 's-3']
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_exactly_one_live_member_publishes(seed):
+    """Guards against no publisher or several, whichever members died."""
+    rng = random.Random(seed)
+    count = rng.randint(2, 9)
+    dead = set(rng.sample(range(1, count + 1), rng.randint(1, count - 1)))
+    publishers = []
+    for i in set(range(1, count + 1)) - dead:
+        table = leases.LeaseTable(f's-{i}')
+        table.on_list(0, _members(count), i)
+        for now in range(0, 3001, 100):
+            table.on_tick(now)
+            for other in set(range(1, count + 1)) - dead - {i}:
+                table.on_heartbeat(now, _beat(other))
+        due = table.due_lost(3000)
+        if due:
+            publishers.append(i)
+            assert {lost.incarnation for lost in due} == dead
+    assert publishers == [min(set(range(1, count + 1)) - dead)]
--- /dev/null
+++ b/figdrum/membership/tests/test_lister.py
@@ -0,0 +1,227 @@
+"""Tests of the writes to a service's list under faults and races."""
+
+import random
+
+import pytest
+from twisted.internet import defer
+from twisted.internet import task
+
+from figdrum.balancer import reactor_timers
+from figdrum.core import states
+from figdrum.membership import leases
+from figdrum.membership import lister
+from figdrum.membership import service_list
+from figdrum.platform import memory_store
+
+
+class _Service:
+    """A service's list in a memory store, in virtual time."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.timers = reactor_timers.ReactorTimers(self.clock)
+        self.store = memory_store.MemoryStore(self.timers)
+
+    def lister(self, i, db=None):
+        """Returns the lister of member `s-<i>`."""
+        return lister.Lister(db or self.store, self.timers, 's', f's-{i}',
+                             ('10.0.0.1', 7000 + i), 'a', random.Random(i))
+
+    def joined(self, count):
+        """Returns the listers of `count` members that joined."""
+        listers = [self.lister(i) for i in range(1, count + 1)]
+        for one in listers:
+            one.join()
+        return listers
+
+    def list(self):
+        """Returns the list."""
+        item = self.store.get('lists/s').result
+        if item is None:
+            return service_list.ServiceList.empty('s')
+        return service_list.ServiceList.from_json('s', item.version, item.value)
+
+    def states(self):
+        """Returns the members' states by name."""
+        return {m.name: m.state.value for m in self.list().members}
+
+
+def _due(*numbers):
+    return _due_of(numbers)
+
+
+def _due_of(numbers):
+    return lambda: tuple(leases.LostMember(f's-{i}', i) for i in numbers)
+
+
+def test_incarnation_is_the_version_of_the_join():
+    """Guards against two lives of one name with one incarnation."""
+    service = _Service()
+    service.joined(3)
+    assert [(m.incarnation, m.rejoined) for m in service.list().members
+           ] == [(1, False), (2, False), (3, False)]
+    again = service.lister(2)
+    again.join()
+    assert again.incarnation == 4
+    assert service.list().find('s-2').rejoined
+
+
+def test_a_join_without_an_answer_is_recognised():
+    """Guards against a second incarnation when only the answer was lost."""
+    service = _Service()
+    service.store.lose_next_answers = 1
+    one = service.lister(1)
+    one.join()
+    assert one.incarnation == 1
+    assert service.list().version == 1
+
+
+@pytest.mark.parametrize('seed', range(15))
+def test_racing_members_with_lost_answers(seed):
+    """Guards against a join, drain or leave that another one undoes."""
+    rng = random.Random(seed)
+    service = _Service()
+    listers = [service.lister(i) for i in range(9)]
+    deferreds = [one.join() for one in listers]
+    deferreds += [one.publish_draining() for one in listers[:6]]
+    leaves = []
+    for step in range(4000):
+        service.store.delay_ms = rng.choice((0, 5, 150))
+        service.store.effect_delay_ms = rng.choice((0, 5, 150))
+        service.store.lose_next_answers = rng.choice((0, 0, 1))
+        service.clock.advance(0.02)
+        if not leaves and step > 50 and all(d.called for d in deferreds):
+            leaves = [one.leave() for one in listers[:3]]
+        if leaves and all(d.called for d in leaves):
+            break
+    service.store.delay_ms = service.store.effect_delay_ms = 0
+    found = service.states()
+    assert [found[f's-{i}'] for i in range(9)
+           ] == ['left'] * 3 + [found['s-3']] * 3 + ['active'] * 3
+    for one, member in zip(listers, service.list().members):
+        assert one.incarnation == member.incarnation
+
+
+def test_a_fenced_member_joins_again():
+    """Guards against a paused member that goes on as if nobody noticed."""
+    service = _Service()
+    first, second, _ = service.joined(3)
+    old = service.list()
+    first.publish_lost(0, _due(2))
+    assert service.states()['s-2'] == 'lost'
+    assert not second.is_fenced(old)
+    assert second.is_fenced(service.list())
+    second.join()
+    assert second.incarnation == 5
+    assert not second.is_fenced(service.list())
+
+
+def test_a_lost_mark_names_one_life():
+    """Guards against a late mark that hits the member's next life."""
+    service = _Service()
+    first, _, _ = service.joined(3)
+    service.lister(2).join()
+    first.publish_lost(0, _due(2))
+    assert service.states()['s-2'] == 'active'
+
+
+@pytest.mark.parametrize('count, expected', [(2, 1), (3, 1), (7, 2), (9, 3)])
+def test_marks_a_third_within_10_s(count, expected):
+    """Guards against one confused observer that empties a service."""
+    service = _Service()
+    first = service.joined(count)[0]
+    everyone = _due(*range(1, count + 1))
+    for now in range(0, 10_000, 500):
+        first.publish_lost(now, everyone)
+    lost = [s for s in service.states().values() if s == 'lost']
+    assert len(lost) == expected
+    assert service.states()['s-1'] == 'active'
+    if count > expected + 1:
+        first.publish_lost(10_000, everyone)
+        assert list(service.states().values()).count('lost') > expected
+
+
+def test_lost_answers_do_not_raise_the_limit():
+    """Guards against a mark that counts as two or none after a lost answer."""
+    service = _Service()
+    first = service.joined(7)[0]
+    service.store.lose_next_answers = 1
+    first.publish_lost(0, _due(2, 3, 4, 5))
+    first.publish_lost(100, _due(4, 5, 6, 7))
+    assert list(service.states().values()).count('lost') == 2
+
+
+def test_asks_again_who_is_silent():
+    """Guards against marking a member that was heard while the platform was
+    slow."""
+    service = _Service()
+    first = service.joined(3)[0]
+    service.store.delay_ms = 4000
+    silent = [2]
+    done = first.publish_lost(0, _due_of(silent))
+    silent.clear()
+    service.clock.advance(4)
+    service.clock.advance(4)
+    service.store.delay_ms = 0
+    assert done.called
+    assert service.states()['s-2'] == 'active'
+
+
+def test_outage_changes_nothing_and_blocks_nothing():
+    """Guards against marks that pile up while the platform is down."""
+    service = _Service()
+    first = service.joined(3)[0]
+    service.store.down = True
+    for now in range(0, 3000, 100):
+        first.publish_lost(now, _due(2)).addErrback(lambda _: None)
+    service.store.down = False
+    assert service.states()['s-2'] == 'active'
+    first.publish_lost(3000, _due(2))
+    assert service.states()['s-2'] == 'lost'
+
+
+def test_prunes_tombstones_300_s_after_first_seen():
+    """Guards against a tombstone that goes while claims still count on it."""
+    service = _Service()
+    first, second, _ = service.joined(3)
+    second.leave()
+    first.observe(1000, service.list())
+    first.observe(200_000, service.list())
+    assert not first.has_old_tombstones(300_999)
+    assert first.has_old_tombstones(301_000)
+    first.prune(301_000)
+    assert sorted(service.states()) == ['s-1', 's-3']
+
+
+def test_prune_spares_a_new_life():
+    """Guards against pruning a member that joined again meanwhile."""
+    service = _Service()
+    first, second, _ = service.joined(3)
+    second.leave()
+    first.observe(0, service.list())
+    service.lister(2).join()
+    first.prune(300_000)
+    assert service.states()['s-2'] == 'active'
+
+
+def test_leave_ends_a_join_under_way():
+    """Guards against a member that is listed after its process has gone."""
+    service = _Service()
+    service.store.down = True
+    one = service.lister(1)
+    joining = one.join()
+    leaving = one.leave()
+    service.store.down = False
+    service.clock.pump([1] * 20)
+    assert joining.result is None
+    assert isinstance(leaving, defer.Deferred) and leaving.called
+    assert not service.states()
+
+
+def test_drain_after_leave_changes_nothing():
+    """Guards against a left member that comes back as draining."""
+    service = _Service()
+    one = service.joined(1)[0]
+    one.leave()
+    one.publish_draining()
+    assert service.list().members[0].state is states.MemberState.LEFT
--- /dev/null
+++ b/figdrum/membership/tests/test_registry.py
@@ -0,0 +1,75 @@
+"""Tests of the registry of balancers."""
+
+import random
+
+import pytest
+from twisted.internet import task
+
+from figdrum.balancer import reactor_timers
+from figdrum.core import errors
+from figdrum.membership import registry
+from figdrum.platform import memory_store
+
+
+def _entry(i):
+    return registry.RegistryEntry(f'lb-{i}', 'a', ('10.0.0.1', 7200 + i),
+                                  ('10.0.0.1', 7100 + i))
+
+
+class _Zone:
+    """One zone's registry in a memory store, in virtual time."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        timers = reactor_timers.ReactorTimers(self.clock)
+        self.store = memory_store.MemoryStore(timers)
+        self.registry = registry.Registry(self.store, timers, 'a',
+                                          random.Random(1))
+
+    def names(self):
+        """Returns the names of the registered balancers."""
+        item = self.store.get('balancers/a').result
+        return [
+            entry.name
+            for entry in registry.entries_from_json(item.key, item.value)
+        ]
+
+
+def test_registers_after_an_outage_and_a_lost_answer():
+    """Guards against a balancer that nobody finds."""
+    zone = _Zone()
+    zone.store.down = True
+    zone.registry.register(_entry(1))
+    zone.store.down = False
+    zone.store.lose_next_answers = 1
+    zone.clock.advance(1)
+    assert zone.names() == ['lb-1']
+    assert zone.store.get('balancers/a').result.version == 1
+
+
+def test_deregister_spares_a_restarted_balancer():
+    """Guards against a late stop that removes the next life's entry."""
+    zone = _Zone()
+    zone.registry.register(_entry(1))
+    zone.registry.register(_entry(2)._replace(name='lb-1'))
+    zone.registry.deregister(_entry(1))
+    assert zone.names() == ['lb-1']
+    zone.registry.deregister(_entry(2)._replace(name='lb-1'))
+    assert not zone.names()
+
+
+def test_prunes_only_silent_balancers():
+    """Guards against pruning balancers that are heard."""
+    zone = _Zone()
+    for i in range(3):
+        zone.registry.register(_entry(i))
+    zone.registry.prune(frozenset({'lb-1', 'lb-9'}))
+    assert zone.names() == ['lb-0', 'lb-2']
+
+
+@pytest.mark.parametrize(
+    'text', ['', '[]', '{"balancers": 1}', '{"balancers": [{"name": "x"}]}'])
+def test_bad_value_is_a_typed_error(text):
+    """Guards against a bad object that ends a reader."""
+    with pytest.raises(errors.MessageError):
+        registry.entries_from_json('balancers/a', text)
--- /dev/null
+++ b/figdrum/membership/tests/test_updates.py
@@ -0,0 +1,101 @@
+"""Tests of conditional updates under faults of the platform."""
+
+import random
+
+import pytest
+from twisted.internet import task
+
+from figdrum.balancer import reactor_timers
+from figdrum.core import errors
+from figdrum.membership import updates
+from figdrum.platform import memory_store
+
+
+class _Platform:
+    """A memory store in virtual time."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.timers = reactor_timers.ReactorTimers(self.clock)
+        self.store = memory_store.MemoryStore(self.timers)
+
+    def updater(self):
+        """Returns an updater of the object 'k'."""
+        return updates.Updater(self.store, self.timers, 'k', random.Random(1))
+
+    def value(self):
+        """Returns the value of 'k'."""
+        return self.store.get('k').result.value
+
+
+def _adding(word):
+
+    def edit(value, version):
+        del version
+        words = value.split() if value else []
+        return None if word in words else ' '.join(sorted(words + [word]))
+
+    return edit
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_racing_updates_all_take_effect(seed):
+    """Guards against an update that overwrites another one, with lost answers
+    and delays on both ways."""
+    rng = random.Random(seed)
+    platform = _Platform()
+    done = []
+    words = [f'w{i:02}' for i in range(12)]
+    for word in words:
+        updater = platform.updater()
+        updater.until_done(lambda updater=updater, word=word: updater.update(
+            _adding(word))).addCallback(done.append)
+    for _ in range(4000):
+        platform.store.delay_ms = rng.choice((0, 5, 300))
+        platform.store.effect_delay_ms = rng.choice((0, 5, 300))
+        platform.store.lose_next_answers = rng.choice((0, 0, 0, 1))
+        platform.clock.advance(0.02)
+        if len(done) == len(words):
+            break
+    platform.store.delay_ms = platform.store.effect_delay_ms = 0
+    assert platform.value().split() == words
+    assert len(done) == len(words)
+
+
+def test_waits_for_the_end_of_an_outage():
+    """Guards against giving up, or retrying without pause, in an outage."""
+    platform = _Platform()
+    platform.store.down = True
+    updater = platform.updater()
+    done = updater.until_done(lambda: updater.update(_adding('a')))
+    platform.clock.pump([0.1] * 600)
+    assert not done.called
+    assert platform.store.calls['get'] < 40
+    platform.store.down = False
+    platform.clock.advance(5)
+    assert done.called
+    assert platform.value() == 'a'
+
+
+def test_stop_ends_the_repetitions():
+    """Guards against a process that cannot exit during an outage."""
+    platform = _Platform()
+    platform.store.down = True
+    updater = platform.updater()
+    done = updater.until_done(lambda: updater.update(_adding('a')))
+    updater.stop()
+    platform.clock.advance(5)
+    assert done.result is None
+    assert not platform.clock.getDelayedCalls()
+
+
+def test_lost_answers_without_end_fail():
+    """Guards against hammering a platform that answers no write."""
+    platform = _Platform()
+    platform.store.lose_next_answers = 100
+    counter = iter(range(100))
+    failed = platform.updater().update(
+        lambda value, version: str(next(counter)))
+    assert failed.result.check(errors.StoreError)
+    assert platform.store.calls['put'] == 3
+    failed.addErrback(lambda _: None)
--- /dev/null
+++ b/figdrum/membership/updates.py
@@ -0,0 +1,134 @@
+"""Conditional updates of one object of the platform.
+
+Explanation
+===========
+
+An update reads the object, edits its value and writes it under the version that
+was read. After a conflict it starts again from the new value. After a write
+without an answer it reads back: the edit then finds its own change in place, or
+makes it again; a copy of the first write that arrives later conflicts with the
+second. Edits therefore have to be repeatable: they return None when the
+value is as they want it.
+
+Examples
+========
+
+See `figdrum/membership/tests/test_updates.py`.
+"""
+
+import collections.abc
+import random
+import typing
+
+from twisted.internet import defer
+
+from figdrum.core import errors
+from figdrum.core import ports
+from figdrum.platform import store
+from figdrum.telemetry import logs
+
+Edit = collections.abc.Callable[[str | None, int], str | None]
+"""Maps a value (None if absent) and its version to the value to write, or to
+None if there is nothing to write."""
+
+# As many writers may win before this one; one wins each round.
+_MAX_ATTEMPTS = 32
+_MAX_LOST_ANSWERS = 3
+_FIRST_DELAY_MS = 200
+_LAST_DELAY_MS = 5000
+
+_log = logs.part('membership')
+
+
+class Written(typing.NamedTuple):
+    """The object after an update.
+
+    Attributes:
+        value: Its value, None if it does not exist.
+        version: Its version, 0 if it does not exist.
+    """
+    value: str | None
+    version: int
+
+
+class Updater:
+    """Runs updates of one object, one after the other."""
+
+    def __init__(self, db: store.Store, timers: ports.Timers, key: str,
+                 rng: random.Random):
+        self._db = db
+        self._timers = timers
+        self._key = key
+        self._rng = rng
+        self._lock = defer.DeferredLock()
+        self._stopped = False
+
+    def update(self, edit: Edit) -> defer.Deferred:
+        """Applies `edit` once; returns a Deferred of `Written`.
+
+        The Deferred fails with `errors.StoreError` when the platform does not
+        answer or others always write first, `errors.MessageError` when the
+        value cannot be read, and `errors.ValueTooLargeError`.
+        """
+        return self._lock.run(self._update, edit)
+
+    def until_done(
+            self,
+            start: collections.abc.Callable[[],
+                                            defer.Deferred]) -> defer.Deferred:
+        """Repeats `start` after each `errors.FigdrumError`, with random delays
+        that grow to 5 s, until it succeeds or `stop` is called.
+
+        A value that cannot be read or is full is tried again too, as operators
+        may mend it.
+
+        Returns:
+            A Deferred of the result, or of None after `stop`.
+        """
+        return self._until_done(start)
+
+    def stop(self) -> None:
+        """Ends the repetitions of `until_done`."""
+        self._stopped = True
+
+    @defer.inlineCallbacks
+    def _update(self, edit: Edit):
+        lost_answers = 0
+        for _ in range(_MAX_ATTEMPTS):
+            item = yield self._db.get(self._key)
+            before = (Written(None, 0) if item is None else Written(
+                item.value, item.version))
+            value = edit(*before)
+            if value is None:
+                return before
+            try:
+                item = yield self._db.put(self._key, value, before.version)
+            except errors.ConflictError:
+                continue
+            except errors.StoreError as exc:
+                lost_answers += 1
+                if lost_answers == _MAX_LOST_ANSWERS:
+                    raise
+                _log.info('write of %s without an answer: %s', self._key, exc)
+                continue
+            return Written(item.value, item.version)
+        raise errors.StoreError('update', self._key,
+                                f'no success in {_MAX_ATTEMPTS} attempts')
+
+    @defer.inlineCallbacks
+    def _until_done(self, start):
+        delay_ms = _FIRST_DELAY_MS
+        while not self._stopped:
+            try:
+                result = yield start()
+                return result
+            except errors.FigdrumError as exc:
+                _log.warning('%s', exc)
+            yield self._sleep(self._rng.randint(delay_ms // 2, delay_ms))
+            delay_ms = min(2 * delay_ms, _LAST_DELAY_MS)
+        return None
+
+    def _sleep(self, delay_ms: int) -> defer.Deferred:
+        done: defer.Deferred = defer.Deferred()
+        self._timers.call_later(delay_ms, lambda: done.callback(None))
+        return done
--- a/figdrum/routing/serving.py
+++ b/figdrum/routing/serving.py
@@ -61,7 +61,8 @@
 class ServingGate:
     """The serving state of a balancer."""
 
-    def __init__(self) -> None:
+    def __init__(self, behind_limit_ms: int = BEHIND_LIMIT_MS):
+        self._behind_limit_ms = behind_limit_ms
         self._state = states.ServingState.STARTING
         self._changes = _Named()
         self._revisions = _Named()
@@ -105,6 +106,6 @@
         """Returns why packets are dropped, or None while they are routed."""
         if self._state is states.ServingState.STARTING:
             return drop_reason.DropReason.NOT_SERVING
-        if self.behind_ms(now_ms) > BEHIND_LIMIT_MS:
+        if self.behind_ms(now_ms) > self._behind_limit_ms:
             return drop_reason.DropReason.BEHIND
         return None
--- a/figdrum/routing/suspicion.py
+++ b/figdrum/routing/suspicion.py
@@ -33,21 +33,31 @@
 import collections
 import collections.abc
 import dataclasses
+import typing
 
 from figdrum.core import ids
 
-PING_AFTER_MS = 500
-SUSPECT_AFTER_MS = 1500
-PING_INTERVAL_MS = 500
-SUSPECTED_PING_INTERVAL_MS = 1000
-MAX_PINGS_PER_S = 10
-# The table's user calls `due_pings` each 100 ms.
 TICK_MS = 100
 OWN_GAP_MS = 500
 
 _WINDOW_MS = 1000
 
 
+class SuspicionLimits(typing.NamedTuple):
+    """When an agent is pinged and suspected.
+
+    Attributes:
+        ping_after_ms: Silence after which it is pinged, and time between pings.
+        suspect_after_ms: Silence after which it is suspected.
+        suspect_ping_ms: Time between pings of a suspected agent.
+        pings_per_s: Most pings in any 1,000 ms.
+    """
+    ping_after_ms: int = 500
+    suspect_after_ms: int = 1500
+    suspect_ping_ms: int = 1000
+    pings_per_s: int = 10
+
+
 @dataclasses.dataclass(slots=True)
 class _Silence:
     since_ms: int
@@ -58,7 +68,8 @@
 class SuspicionTable:
     """The agents that owe a sign of life, by address."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: SuspicionLimits = SuspicionLimits()):
+        self._limits = limits
         # Ordered by `since_ms`, as silences are only added at the end.
         self._silent: dict[ids.Address, _Silence] = {}
         self._suspected: dict[ids.Address, int] = {}
@@ -68,7 +79,7 @@
     def on_sent(self, now_ms: int, agent: ids.Address) -> None:
         """Notes that a frame that is not a ping was sent to `agent`."""
         if agent not in self._silent and agent not in self._suspected:
-            self._silent[agent] = _Silence(now_ms, now_ms + PING_AFTER_MS)
+            self._silent[agent] = self._silence(now_ms)
 
     def on_heard(self, now_ms: int, agent: ids.Address) -> None:
         """Notes any frame from `agent`; ends its silence and suspicion."""
@@ -104,7 +115,7 @@
 
         Returns:
             Agents in order of how long their ping is overdue, so few that no
-            1,000 ms see more than `MAX_PINGS_PER_S` pings.
+            1,000 ms see more than `pings_per_s` pings.
         """
         if (self._last_tick_ms is not None and
                 now_ms - self._last_tick_ms >= OWN_GAP_MS):
@@ -114,33 +125,34 @@
         return self._take_pings(now_ms)
 
     def _restart(self, now_ms: int) -> None:
-        self._silent = {
-            agent: _Silence(now_ms, now_ms + PING_AFTER_MS)
-            for agent in self._silent
-        }
+        self._silent = {agent: self._silence(now_ms) for agent in self._silent}
+
+    def _silence(self, now_ms: int) -> _Silence:
+        return _Silence(now_ms, now_ms + self._limits.ping_after_ms)
 
     def _suspect_silent(self, now_ms: int) -> None:
-        pinged_by = now_ms - (SUSPECT_AFTER_MS - PING_AFTER_MS)
+        limits = self._limits
+        pinged_by = now_ms - (limits.suspect_after_ms - limits.ping_after_ms)
         due = []
         for agent, silence in self._silent.items():
-            if silence.since_ms > now_ms - SUSPECT_AFTER_MS:
+            if silence.since_ms > now_ms - limits.suspect_after_ms:
                 break
             first = silence.first_ping_ms
             if first is not None and first <= pinged_by:
                 due.append(agent)
         for agent in due:
             del self._silent[agent]
-            self._suspected[agent] = now_ms + SUSPECTED_PING_INTERVAL_MS
+            self._suspected[agent] = now_ms + self._limits.suspect_ping_ms
 
     def _take_pings(self, now_ms: int) -> tuple[ids.Address, ...]:
         while (self._ping_times and self._ping_times[0] <= now_ms - _WINDOW_MS):
             self._ping_times.popleft()
-        room = MAX_PINGS_PER_S - len(self._ping_times)
+        room = self._limits.pings_per_s - len(self._ping_times)
         due = [
             (at, agent) for agent, at in self._suspected.items() if at <= now_ms
         ]
         for agent, silence in self._silent.items():
-            if silence.since_ms > now_ms - PING_AFTER_MS:
+            if silence.since_ms > now_ms - self._limits.ping_after_ms:
                 break
             if silence.next_ping_ms <= now_ms:
                 due.append((silence.next_ping_ms, agent))
@@ -152,9 +164,9 @@
     def _note_ping(self, now_ms: int, agent: ids.Address) -> None:
         self._ping_times.append(now_ms)
         if agent in self._suspected:
-            self._suspected[agent] = now_ms + SUSPECTED_PING_INTERVAL_MS
+            self._suspected[agent] = now_ms + self._limits.suspect_ping_ms
             return
         silence = self._silent[agent]
-        silence.next_ping_ms = now_ms + PING_INTERVAL_MS
+        silence.next_ping_ms = now_ms + self._limits.ping_after_ms
         if silence.first_ping_ms is None:
             silence.first_ping_ms = now_ms
