Add the balancer's ports

Missing: nothing moved bytes between the fabric, agents, other balancers and the decision code.

Ending a stream at a message of another release was ruled out, as releases have to talk while they are rolled out.

Before: no code.

--- /dev/null
+++ b/figdrum/balancer/control_port.py
@@ -0,0 +1,197 @@
+"""The TCP port for gossip and subscriptions, and streams to other balancers.
+
+Explanation
+===========
+
+A stream to another balancer is opened with the first message to it and closed
+after it was idle for 30 s. Streams that others opened stay until they close
+them; agents keep theirs. Both are bounded in number.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+from twisted.internet import error
+from twisted.internet import protocol
+
+from figdrum.balancer import control_stream
+from figdrum.core import clock
+from figdrum.core import ids
+from figdrum.messages import codec
+from figdrum.messages import control
+
+CONNECT_TIMEOUT_MS = 1000
+IDLE_MS = 30_000
+
+# A balancer has 21 subscribed agents and few streams of peers at once.
+MAX_INCOMING = 256
+MAX_OUTGOING = 32
+
+# Messages kept for a stream that is being opened; later ones make up for them.
+_MAX_WAITING = 8
+
+OnMessage = collections.abc.Callable[
+    [control_stream.ControlStream, codec.Message], None]
+OnClosed = collections.abc.Callable[[control_stream.ControlStream], None]
+Count = collections.abc.Callable[[str], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Outgoing:
+    address: ids.Address
+    used_ms: int
+    connector: typing.Any = None
+    stream: control_stream.ControlStream | None = None
+    waiting: list[control.Message] = dataclasses.field(default_factory=list)
+
+
+class ControlPort:
+    """All control streams of a balancer."""
+
+    def __init__(self, reactor: typing.Any, now: clock.Clock,
+                 on_message: OnMessage, on_closed: OnClosed, count: Count):
+        """Initializes the port without listening.
+
+        Args:
+            reactor: Twisted's reactor.
+            now: Own clock.
+            on_message: Called with the stream and the message.
+            on_closed: Called when a stream has ended.
+            count: Called with the name of a metric for each fault.
+        """
+        self._reactor = reactor
+        self._clock = now
+        self._on_message = on_message
+        self._on_closed = on_closed
+        self.count = count
+        self._incoming: set[control_stream.ControlStream] = set()
+        self._outgoing: dict[ids.Address, _Outgoing] = {}
+        self._listener: typing.Any = None
+
+    def listen(self, address: ids.Address) -> ids.Address:
+        """Accepts streams; returns the address with the real port."""
+        self._listener = self._reactor.listenTCP(address[1],
+                                                 _IncomingFactory(self),
+                                                 interface=address[0])
+        return (address[0], self._listener.getHost().port)
+
+    def send(self, address: ids.Address, message: control.Message) -> None:
+        """Sends `message` to `address`, or drops and counts it."""
+        now_ms = self._clock.now_ms()
+        outgoing = self._outgoing.get(address)
+        if outgoing is None:
+            if len(self._outgoing) >= MAX_OUTGOING:
+                self._close_least_used()
+            outgoing = _Outgoing(address, now_ms)
+            self._outgoing[address] = outgoing
+            outgoing.connector = self._reactor.connectTCP(
+                address[0],
+                address[1],
+                _OutgoingFactory(self, outgoing),
+                timeout=CONNECT_TIMEOUT_MS / clock.MS_PER_S)
+        outgoing.used_ms = now_ms
+        if outgoing.stream is not None:
+            outgoing.stream.send(message)
+        elif len(outgoing.waiting) < _MAX_WAITING:
+            outgoing.waiting.append(message)
+        else:
+            self.count('balancer.control_not_sent')
+
+    def close_idle(self) -> None:
+        """Closes streams to others that were not used for 30 s."""
+        now_ms = self._clock.now_ms()
+        for outgoing in list(self._outgoing.values()):
+            if now_ms - outgoing.used_ms >= IDLE_MS:
+                self._drop(outgoing)
+
+    def close(self) -> None:
+        """Stops listening and ends all streams."""
+        if self._listener is not None:
+            self._listener.stopListening()
+        for outgoing in list(self._outgoing.values()):
+            self._drop(outgoing)
+        for stream in list(self._incoming):
+            stream.close()
+
+    def has_room(self) -> bool:
+        """Returns True if another incoming stream is accepted."""
+        return len(self._incoming) < MAX_INCOMING
+
+    def on_opened(self, stream: control_stream.ControlStream) -> None:
+        """Takes a new stream into account; see `StreamOwner`."""
+        outgoing = self._outgoing_of(stream)
+        if outgoing is None:
+            self._incoming.add(stream)
+            return
+        for message in outgoing.waiting:
+            stream.send(message)
+        outgoing.waiting.clear()
+
+    def on_message(self, stream: control_stream.ControlStream,
+                   message: codec.Message) -> None:
+        """Passes a message on; see `StreamOwner`."""
+        outgoing = self._outgoing_of(stream)
+        if outgoing is not None:
+            outgoing.used_ms = self._clock.now_ms()
+        self._on_message(stream, message)
+
+    def on_closed(self, stream: control_stream.ControlStream) -> None:
+        """Forgets a stream; see `StreamOwner`."""
+        self._incoming.discard(stream)
+        outgoing = self._outgoing_of(stream)
+        if outgoing is not None:
+            del self._outgoing[outgoing.address]
+        self._on_closed(stream)
+
+    def on_not_connected(self, outgoing: _Outgoing) -> None:
+        """Forgets a stream that could not be opened."""
+        self.count('balancer.peer_not_reached')
+        if self._outgoing.get(outgoing.address) is outgoing:
+            del self._outgoing[outgoing.address]
+
+    def _outgoing_of(self,
+                     stream: control_stream.ControlStream) -> _Outgoing | None:
+        return next((o for o in self._outgoing.values() if o.stream is stream),
+                    None)
+
+    def _close_least_used(self) -> None:
+        self._drop(min(self._outgoing.values(), key=lambda o: o.used_ms))
+
+    def _drop(self, outgoing: _Outgoing) -> None:
+        self._outgoing.pop(outgoing.address, None)
+        if outgoing.stream is not None:
+            outgoing.stream.close()
+        else:
+            outgoing.connector.disconnect()
+
+
+class _IncomingFactory(protocol.ServerFactory):
+    """Accepts streams while there is room."""
+    noisy = False
+
+    def __init__(self, port: ControlPort):
+        self._port = port
+
+    def buildProtocol(self, addr):
+        if not self._port.has_room():
+            self._port.count('balancer.too_many_streams')
+            return None
+        return control_stream.ControlStream(self._port)
+
+
+class _OutgoingFactory(protocol.ClientFactory):
+    """Builds the stream of one connection."""
+    noisy = False
+
+    def __init__(self, port: ControlPort, outgoing: _Outgoing):
+        self._port = port
+        self._outgoing = outgoing
+
+    def buildProtocol(self, addr):
+        self._outgoing.stream = control_stream.ControlStream(self._port)
+        return self._outgoing.stream
+
+    def clientConnectionFailed(self, connector, reason):
+        if not reason.check(error.UserError):
+            self._port.on_not_connected(self._outgoing)
--- /dev/null
+++ b/figdrum/balancer/fabric_port.py
@@ -0,0 +1,52 @@
+"""The UDP port between the fabric and this balancer.
+
+Explanation
+===========
+
+Datagrams carry a PROXY protocol header both ways. One with a bad header is
+counted and dropped.
+"""
+
+import collections.abc
+
+from twisted.internet import protocol
+
+from figdrum.balancer import proxy_header
+from figdrum.core import errors
+from figdrum.core import ids
+from figdrum.core import ports
+
+OnPacket = collections.abc.Callable[[ids.Address, ids.Address, bytes], None]
+Count = collections.abc.Callable[[str], None]
+
+
+class FabricPort(protocol.DatagramProtocol, ports.PacketPort):
+    """Receives callers' packets and sends replies by the fabric."""
+    noisy = False
+
+    def __init__(self, fabric: ids.Address, on_packet: OnPacket, count: Count):
+        """Initializes the port.
+
+        Args:
+            fabric: Where replies go.
+            on_packet: Called with caller, service address and payload.
+            count: Called with the name of a metric for each fault.
+        """
+        self._fabric = fabric
+        self._on_packet = on_packet
+        self._count = count
+
+    def datagramReceived(self, datagram: bytes, addr: ids.Address) -> None:
+        try:
+            src, dst, payload = proxy_header.unpack(datagram)
+        except (errors.MessageError, errors.VersionError):
+            self._count('balancer.bad_proxy_header')
+            return
+        self._on_packet(src, dst, payload)
+
+    def send(self, src, dst, payload):
+        try:
+            datagram = proxy_header.pack(src, dst, payload)
+            self.transport.write(datagram, self._fabric)
+        except (errors.MessageError, OSError):
+            self._count('balancer.reply_not_sent')
--- /dev/null
+++ b/figdrum/balancer/frame_port.py
@@ -0,0 +1,45 @@
+"""The UDP port between this balancer and the agents."""
+
+import collections.abc
+
+from twisted.internet import protocol
+
+from figdrum.core import errors
+from figdrum.core import ids
+from figdrum.core import ports
+from figdrum.messages import codec
+
+OnMessage = collections.abc.Callable[[ids.Address, codec.Message], None]
+Count = collections.abc.Callable[[str], None]
+
+
+class FramePort(protocol.DatagramProtocol, ports.PeerPort):
+    """Decodes datagrams of agents and sends datagrams to them."""
+    noisy = False
+
+    def __init__(self, on_message: OnMessage, count: Count):
+        """Initializes the port.
+
+        Args:
+            on_message: Called with the sender's address and its message.
+            count: Called with the name of a metric for each fault.
+        """
+        self._on_message = on_message
+        self._count = count
+
+    def datagramReceived(self, datagram: bytes, addr: ids.Address) -> None:
+        try:
+            message = codec.decode(datagram)
+        except errors.MessageError:
+            self._count('balancer.bad_frame')
+            return
+        except errors.VersionError:
+            self._count('balancer.frame_of_other_version')
+            return
+        self._on_message(addr, message)
+
+    def send(self, address, datagram):
+        try:
+            self.transport.write(datagram, address)
+        except (OSError, OverflowError, ValueError):
+            self._count('balancer.frame_not_sent')
--- a/figdrum/routing/tests/test_router.py
+++ b/figdrum/routing/tests/test_router.py
@@ -52,18 +52,28 @@
     return members
 
 
+class _Freshness:
+    """A fresh balancer, until it is told that it is behind."""
+    may_serve = True
+    behind = False
+
+    def is_behind(self, now_ms):
+        """Answers the same at any time."""
+        del now_ms
+        return self.behind
+
+
 class _Balancer:
     """A router with its parts."""
 
     def __init__(self, zone='a', members=None, contracts=_Contracts()):
-        self.gate = serving.ServingGate()
-        self.gate.start()
+        self.freshness = _Freshness()
         self.suspicions = suspicion.SuspicionTable()
         self.members = _members() if members is None else members
         self.contracts = contracts
-        self.router = router.Router(router.packet_chain(zone, self.gate),
-                                    classifier.CoapClassifier(),
-                                    self.suspicions, BALANCER)
+        self.router = router.Router(
+            router.packet_chain(zone, serving.ServingGate(self.freshness)),
+            classifier.CoapClassifier(), self.suspicions, BALANCER)
 
     def route(self, src=SRC, dst=DST, payload=GET, now_ms=0):
         """Routes one packet."""
@@ -160,9 +170,8 @@
     """Guards against routing by a state that is known to be old."""
     balancer = _Balancer(members=_members(0))
     assert balancer.route() == router.Dropped(drop_reason.DropReason.NO_MEMBER)
-    balancer.gate.on_newer_change(0, 99)
-    assert balancer.route(now_ms=7001) == router.Dropped(
-        drop_reason.DropReason.BEHIND)
+    balancer.freshness.behind = True
+    assert balancer.route() == router.Dropped(drop_reason.DropReason.BEHIND)
 
 
 @hypothesis.given(strategies.binary(max_size=64))
