--- a/figdrum/balancer/control_stream.py
+++ b/figdrum/balancer/control_stream.py
@@ -57,6 +57,7 @@
                                           max_map_len=_MAX_ITEMS)
         self._paused = False
         self._ended = False
+        self._unread_bytes = 0
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -90,6 +91,19 @@
         self.transport.write(codec.encode(message))
         return True
 
+    def send_in_order(self, message: control.Message) -> None:
+        """Writes `message`, or ends the stream if the peer is far behind."""
+        if self._ended:
+            return
+        data = codec.encode(message)
+        if self._paused:
+            self._unread_bytes += len(data)
+        if self._unread_bytes > MAX_MESSAGE_BYTES:
+            self._owner.count('balancer.slow_subscriber')
+            self.close()
+            return
+        self.transport.write(data)
+
     def close(self) -> None:
         """Ends the stream at once."""
         self._ended = True
@@ -105,6 +119,7 @@
     def resumeProducing(self) -> None:
         """Writes messages again."""
         self._paused = False
+        self._unread_bytes = 0
 
     def stopProducing(self) -> None:
         """Drops all further messages."""
--- /dev/null
+++ b/figdrum/balancer/counters.py
@@ -0,0 +1,55 @@
+"""Counts events and reports them once a second.
+
+Explanation
+===========
+
+A balancer handles thousands of packets a second, so it sends sums to the
+metrics and not a datagram for each event.
+
+Examples
+========
+
+>>> counters = Counters()
+>>> counters.incr('balancer.forwarded')
+>>> counters.incr('balancer.forwarded')
+>>> counters.take()
+{'balancer.forwarded': 2}
+>>> counters.take()
+{}
+"""
+
+import collections
+import typing
+
+
+class Sink(typing.Protocol):
+    """What the balancer needs of `telemetry.metrics.Metrics`."""
+
+    def incr(self, name: str, count: int = 1) -> None:
+        """Adds `count` to the counter `name`."""
+
+    def gauge(self, name: str, value: float) -> None:
+        """Sets the gauge `name`."""
+
+
+class Counters:
+    """Sums by name since they were last taken."""
+
+    def __init__(self) -> None:
+        self._sums: collections.defaultdict[str,
+                                            int] = collections.defaultdict(int)
+
+    def incr(self, name: str) -> None:
+        """Adds one to `name`."""
+        self._sums[name] += 1
+
+    def take(self) -> dict[str, int]:
+        """Returns the sums and starts anew."""
+        sums = dict(self._sums)
+        self._sums.clear()
+        return sums
+
+    def flush(self, sink: Sink) -> None:
+        """Reports the sums to `sink` and starts anew."""
+        for name, count in self.take().items():
+            sink.incr(name, count)
--- /dev/null
+++ b/figdrum/balancer/registration.py
@@ -0,0 +1,80 @@
+"""Keeps the balancer's entry in the registry of its zone.
+
+Explanation
+===========
+
+The balancer registers when it starts, and again when it finds that others
+removed its entry while it could not be heard. While it stops it removes the
+entry, but does not wait for a platform that is down: readers prune it then. A
+reader of the zone also prunes others.
+"""
+
+from twisted.internet import defer
+
+from figdrum.core import errors
+from figdrum.membership import registry as registry_writer
+from figdrum.sync import registry as registry_lib
+from figdrum.sync import replica
+from figdrum.telemetry import logs
+
+# Two balancers with one name would otherwise register in turns without pause.
+REPEAT_MS = 10_000
+
+_log = logs.part('balancer')
+
+
+class Registration:
+    """One balancer's writes to the registry."""
+
+    def __init__(self, own: registry_lib.Balancer, data: replica.Replica,
+                 writer: registry_writer.RegistryWriter):
+        self._own = own
+        self._replica = data
+        self._writer = writer
+        self._next_ms = 0
+        self._version = 0
+        self._running = False
+        self._pruning = False
+        self._stopped = False
+
+    def on_tick(self, now_ms: int) -> None:
+        """Registers if it is needed; call it about once a second."""
+        known = self._replica.registry(self._own.zone)
+        # An older copy of the registry does not have the entry yet.
+        missing = (known.version >= self._version and
+                   self._own not in known.balancers)
+        if (self._stopped or self._running or not missing or
+                now_ms < self._next_ms):
+            return
+        self._next_ms = now_ms + REPEAT_MS
+        self._running = True
+        self._writer.register(self._own).addCallbacks(self._registered,
+                                                      self._failed)
+
+    def prune(self, silent: tuple[str, ...]) -> None:
+        """Removes balancers that were silent for too long."""
+        if not silent or self._pruning or self._stopped:
+            return
+        self._pruning = True
+        _log.warning('pruning silent balancers %s', ', '.join(silent))
+        self._writer.prune(frozenset(silent)).addErrback(self._failed).addBoth(
+            self._pruned)
+
+    def stop(self) -> defer.Deferred:
+        """Removes the entry; the Deferred never fails."""
+        self._stopped = True
+        return self._writer.deregister(self._own).addErrback(self._failed)
+
+    def _registered(self, written) -> None:
+        self._running = False
+        if written is not None:
+            self._version = written.version
+            _log.info('registered %s in %s', self._own.name, self._own.zone)
+
+    def _pruned(self, _) -> None:
+        self._pruning = False
+
+    def _failed(self, failure) -> None:
+        failure.trap(errors.FigdrumError)
+        self._running = False
+        _log.warning('registry of %s: %s', self._own.zone, failure.value)
--- a/figdrum/routing/router.py
+++ b/figdrum/routing/router.py
@@ -67,27 +67,51 @@
     rows: tuple[tuple[bytes, service_list.Member], ...]
 
 
-def packet_chain(zone: ids.ZoneName,
-                 gate: serving.ServingGate) -> chain.FilterChain:
-    """Returns the balancer's filters in their order."""
-    return chain.FilterChain(packet_serving.PacketServingFilter(gate),
-                             packet_zone.PacketZoneFilter(zone),
-                             packet_address.PacketAddressFilter(),
-                             packet_source.PacketSourceFilter())
-
-
 class Router:
     """Routes packets; keeps suspicions but no flows."""
 
-    def __init__(self, filters: chain.FilterChain,
-                 packet_classifier: classifier.PacketClassifier,
-                 suspicions: suspicion.SuspicionTable, balancer: ids.Address):
-        self._filters = filters
-        self._classifier = packet_classifier
-        self._suspicions = suspicions
+    def __init__(
+            self,
+            zone: ids.ZoneName,
+            balancer: ids.Address,
+            gate: serving.ServingGate,
+            limits: suspicion.SuspicionLimits = suspicion.SuspicionLimits(),
+            packet_classifier: classifier.PacketClassifier | None = None):
+        """Initializes the router.
+
+        Args:
+            zone: The balancer's zone.
+            balancer: Its frame address, to which agents reply.
+            gate: Whether it may route at present.
+            limits: When agents are pinged and suspected.
+            packet_classifier: Reads callers' packets; CoAP by default.
+        """
         self._balancer = balancer
+        self._classifier = packet_classifier or classifier.CoapClassifier()
+        self._suspicions = suspicion.SuspicionTable(limits)
+        self._filters = chain.FilterChain(
+            packet_serving.PacketServingFilter(gate),
+            packet_zone.PacketZoneFilter(zone),
+            packet_address.PacketAddressFilter(),
+            packet_source.PacketSourceFilter())
         self._candidates: dict[str, _Candidates] = {}
 
+    def on_heard(self, now_ms: int, agent: ids.Address) -> None:
+        """Notes a frame from `agent`."""
+        self._suspicions.on_heard(now_ms, agent)
+
+    def on_members(self, agents: frozenset[ids.Address]) -> None:
+        """Forgets agents that are not among those of all lists."""
+        self._suspicions.keep_only(agents)
+
+    def due_pings(self, now_ms: int) -> tuple[ids.Address, ...]:
+        """Returns the agents to ping; see `SuspicionTable.due_pings`."""
+        return self._suspicions.due_pings(now_ms)
+
+    def suspected(self) -> tuple[ids.Address, ...]:
+        """Returns the agents that are passed over."""
+        return self._suspicions.suspected()
+
     def route(self, now_ms: int, src: ids.Address, dst: ids.Address,
               payload: bytes, contracts: typing.Any,
               lists: ListLookup) -> Forward | Dropped:
