Test the balancer process in virtual time and mend what it found

Missing: the process had not been run.

Found by it: a registry entry with fields of a wrong type raised TypeError in each tick, a list member with a number as name raised at each packet, and MemoryStore cancelled a timer that had already fired. An address from a digest was given to connectTCP unchecked, where a name would be looked up.

Ruled out: going on with the last contracts when the next change cannot be read.

Conclusion: what is left is a run with real sockets and signals.

--- a/figdrum/balancer/control_port.py
+++ b/figdrum/balancer/control_port.py
@@ -10,6 +10,7 @@
 
 import collections.abc
 import dataclasses
+import ipaddress
 import typing
 
 from twisted.internet import error
@@ -31,6 +32,8 @@
 # Messages kept for a stream that is being opened; later ones make up for them.
 _MAX_WAITING = 8
 
+_MAX_PORT = 65_535
+
 OnMessage = collections.abc.Callable[
     [control_stream.ControlStream, codec.Message], None]
 OnClosed = collections.abc.Callable[[control_stream.ControlStream], None]
@@ -81,6 +84,9 @@
         now_ms = self._clock.now_ms()
         outgoing = self._outgoing.get(address)
         if outgoing is None:
+            if not _is_remote(address):
+                self.count('balancer.bad_peer_address')
+                return
             if len(self._outgoing) >= MAX_OUTGOING:
                 self._close_least_used()
             outgoing = _Outgoing(address, now_ms)
@@ -166,6 +172,18 @@
             outgoing.connector.disconnect()
 
 
+def _is_remote(address: ids.Address) -> bool:
+    """Returns True for a dotted IPv4 address with a port above 0.
+
+    Other names would be looked up by the resolver; addresses come from digests.
+    """
+    try:
+        ipaddress.IPv4Address(address[0])
+        return 0 < address[1] <= _MAX_PORT
+    except ValueError:
+        return False
+
+
 class _IncomingFactory(protocol.ServerFactory):
     """Accepts streams while there is room."""
     noisy = False
--- a/figdrum/balancer/reactor_timers.py
+++ b/figdrum/balancer/reactor_timers.py
@@ -16,6 +16,18 @@
 from figdrum.core import ports
 
 
+class _Timer:
+    """A call that is due later."""
+
+    def __init__(self, call: typing.Any):
+        self._call = call
+
+    def cancel(self) -> None:
+        """Stops the call; without effect once it was made or stopped."""
+        if self._call.active():
+            self._call.cancel()
+
+
 class ReactorTimers(ports.Timers):
     """Calls functions by an `IReactorTime`."""
 
@@ -23,4 +35,4 @@
         self._reactor = reactor
 
     def call_later(self, delay_ms, fn):
-        return self._reactor.callLater(delay_ms / clock.MS_PER_S, fn)
+        return _Timer(self._reactor.callLater(delay_ms / clock.MS_PER_S, fn))
--- /dev/null
+++ b/figdrum/balancer/tests/fake_network.py
@@ -0,0 +1,166 @@
+"""A reactor and network in virtual time for tests of whole processes."""
+
+# Twisted's names.
+# pylint: disable=invalid-name
+
+import ipaddress
+
+from twisted.internet import address
+from twisted.internet import error
+from twisted.internet import main
+from twisted.internet import task
+from twisted.python import failure
+
+_DELAY_S = 0.001
+_FIRST_PORT = 20_000
+
+
+class _Port:
+    """A port that is bound."""
+
+    def __init__(self, ports, bound):
+        self._ports = ports
+        self._bound = bound
+
+    def getHost(self):
+        """Returns the address."""
+        return address.IPv4Address('TCP', *self._bound)
+
+    def stopListening(self):
+        """Frees the port."""
+        self._ports.pop(self._bound, None)
+
+
+class _Datagrams:
+    """Transport of a UDP protocol."""
+
+    def __init__(self, network, bound):
+        self._network = network
+        self._bound = bound
+
+    def write(self, datagram, to):
+        """Sends a datagram; it is lost if nobody listens."""
+        self._network.send(self._bound, to, datagram)
+
+
+class _Stream:
+    """Transport of one end of a TCP connection."""
+
+    def __init__(self, network, protocol):
+        self._network = network
+        self.protocol = protocol
+        self.other = None
+        self.open = True
+
+    def write(self, data):
+        """Sends bytes to the other end."""
+        self._network.callLater(_DELAY_S, self.other.receive, data)
+
+    def receive(self, data):
+        """Takes bytes from the other end."""
+        if self.open:
+            self.protocol.dataReceived(data)
+
+    def abortConnection(self):
+        """Ends both ends."""
+        for end in (self, self.other):
+            self._network.callLater(_DELAY_S, end.end)
+
+    def end(self):
+        """Reports the end once."""
+        if self.open:
+            self.open = False
+            self.protocol.connectionLost(failure.Failure(main.CONNECTION_DONE))
+
+    def ignore(self, *args):
+        """Does nothing."""
+
+    setTcpNoDelay = setTcpKeepAlive = registerProducer = ignore
+    unregisterProducer = ignore
+
+
+class _Connector:
+    """A connection that is being opened."""
+
+    def disconnect(self):
+        """Does nothing; the network connects at once."""
+
+
+class FakeNetwork(task.Clock):
+    """The reactor of all processes of a test.
+
+    Attributes:
+        cut: Hosts that nothing reaches.
+        sent: (from, to, datagram) of all datagrams.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.cut = set()
+        self.sent = []
+        self._udp = {}
+        self._tcp = {}
+        self._next_port = _FIRST_PORT
+
+    def _bind(self, ports, wanted, what):
+        if not wanted[1]:
+            self._next_port += 1
+            wanted = (wanted[0], self._next_port)
+        if wanted in ports:
+            raise error.CannotListenError(*wanted, 'in use')
+        ports[wanted] = what
+        return wanted
+
+    def listenUDP(self, port, protocol, interface, max_size):
+        """Binds a UDP port."""
+        del max_size
+        bound = self._bind(self._udp, (interface, port), protocol)
+        protocol.transport = _Datagrams(self, bound)
+        return _Port(self._udp, bound)
+
+    def listenTCP(self, port, factory, interface):
+        """Binds a TCP port."""
+        return _Port(self._tcp, self._bind(self._tcp, (interface, port),
+                                           factory))
+
+    def connectTCP(self, host, port, factory, timeout):
+        """Connects to a TCP port after a short time."""
+        del timeout
+        assert ipaddress.IPv4Address(host) and 0 < port < 2**16
+        self.callLater(_DELAY_S, self._connect, (host, port), factory)
+        return _Connector()
+
+    def _connect(self, to, factory):
+        listener = self._tcp.get(to)
+        accepted = None
+        if listener is not None and to[0] not in self.cut:
+            accepted = listener.buildProtocol(None)
+        if accepted is None:
+            factory.clientConnectionFailed(
+                None, failure.Failure(error.ConnectionRefusedError()))
+            return
+        ends = [
+            _Stream(self, protocol)
+            for protocol in (factory.buildProtocol(None), accepted)
+        ]
+        ends[0].other, ends[1].other = ends[1], ends[0]
+        for end in ends:
+            end.protocol.makeConnection(end)
+
+    def send(self, src, dst, datagram):
+        """Delivers a datagram after a short time."""
+        self.sent.append((src, dst, datagram))
+        if dst[0] not in self.cut and src[0] not in self.cut:
+            self.callLater(_DELAY_S, self._deliver, src, dst, datagram)
+
+    def _deliver(self, src, dst, datagram):
+        protocol = self._udp.get(dst)
+        if protocol is not None:
+            protocol.datagramReceived(datagram, src)
+
+    def run(self, seconds):
+        """Lets time pass from one call to the next."""
+        end = self.seconds() + seconds
+        while self.calls and self.calls[0].getTime() <= end:
+            self.advance(max(0, self.calls[0].getTime() - self.seconds()))
+        self.advance(max(0, end - self.seconds()))
--- a/figdrum/membership/service_list.py
+++ b/figdrum/membership/service_list.py
@@ -73,10 +73,7 @@
         """
         try:
             members = tuple(
-                Member(row['name'], (
-                    row['host'], row['port']), row['zone'], row['incarnation'],
-                       states.MemberState(row['state']), row['rejoined'])
-                for row in json.loads(text)['members'])
+                _read_member(row) for row in json.loads(text)['members'])
         except (KeyError, TypeError, ValueError) as exc:
             raise errors.MessageError('read list', f'lists/{service}',
                                       repr(exc)) from exc
@@ -124,3 +121,22 @@
         """Returns the routable members in rendezvous order of `key`."""
         by_name = {m.name: m for m in self.routable(zones_out)}
         return tuple(by_name[name] for name in rendezvous.order(key, by_name))
+
+
+_FIELD_TYPES = {
+    'name': str,
+    'host': str,
+    'port': int,
+    'zone': str,
+    'incarnation': int,
+    'rejoined': bool,
+}
+
+
+def _read_member(row: dict) -> Member:
+    for field, wanted in _FIELD_TYPES.items():
+        if type(row[field]) is not wanted:  # pylint: disable=unidiomatic-typecheck
+            raise TypeError(f'{field} is {row[field]!r:.40}')
+    return Member(row['name'], (row['host'], row['port']),
+                  row['zone'], row['incarnation'],
+                  states.MemberState(row['state']), row['rejoined'])
--- a/figdrum/sync/registry.py
+++ b/figdrum/sync/registry.py
@@ -64,8 +64,7 @@
         """
         try:
             balancers = tuple(
-                Balancer(row['name'], ids.ZoneName(zone), (row['host'],
-                                                           row['port']))
+                _read_balancer(zone, row)
                 for row in json.loads(text)['balancers'])
         except (KeyError, TypeError, ValueError) as exc:
             raise errors.MessageError('read registry', key(zone),
@@ -96,3 +95,10 @@
 def key(zone: str) -> str:
     """Returns the key of a zone's registry."""
     return PREFIX + zone
+
+
+def _read_balancer(zone: str, row: dict) -> Balancer:
+    for field, wanted in (('name', str), ('host', str), ('port', int)):
+        if type(row[field]) is not wanted:  # pylint: disable=unidiomatic-typecheck
+            raise TypeError(f'{field} is {row[field]!r:.40}')
+    return Balancer(row['name'], ids.ZoneName(zone), (row['host'], row['port']))
