Add the program figdrum with its commands

Missing: no command existed. The audit trail had no place for why a change was proposed, which the approver needs to judge it.

Ruled out: cleo's own error pages, which print a traceback and exit with 1 for everything, and task.react alone, which prints failures itself and hides their type.

Change: cli.app loads one module per command when that command runs. Operators' commands run a Deferred on the reactor; errors print part, code, step, peer and remedy from one table, and exit with 0 to 4 as documented there. `contract propose` names its proposal before it writes, so that a proposal whose answer was lost can be repeated under the same id. Proposals have a purpose (contracts.proposals, contracts.change_log). Settings may take the operator's name from the command line.

Before: no program. After: tests of cli, settings and contracts pass, among them two that run the real program.

--- /dev/null
+++ b/figdrum/cli/app.py
@@ -0,0 +1,86 @@
+"""The program `figdrum`.
+
+Explanation
+===========
+
+Each command lies in a module of its own that is imported when the command
+runs, so that a process holds in memory only what it uses.
+"""
+
+import collections.abc
+import importlib
+import sys
+
+from cleo import application
+from cleo import exceptions
+from cleo.commands import command as cleo_command
+from cleo.io.inputs import argv_input
+from cleo.io.outputs import output as cleo_output
+from cleo.loaders import factory_command_loader
+
+import figdrum
+from figdrum.cli import remedies
+
+COMMANDS = {
+    'balancer': 'figdrum.cli.balancer:BalancerCommand',
+    'agent': 'figdrum.cli.agent:AgentCommand',
+    'contract propose': 'figdrum.cli.contract_propose:ProposeCommand',
+    'contract show': 'figdrum.cli.contract_show:ShowCommand',
+    'contract approve': 'figdrum.cli.contract_approve:ApproveCommand',
+    'contract reject': 'figdrum.cli.contract_reject:RejectCommand',
+    'contract list': 'figdrum.cli.contract_list:ListCommand',
+    'contract history': 'figdrum.cli.contract_history:HistoryCommand',
+    'zone out': 'figdrum.cli.zone:OutCommand',
+    'zone in': 'figdrum.cli.zone:InCommand',
+    'status': 'figdrum.cli.status:StatusCommand',
+    'audit': 'figdrum.cli.audit:AuditCommand',
+    'check': 'figdrum.cli.check:CheckCommand',
+    'replay': 'figdrum.cli.replay:ReplayCommand',
+}
+
+
+def _factory(place: str) -> collections.abc.Callable[[], cleo_command.Command]:
+
+    def make() -> cleo_command.Command:
+        module, _, name = place.partition(':')
+        return getattr(importlib.import_module(module), name)()
+
+    return make
+
+
+def make_application() -> application.Application:
+    """Returns the application with all commands, none of them imported."""
+    app = application.Application('figdrum', figdrum.__version__)
+    app.set_command_loader(
+        factory_command_loader.FactoryCommandLoader({
+            name: _factory(place) for name, place in COMMANDS.items()
+        }))
+    app.auto_exits(False)
+    app.catch_exceptions(False)
+    return app
+
+
+def main(argv: collections.abc.Sequence[str] | None = None,
+         output: cleo_output.Output | None = None,
+         error_output: cleo_output.Output | None = None) -> int:
+    """Runs one command.
+
+    Args:
+      argv: Arguments after the program's name, by default the process's.
+      output: Where results go, by default standard output.
+      error_output: Where errors go, by default standard error.
+
+    Returns:
+      A value of `remedies.ExitCode`.
+    """
+    arguments = list(sys.argv[1:] if argv is None else argv)
+    app = make_application()
+    parsed = argv_input.ArgvInput(['figdrum'] + arguments)
+    parsed.set_stream(sys.stdin)
+    try:
+        return app.run(parsed, output, error_output)
+    except exceptions.CleoError as exc:
+        io = app.create_io(parsed, output, error_output)
+        io.write_error_line(f'figdrum: {exc}')
+        io.write_error_line('Commands: ' + ', '.join(COMMANDS))
+        return int(remedies.ExitCode.USAGE)
--- /dev/null
+++ b/figdrum/cli/base.py
@@ -0,0 +1,62 @@
+"""Bases of all commands."""
+
+import abc
+
+from cleo import exceptions
+from cleo.commands import command
+from cleo.io.inputs import option as cleo_option
+from cleo.io.outputs import output as cleo_output
+
+from figdrum.cli import remedies
+from figdrum.core import errors
+
+CONFIG_OPTION = cleo_option.Option('config',
+                                   'c',
+                                   flag=False,
+                                   description='Settings file (INI).')
+
+
+class Command(command.Command, abc.ABC):
+    """A command that turns errors into an exit code and a remedy."""
+
+    def handle(self) -> int:
+        """Runs the command; called by cleo."""
+        try:
+            return int(self.act())
+        except errors.FigdrumError as exc:
+            return self.fail(exc)
+
+    @abc.abstractmethod
+    def act(self) -> remedies.ExitCode:
+        """Does the command's work."""
+
+    def fail(self, exc: errors.FigdrumError) -> int:
+        """Prints an error with its remedy and returns its exit code."""
+        remedy = remedies.find(exc)
+        self.print_error(f'{remedy.part}: {exc.code} in step "{exc.step}" '
+                         f'at {exc.peer}')
+        for reason in exc.reason.split('; '):
+            self.print_error(f'  {reason}')
+        self.print_error(f'What to do: {remedy.remedy}')
+        return int(remedy.exit_code)
+
+    def print(self, text: str) -> None:
+        """Writes a line of the result, without reading it as markup."""
+        self.io.output.write(text, new_line=True, type=cleo_output.Type.RAW)
+
+    def print_error(self, text: str) -> None:
+        """Writes a line to the error output."""
+        self.io.error_output.write(text,
+                                   new_line=True,
+                                   type=cleo_output.Type.RAW)
+
+    def config_path(self) -> str:
+        """Returns the path given by --config.
+
+        Raises:
+          exceptions.CleoRuntimeError: if it is missing.
+        """
+        path = self.option('config')
+        if not path:
+            raise exceptions.CleoRuntimeError('the option -c FILE is required')
+        return path
--- /dev/null
+++ b/figdrum/cli/contract_history.py
@@ -0,0 +1,29 @@
+"""`figdrum contract history`: lists approved changes."""
+
+from cleo.io.inputs import argument
+from twisted.internet import defer
+
+from figdrum.cli import operator
+from figdrum.cli import rows
+
+
+class HistoryCommand(operator.OperatorCommand):
+    """Lists approved changes in order."""
+    name = 'contract history'
+    description = 'Lists approved changes, of all or of one subject.'
+    arguments = [
+        argument.Argument(
+            'subject',
+            required=False,
+            description='Such as contract/CUSTOMER or zone/ZONE; by default '
+            'all.')
+    ]
+
+    def prepare(self):
+        return self._work
+
+    @defer.inlineCallbacks
+    def _work(self, session: operator.Session):
+        subject = self.argument('subject') or ''
+        for entry in (yield session.log.history(subject)):
+            self.print(rows.change_row(entry))
--- /dev/null
+++ b/figdrum/cli/operator.py
@@ -0,0 +1,115 @@
+"""Base of the commands with which operators act on the platform."""
+
+import abc
+import collections.abc
+import datetime
+import typing
+
+from cleo.io.inputs import option as cleo_option
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.python import failure
+
+from figdrum.cli import base
+from figdrum.cli import remedies
+from figdrum.contracts import change_log
+from figdrum.core import clock
+from figdrum.platform import http_store
+from figdrum.platform import store as store_lib
+from figdrum.settings import loader
+from figdrum.settings import schema
+
+OPERATOR_OPTION = cleo_option.Option(
+    'operator',
+    flag=False,
+    description='Who acts; by default the name in [process].')
+
+
+class Session(typing.NamedTuple):
+    """What a command works with.
+
+    Attributes:
+      operator: Who acts.
+      store: The platform.
+      log: The change log on it.
+    """
+    operator: str
+    store: store_lib.Store
+    log: change_log.ChangeLog
+
+
+def open_store(reactor: typing.Any, cfg: schema.Settings) -> store_lib.Store:
+    """Returns a client of the platform that `cfg` names."""
+    return http_store.HttpStore(reactor, cfg.platform.url, cfg.process.name,
+                                cfg.platform.timeout_ms)
+
+
+def run_reactor(
+        work: collections.abc.Callable[[typing.Any],
+                                       defer.Deferred]) -> typing.Any:
+    """Runs the reactor until the Deferred of `work(reactor)` fires.
+
+    Returns:
+      The Deferred's result.
+
+    Raises:
+      SystemExit: if the reactor was stopped by a signal.
+    """
+    outcome: list[typing.Any] = []
+
+    def start(reactor):
+        fired = defer.maybeDeferred(work, reactor)
+        # The outcome is kept here because react() prints failures itself.
+        fired.addBoth(outcome.append)
+        return fired
+
+    try:
+        task.react(start)
+    except SystemExit:
+        if not outcome:
+            raise
+    if isinstance(outcome[0], failure.Failure):
+        outcome[0].raiseException()
+    return outcome[0]
+
+
+class OperatorCommand(base.Command):
+    """A command that reads or writes the platform."""
+    options = [base.CONFIG_OPTION, OPERATOR_OPTION]
+
+    def act(self) -> remedies.ExitCode:
+        cfg = loader.load(self.config_path(),
+                          name=self.option('operator') or '')
+        work = self.prepare()
+
+        @defer.inlineCallbacks
+        def start(reactor):
+            store = open_store(reactor, cfg)
+            session = Session(cfg.process.name, store,
+                              change_log.ChangeLog(store, clock.SystemClock()))
+            return (yield work(session))
+
+        return run_reactor(start) or remedies.ExitCode.OK
+
+    @abc.abstractmethod
+    def prepare(self) -> collections.abc.Callable[[Session], typing.Any]:
+        """Reads arguments and files before the platform is called.
+
+        Returns:
+          What to call with the session; it returns a Deferred of an exit
+          code or None.
+        """
+
+
+def format_time(time_ms: int) -> str:
+    """Returns a time since the Unix epoch in UTC.
+
+    Examples
+    ========
+
+    >>> format_time(1_700_000_000_000)
+    '2023-11-14T22:13:20Z'
+    """
+    at = datetime.datetime.fromtimestamp(time_ms // clock.MS_PER_S,
+                                         datetime.UTC)
+    return at.strftime('%Y-%m-%dT%H:%M:%SZ')
--- /dev/null
+++ b/figdrum/cli/proposing.py
@@ -0,0 +1,59 @@
+"""Base of the commands that propose a change."""
+
+import abc
+import collections.abc
+import functools
+import typing
+import uuid
+
+from cleo.io.inputs import option as cleo_option
+from twisted.internet import defer
+
+from figdrum.cli import operator
+from figdrum.contracts import change
+from figdrum.core import errors
+
+
+class ProposingCommand(operator.OperatorCommand):
+    """Stores a proposal and prints its id alone on the first line."""
+    options = operator.OperatorCommand.options + [
+        cleo_option.Option(
+            'reason', flag=False, description='Why; shown to the approver.'),
+        cleo_option.Option(
+            'id',
+            flag=False,
+            description='Id of the proposal, to repeat a proposal whose '
+            'outcome is unknown.'),
+    ]
+
+    def prepare(
+            self
+    ) -> collections.abc.Callable[[operator.Session], defer.Deferred]:
+        return functools.partial(self._propose, self.make_body())
+
+    @abc.abstractmethod
+    def make_body(self) -> change.Body:
+        """Returns what is proposed."""
+
+    def warn(self, session: operator.Session) -> typing.Any:
+        """Prints what looks unintended; may return a Deferred."""
+
+    @defer.inlineCallbacks
+    def _propose(self, body: change.Body, session: operator.Session):
+        proposal_id = self.option('id') or uuid.uuid4().hex[:12]
+        yield self.warn(session)
+        try:
+            proposal = yield session.log.propose(
+                body,
+                session.operator,
+                proposal_id=proposal_id,
+                purpose=self.option('reason') or '')
+        except errors.StoreError:
+            self.print_error('Whether it was stored is unknown. Repeat the '
+                             f'command with --id {proposal_id}.')
+            raise
+        self.print(proposal.id)
+        self.print(f'proposed by {proposal.proposer}: {body.kind} of '
+                   f'{body.subject}')
+        self.print('Another operator approves it with: '
+                   f'figdrum contract approve {proposal.id} -c FILE')
--- /dev/null
+++ b/figdrum/cli/tests/test_commands.py
@@ -0,0 +1,285 @@
+"""Tests of the commands against a store in memory."""
+
+import importlib
+import json
+import os
+import pathlib
+import re
+import subprocess
+import sys
+import tomllib
+
+from cleo.io.outputs import buffered_output
+import pytest
+from twisted.internet import defer
+from twisted.python import failure
+
+import figdrum
+from figdrum.cli import app
+from figdrum.cli import operator
+from figdrum.cli import remedies
+from figdrum.core import errors
+from figdrum.platform import memory_store
+
+ROOT = pathlib.Path(figdrum.__file__).parent.parent
+DEADLINE_S = 120
+CONTRACT = {
+    'customer': 'rider-1',
+    'grants': [{
+        'service': 'fieldbook',
+        'host': '10.9.0.1',
+        'port': 5683
+    }],
+    'sources': [],
+    'limits': {
+        'flows': 100,
+        'new_flows': 10,
+        'requests': 20
+    },
+    'rank': 2,
+}
+
+
+class Desk:
+    """Runs commands as operators at one platform."""
+
+    def __init__(self, path: pathlib.Path):
+        self.store = memory_store.MemoryStore()
+        self._path = path
+        self.config = self.write('op.ini',
+                                 '[platform]\nurl = http://127.0.0.1:1\n')
+        self.errors = ''
+
+    def write(self, name: str, text: str) -> str:
+        """Returns the path of a new file."""
+        path = self._path / name
+        path.write_text(text, encoding='utf-8')
+        return str(path)
+
+    def run(self, *argv: str) -> tuple[int, list[str]]:
+        """Returns the exit code and the lines that the command printed."""
+        output = buffered_output.BufferedOutput()
+        error_output = buffered_output.BufferedOutput()
+        code = app.main(argv, output, error_output)
+        self.errors = error_output.fetch()
+        return code, output.fetch().splitlines()
+
+    def act(self, who: str, *argv: str) -> tuple[int, list[str]]:
+        """Runs a command as the operator `who`."""
+        return self.run(*argv, '-c', self.config, '--operator', who)
+
+
+def run_now(work):
+    """Runs `work` on a store whose Deferreds have all fired."""
+    outcome = []
+    defer.maybeDeferred(work, None).addBoth(outcome.append)
+    if isinstance(outcome[0], failure.Failure):
+        outcome[0].raiseException()
+    return outcome[0]
+
+
+@pytest.fixture(name='desk')
+def fixture_desk(tmp_path, monkeypatch) -> Desk:
+    """Operators at an empty platform."""
+    desk = Desk(tmp_path)
+    monkeypatch.setattr(operator, 'run_reactor', run_now)
+    monkeypatch.setattr(operator, 'open_store', lambda *_: desk.store)
+    return desk
+
+
+def propose(desk: Desk, **changes) -> str:
+    """Returns the id of salma's proposal of a contract."""
+    path = desk.write('contract.json', json.dumps(CONTRACT | changes))
+    code, lines = desk.act('salma', 'contract', 'propose', path, '--reason',
+                           'season start')
+    assert code == remedies.ExitCode.OK
+    return lines[0]
+
+
+def test_a_contract_goes_from_proposal_to_audit(desk):
+    """Guards against commands that lose or mix up a step of an approval."""
+    first = propose(desk)
+    assert re.fullmatch('[0-9a-f]{12}', first)
+    assert desk.act('rui', 'contract', 'approve', first)[0] == 0
+    assert desk.act('rui', 'contract', 'show', '--customer', 'rider-1')[0] == 0
+    assert any('season start' in line
+               for line in desk.act('rui', 'contract', 'show', first)[1])
+    second = propose(desk, rank=3)
+    assert desk.act('rui', 'contract', 'reject', second, '--reason',
+                    'no')[0] == 0
+    code, lines = desk.act('rui', 'contract', 'list', '--status', 'all')
+    assert code == 0 and len(lines) == 3
+    assert len(desk.act('rui', 'contract', 'history')[1]) == 1
+    code, lines = desk.act('rui', 'audit', '--json')
+    rows = [json.loads(line) for line in lines]
+    assert [row['proposal']['status'] for row in rows
+           ] == ['approved', 'rejected']
+    assert rows[0]['change']['approver'] == 'rui'
+    assert rows[0]['proposal']['purpose'] == 'season start'
+    third = desk.act('salma', 'contract', 'propose', '--remove', 'rider-1')
+    assert desk.act('rui', 'contract', 'approve', third[1][0])[0] == 0
+    assert desk.act('rui', 'contract', 'list')[1] == []
+
+
+def test_own_proposal_is_refused_with_a_remedy(desk):
+    """Guards against an approval by one person, or a refusal left unclear."""
+    first = propose(desk)
+    code, lines = desk.act('salma', 'contract', 'approve', first)
+    assert (code, lines) == (remedies.ExitCode.REFUSED, [])
+    for part in ('contracts: FD401', 'step "approve"', first, 'What to do'):
+        assert part in desk.errors
+
+
+def test_race_names_what_won(desk):
+    """Guards against a loser of a race who is not told why."""
+    first, second = propose(desk), propose(desk, rank=3)
+    assert desk.act('rui', 'contract', 'approve', first)[0] == 0
+    code, _ = desk.act('rui', 'contract', 'approve', second)
+    assert code == remedies.ExitCode.REFUSED
+    assert 'FD402' in desk.errors and 'change 1' in desk.errors
+
+
+def test_zone_goes_out_and_in_with_two_operators(desk):
+    """Guards against a zone move by one person."""
+    for verb, out in (('out', True), ('in', False)):
+        code, lines = desk.act('salma', 'zone', verb, 'muscat-a')
+        assert code == 0 and 'no back end is in zone' in desk.errors
+        assert ('zone  muscat-a  out' in desk.act('rui',
+                                                  'status')[1]) is not out
+        assert desk.act('rui', 'contract', 'approve', lines[0])[0] == 0
+        assert ('zone  muscat-a  out' in desk.act('rui', 'status')[1]) is out
+
+
+def test_status_shows_back_ends_and_balancers(desk):
+    """Guards against a status that leaves out what the platform lists."""
+    row = {
+        'name': 'fieldbook-1',
+        'host': '10.0.0.1',
+        'port': 7000,
+        'zone': 'muscat-a',
+        'incarnation': 1,
+        'state': 'draining',
+        'rejoined': False
+    }
+    desk.store.put('lists/fieldbook', json.dumps({'members': [row]}), 0)
+    desk.store.put('balancers/muscat-a', '[{"name": "muscat-1"}]', 0)
+    text = '\n'.join(desk.act('rui', 'status')[1])
+    for part in ('fieldbook  version 1  1 draining', 'fieldbook-1  draining',
+                 'muscat-a  version 1  muscat-1'):
+        assert part in text
+
+
+def test_platform_down_has_its_own_code_and_a_safe_repeat(desk):
+    """Guards against a second proposal after an answer that was lost."""
+    path = desk.write('contract.json', json.dumps(CONTRACT))
+    desk.store.down = True
+    code, _ = desk.act('salma', 'contract', 'propose', path)
+    assert code == remedies.ExitCode.UNREACHABLE
+    name = re.search('--id ([0-9a-f]+)', desk.errors)[1]
+    desk.store.down = False
+    for _ in range(2):
+        code, lines = desk.act('salma', 'contract', 'propose', path, '--id',
+                               name)
+        assert (code, lines[0]) == (0, name)
+    assert len(desk.act('rui', 'contract', 'list')[1]) == 1
+
+
+@pytest.mark.parametrize('argv', [
+    ('what',),
+    ('contract', 'what'),
+    ('check',),
+    ('check', 'a', 'b'),
+    ('status',),
+    ('status', '--what'),
+    ('contract', 'list', '-c', 'CONFIG', '--status', 'what'),
+    ('contract', 'show', '-c', 'CONFIG'),
+    ('contract', 'propose', '-c', 'CONFIG', '--operator', 'rui'),
+])
+def test_wrong_usage_has_its_own_code(desk, argv):
+    """Guards against a script that takes a mistyped command for a refusal."""
+    argv = [desk.config if arg == 'CONFIG' else arg for arg in argv]
+    if desk.config in argv:
+        argv += ['--operator', 'rui']
+    assert desk.run(*argv)[0] == remedies.ExitCode.USAGE
+    assert desk.errors
+
+
+@pytest.mark.parametrize('text', ['', '{', '[]', '{"customer": "x"}'])
+def test_bad_contract_file_is_refused(desk, text):
+    """Guards against a traceback for a mistake in a contract file."""
+    path = desk.write('contract.json', text)
+    code, _ = desk.act('salma', 'contract', 'propose', path)
+    assert code == remedies.ExitCode.REFUSED and 'FD400' in desk.errors
+
+
+def test_check_prints_each_fault_and_exits_non_zero(desk):
+    """Guards against a deployment that goes on with a bad file."""
+    path = desk.write('bad.ini', '[process]\nname = A B\n[x]\n')
+    code, lines = desk.run('check', path)
+    assert code == remedies.ExitCode.FAULT
+    assert [line.startswith(path) for line in lines] == [True] * 3
+    code, lines = desk.run(
+        'check',
+        desk.write(
+            'ok.ini', '[process]\nname = rui\n'
+            '[platform]\nurl = http://1.2.3.4:5\n'))
+    assert (code, len(lines)) == (0, 1)
+
+
+def test_every_error_has_a_remedy():
+    """Guards against an error code that operators cannot look up."""
+    classes = {
+        value for value in vars(errors).values()
+        if isinstance(value, type) and issubclass(value, errors.FigdrumError)
+    }
+    assert classes == set(remedies.REMEDIES)
+    assert set(remedies.ExitCode) == set(remedies.EXIT_MEANINGS)
+
+
+def test_every_command_can_be_made():
+    """Guards against a command whose module or class is misnamed."""
+    for name, place in app.COMMANDS.items():
+        module, _, cls = place.partition(':')
+        assert getattr(importlib.import_module(module), cls)().name == name
+
+
+def test_version_matches_the_project():
+    """Guards against a binary that reports another version."""
+    text = (ROOT / 'pyproject.toml').read_text(encoding='utf-8')
+    assert tomllib.loads(text)['project']['version'] == figdrum.__version__
+
+
+def run_process(*argv: str) -> subprocess.CompletedProcess:
+    """Runs the real program."""
+    return subprocess.run([sys.executable, '-m', 'figdrum', *argv],
+                          cwd=ROOT,
+                          env=os.environ | {'PYTHONPATH': str(ROOT)},
+                          capture_output=True,
+                          text=True,
+                          timeout=DEADLINE_S,
+                          check=False)
+
+
+def test_program_reports_an_unreachable_platform(tmp_path):
+    """Guards against a traceback or a hang when the reactor really runs."""
+    path = tmp_path / 'op.ini'
+    path.write_text(
+        '[process]\nname = rui\n[platform]\nurl = http://127.0.0.1:1\n'
+        'timeout_ms = 200\n',
+        encoding='utf-8')
+    done = run_process('contract', 'list', '-c', str(path))
+    assert done.returncode == remedies.ExitCode.UNREACHABLE
+    assert 'platform: FD200' in done.stderr
+    assert 'Traceback' not in done.stderr
+
+
+def test_small_commands_do_not_load_the_reactor():
+    """Guards against processes that hold modules they do not use."""
+    code = ('import sys; from figdrum.cli import app; app.main(["check", "x"]);'
+            'sys.exit("twisted" in sys.modules)')
+    done = subprocess.run([sys.executable, '-c', code],
+                          cwd=ROOT,
+                          timeout=DEADLINE_S,
+                          capture_output=True,
+                          check=False)
+    assert done.returncode == 0, done.stderr
--- a/figdrum/contracts/change_log.py
+++ b/figdrum/contracts/change_log.py
@@ -44,6 +44,9 @@
 BODY_LIMIT_BYTES = 12_000
 """Largest body, so that an entry fits into one control message of 16 KB."""
 
+PURPOSE_LIMIT = 1_000
+"""Longest purpose in characters."""
+
 OPERATOR_LIMIT = 100
 """Longest operator name in characters."""
 
@@ -132,7 +135,8 @@
     def propose(self,
                 body: change_lib.Body,
                 proposer: str,
-                proposal_id: str = ''):
+                proposal_id: str = '',
+                purpose: str = ''):
         """Stores a proposal.
 
         Args:
@@ -140,6 +144,7 @@
           proposer: Operator.
           proposal_id: Id to use; a repetition with the same id and body returns
             the stored proposal. By default a new id.
+          purpose: Why the proposer wants it, for the approver and the audit.
 
         Returns:
           A Deferred of the `Proposal`.
@@ -158,8 +163,12 @@
                 return _same_proposal(earlier, body, proposer)
         loaded = yield self.load()
         state_lib.preview(loaded.state, body)
-        proposal = proposals.Proposal(name, proposer, self._clock.wall_ms(),
-                                      loaded.state.version(body.subject), body)
+        proposal = proposals.Proposal(name,
+                                      proposer,
+                                      self._clock.wall_ms(),
+                                      loaded.state.version(body.subject),
+                                      body,
+                                      purpose=purpose[:PURPOSE_LIMIT])
         try:
             yield self._write(key, proposal.to_json(), 0)
         except errors.ConflictError:
--- a/figdrum/contracts/proposals.py
+++ b/figdrum/contracts/proposals.py
@@ -49,6 +49,7 @@
       reason: Why it was rejected, or ''.
       change: Number of the change, or the intended number while the status is
         proposed; 0 before an intent.
+      purpose: Why the proposer wants it, or ''.
     """
     id: str
     proposer: str
@@ -60,6 +61,7 @@
     decided_ms: int = 0
     reason: str = ''
     change: int = 0
+    purpose: str = ''
 
     @property
     def has_intent(self) -> bool:
--- a/figdrum/settings/loader.py
+++ b/figdrum/settings/loader.py
@@ -80,18 +80,19 @@
         self.faults.append(Fault(self._path, section, key, value, reason))
 
 
-def load(path: str, role: str = '') -> schema.Settings:
+def load(path: str, role: str = '', name: str = '') -> schema.Settings:
     """Returns the settings in the file `path`.
 
     Args:
       path: An INI file.
       role: 'balancer' or 'agent' when the file must have that section.
+      name: Replaces the process's name in the file.
 
     Raises:
       errors.SettingsError: if the file cannot be read or has any fault; the
         reason names all faults.
     """
-    reading = read(path, role)
+    reading = read(path, role, name)
     if reading.settings is None:
         raise errors.SettingsError(
             'load settings', path,
@@ -99,8 +100,14 @@
     return reading.settings
 
 
-def read(path: str, role: str = '') -> Reading:
-    """Returns the settings in the file `path`, or all of its faults."""
+def read(path: str, role: str = '', name: str = '') -> Reading:
+    """Returns the settings in the file `path`, or all of its faults.
+
+    Args:
+      path: An INI file.
+      role: As in `load`.
+      name: As in `load`.
+    """
     found = _Collector(path)
     try:
         with open(path, encoding='utf-8') as file:
@@ -108,23 +115,25 @@
     except (OSError, UnicodeDecodeError) as exc:
         found.add('', '', '', f'cannot read the file: {exc}')
         return Reading(None, tuple(found.faults))
-    return read_text(text, path, role)
+    return read_text(text, path, role, name)
 
 
-def read_text(text: str, path: str, role: str = '') -> Reading:
+def read_text(text: str, path: str, role: str = '', name: str = '') -> Reading:
     """Returns the settings in `text`; `path` names it in faults."""
     found = _Collector(path)
     _find_duplicates(text, found)
     sections = _parse(text, found)
+    if name:
+        sections.setdefault('process', {})['name'] = name
     built = {}
-    for name, pairs in sections.items():
-        if name not in schema.SECTIONS:
-            found.add(name, '', '',
-                      'unknown section' + _hint(name, schema.SECTIONS))
+    for title, pairs in sections.items():
+        if title not in schema.SECTIONS:
+            found.add(title, '', '',
+                      'unknown section' + _hint(title, schema.SECTIONS))
             continue
-        section = _build(name, pairs, found)
+        section = _build(title, pairs, found)
         if section is not None:
-            built[name] = section
+            built[title] = section
     _check_sections(sections, role, found)
     _check_values(built, found)
     if found.faults:
--- a/figdrum/settings/tests/test_loader.py
+++ b/figdrum/settings/tests/test_loader.py
@@ -46,6 +46,13 @@
     assert not faults_of(text)
 
 
+def test_given_name_replaces_the_one_in_the_file():
+    """Guards against commands that act for the wrong operator."""
+    for text in ('[process]\nname = salma\n' + PLATFORM, PLATFORM):
+        cfg = loader.read_text(text, 'x.ini', name='rui').settings
+        assert cfg.process.name == 'rui'
+
+
 def test_role_section_is_required_only_for_its_role():
     """Guards against an agent started from a balancer's file."""
     text = PROCESS + BALANCER + PLATFORM
