--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches, proofs and the build of the one file."""
--- /dev/null
+++ b/bench/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of benches and of the build."""
