Show each balancer's freshness in `figdrum status`

While the platform is down, an operator could see nothing at all.

Ruled out: a message of its own. A balancer answers a Pull by a Digest, which holds revision, change, age and whether the platform answers; a Pull above every real revision gets the digest alone.

Before: names only.

--- a/figdrum/cli/operator.py
+++ b/figdrum/cli/operator.py
@@ -32,10 +32,12 @@
       operator: Who acts.
       store: The platform.
       log: The change log on it.
+      reactor: Twisted's reactor.
     """
     operator: str
     store: store_lib.Store
     log: change_log.ChangeLog
+    reactor: typing.Any = None
 
 
 def open_store(reactor: typing.Any, cfg: schema.Settings) -> store_lib.Store:
@@ -86,7 +88,8 @@
         def start(reactor):
             store = open_store(reactor, cfg)
             session = Session(cfg.process.name, store,
-                              change_log.ChangeLog(store, clock.SystemClock()))
+                              change_log.ChangeLog(store, clock.SystemClock()),
+                              reactor)
             return (yield work(session))
 
         return run_reactor(start) or remedies.ExitCode.OK
--- a/figdrum/cli/remedies.py
+++ b/figdrum/cli/remedies.py
@@ -120,10 +120,11 @@
     errors.NotReadyError:
         Remedy(
             'balancer', ExitCode.FAULT,
-            'A process has no state that it may serve from: the platform is '
-            'down and too few peers answered.',
-            'Check that the platform or two balancers of the zone can be '
-            'reached. The process goes on trying.'),
+            'A process has no state that it may serve from, because the '
+            'platform is down and too few peers answered; or a balancer that '
+            'was asked does not answer.',
+            'Check that the process runs, and that it reaches the platform or '
+            'two balancers of its zone. It goes on trying.'),
     errors.TargetError:
         Remedy(
             'coap', ExitCode.FAULT,
--- a/figdrum/cli/status.py
+++ b/figdrum/cli/status.py
@@ -1,22 +1,49 @@
 """`figdrum status`: shows zones, services and balancers."""
 
 import collections
-import json
+import typing
 
+from cleo.io.inputs import option as cleo_option
 from twisted.internet import defer
 
+from figdrum.cli import node_query
 from figdrum.cli import operator
-from figdrum.contracts import state as state_lib
+from figdrum.cli import remedies
+from figdrum.core import clock
+from figdrum.core import errors
 from figdrum.membership import service_list
+from figdrum.messages import control
+from figdrum.settings import values
+from figdrum.sync import registry
 
 LISTS = 'lists/'
-BALANCERS = 'balancers/'
 
 
 class StatusCommand(operator.OperatorCommand):
-    """Shows what the platform holds about the running system."""
+    """Shows what the platform holds and how new each balancer's copy is."""
     name = 'status'
-    description = 'Shows the last change, zones, back ends and balancers.'
+    description = ('Shows the last change, zones, back ends and balancers, or '
+                   'asks one balancer.')
+    options = operator.OperatorCommand.options + [
+        cleo_option.Option('node',
+                           flag=False,
+                           description='Control address (host:port) of one '
+                           'balancer; the platform is not needed.')
+    ]
+
+    def act(self) -> remedies.ExitCode:
+        node = self.option('node')
+        if not node:
+            return super().act()
+        try:
+            address = values.parse_address(node)
+        except ValueError as exc:
+            raise errors.SettingsError('read options', '--node',
+                                       str(exc)) from exc
+        digest = operator.run_reactor(
+            lambda reactor: node_query.ask(reactor, address))
+        self.print(digest_row(digest, digest.change))
+        return remedies.ExitCode.OK
 
     def prepare(self):
         return self._work
@@ -25,22 +52,20 @@
     def _work(self, session: operator.Session):
         loaded = yield session.log.load()
         lists, revision = yield session.store.list(LISTS)
-        registries, _ = yield session.store.list(BALANCERS)
+        registries, _ = yield session.store.list(registry.PREFIX)
         self.print(f'platform  revision {revision}')
         self.print(f'contracts  change {loaded.state.change}, '
                    f'{len(loaded.state.contracts())} in force')
-        for row in _zone_rows(loaded.state):
-            self.print(row)
+        for zone in sorted(loaded.state.zones_out):
+            self.print(f'zone  {zone}  out')
         for item in lists:
             found = service_list.ServiceList.from_json(
                 item.key.removeprefix(LISTS), item.version, item.value)
             self._show_list(found, loaded.state.zones_out)
-        for item in registries:
-            self.print(f'balancers  {item.key.removeprefix(BALANCERS)}  '
-                       f'version {item.version}  {_names(item.value)}')
+        yield self._show_balancers(session, registries, loaded.state.change)
 
     def _show_list(self, found: service_list.ServiceList,
-                   zones_out: frozenset[str]) -> None:
+                   zones_out: frozenset) -> None:
         counts = collections.Counter(m.state.value for m in found.members)
         states = ', '.join(
             f'{count} {name}' for name, count in sorted(counts.items()))
@@ -53,29 +78,44 @@
                        f'{out}  {host}:{port}  incarnation '
                        f'{member.incarnation}')
 
-
-def _zone_rows(state: state_lib.ContractState) -> list[str]:
-    return [f'zone  {zone}  out' for zone in sorted(state.zones_out)]
-
-
-def _names(text: str) -> str:
-    """Returns the names in a registry's value.
+    @defer.inlineCallbacks
+    def _show_balancers(self, session: operator.Session, items: typing.Any,
+                        change: int):
+        balancers = [
+            balancer for item in items
+            for balancer in registry.Registry.from_json(
+                item.key.removeprefix(registry.PREFIX), item.version,
+                item.value).balancers
+        ]
+        answers = yield node_query.ask_all(session.reactor,
+                                           [b.address for b in balancers])
+        for balancer, answer in zip(balancers, answers):
+            if isinstance(answer, errors.FigdrumError):
+                self.print(f'balancer  {balancer.name}  {balancer.zone}  '
+                           f'no answer: {answer}')
+            else:
+                self.print(digest_row(answer, change))
+
+
+def digest_row(digest: control.Digest, change: int) -> str:
+    """Returns a balancer's state on one line.
+
+    Args:
+      digest: Its answer.
+      change: Number of the last contract change in the platform.
 
     Examples
     ========
 
-    >>> _names('{"balancers": [{"name": "b1"}, {"name": "b2"}]}')
-    'b1, b2'
+    >>> digest_row(control.Digest('b1', 'muscat-a', '10.0.0.1', 7003, 90, 1500,
+    ...                           True, 7), 9)
+    'balancer  b1  muscat-a  change 7 (2 behind)  revision 90  confirmed 1.5 s \
+ago  platform up'
     """
-    names: list[str] = []
-
-    def collect(row: dict) -> dict:
-        if isinstance(row.get('name'), str):
-            names.append(row['name'])
-        return row
-
-    try:
-        json.loads(text, object_hook=collect)
-    except (ValueError, RecursionError):
-        return 'unreadable'
-    return ', '.join(names) or 'none'
+    behind = change - digest.change
+    age = ('never confirmed' if digest.confirmed_age_ms < 0 else
+           f'confirmed {digest.confirmed_age_ms / clock.MS_PER_S:.1f} s ago')
+    return (f'balancer  {digest.name}  {digest.zone}  change {digest.change}'
+            f'{f" ({behind} behind)" if behind > 0 else ""}  revision '
+            f'{digest.revision}  {age}  platform '
+            f'{"up" if digest.platform_up else "down"}')
--- a/figdrum/cli/tests/test_commands.py
+++ b/figdrum/cli/tests/test_commands.py
@@ -16,9 +16,11 @@
 
 import figdrum
 from figdrum.cli import app
+from figdrum.cli import node_query
 from figdrum.cli import operator
 from figdrum.cli import remedies
 from figdrum.core import errors
+from figdrum.messages import control
 from figdrum.platform import memory_store
 
 ROOT = pathlib.Path(figdrum.__file__).parent.parent
@@ -150,7 +152,7 @@
         assert ('zone  muscat-a  out' in desk.act('rui', 'status')[1]) is out
 
 
-def test_status_shows_back_ends_and_balancers(desk):
+def test_status_shows_back_ends_and_balancers(desk, monkeypatch):
     """Guards against a status that leaves out what the platform lists."""
     row = {
         'name': 'fieldbook-1',
@@ -162,10 +164,15 @@
         'rejoined': False
     }
     desk.store.put('lists/fieldbook', json.dumps({'members': [row]}), 0)
-    desk.store.put('balancers/muscat-a', '[{"name": "muscat-1"}]', 0)
+    desk.store.put(
+        'balancers/muscat-a',
+        '{"balancers": [{"name": "b1", "host": "10.0.0.9", "port": 7003}]}', 0)
+    answer = control.Digest('b1', 'muscat-a', '10.0.0.9', 7003, 2, 400, True, 0)
+    monkeypatch.setattr(node_query, 'ask_all',
+                        lambda *_: defer.succeed([answer]))
     text = '\n'.join(desk.act('rui', 'status')[1])
     for part in ('fieldbook  version 1  1 draining', 'fieldbook-1  draining',
-                 'muscat-a  version 1  muscat-1'):
+                 'b1  muscat-a  change 0  revision 2  confirmed 0.4 s ago'):
         assert part in text
 
 
