Record what oracles answer when it is no value

Wrong: a controller that asks an object for another object, such as a replica for its contracts, got the object itself, and what it asked that one was not recorded. Found by reading how the balancer's router takes the contract state and the list lookup.

Change: an answer or argument that is not a value, or holds one, becomes an oracle of its own.

Before: a trace of the router did not replay.

--- a/figdrum/telemetry/replay.py
+++ b/figdrum/telemetry/replay.py
@@ -98,6 +98,14 @@
 
     def __init__(self):
         self._asked: list = []
+        self._oracles: dict[str, _Oracle] = {}
+
+    def read(self, form: typing.Any) -> typing.Any:
+        """Returns the recorded value, or the oracle that stands for it."""
+        if isinstance(form, dict) and isinstance(form.get('o'), str):
+            name = form['o']
+            return self._oracles.setdefault(name, _Oracle(name, self))
+        return values.decode(form)
 
     def start(self, asked: list) -> None:
         """Begins a step."""
@@ -114,7 +122,7 @@
             wanted = self._asked[0][:3] if self._asked else 'nothing'
             raise _Unasked(f'the code asked {[oracle, name, shown]}, '
                            f'the recorded code {wanted}')
-        return values.decode(self._asked.pop(0)[3])
+        return self.read(self._asked.pop(0)[3])
 
     def rest(self) -> list:
         """Returns the recorded questions that were not asked."""
@@ -145,7 +153,6 @@
     def __init__(self, registry: Registry):
         self._registry = registry
         self._controllers: dict[str, typing.Any] = {}
-        self._oracles: dict[str, _Oracle] = {}
         self._script = _Script()
 
     def run(self, steps: collections.abc.Iterable[trace.Step]) -> Replayed:
@@ -160,10 +167,12 @@
 
     def _run_step(self, step: trace.Step) -> Difference | None:
         fn = self._find(step)
-        args = [self._read(arg) for arg in step.args]
+        args = [self._script.read(arg) for arg in step.args]
         if step.now_ms is not None:
             args.insert(0, step.now_ms)
-        kwargs = {key: self._read(arg) for key, arg in step.kwargs.items()}
+        kwargs = {
+            key: self._script.read(arg) for key, arg in step.kwargs.items()
+        }
         self._script.start(step.asked)
         found: typing.Any = None
         try:
@@ -200,12 +209,6 @@
                 f'step {step.step} calls {step.method}, which does not exist'
             ) from exc
 
-    def _read(self, form: typing.Any) -> typing.Any:
-        if isinstance(form, dict) and isinstance(form.get('o'), str):
-            name = form['o']
-            return self._oracles.setdefault(name, _Oracle(name, self._script))
-        return values.decode(form)
-
 
 def replay(steps: collections.abc.Iterable[trace.Step],
            registry: Registry = REGISTRY) -> Replayed:
--- a/figdrum/telemetry/tests/test_trace.py
+++ b/figdrum/telemetry/tests/test_trace.py
@@ -6,17 +6,23 @@
 
 import pytest
 
+from figdrum.contracts import change
+from figdrum.contracts import contract
+from figdrum.contracts import state
 from figdrum.core import clock
 from figdrum.core import errors
 from figdrum.core import ids
 from figdrum.core import states
 from figdrum.membership import service_list
 from figdrum.messages import datagram
+from figdrum.routing import router
+from figdrum.routing import serving
 from figdrum.settings import schema
 from figdrum.telemetry import replay
 from figdrum.telemetry import trace
 from figdrum.telemetry import values
 
+COAP_GET = b'\x40\x01\x00\x07'
 FLOW = ids.FlowKey('10.0.0.1', 4000, '10.9.0.1', 5683)
 MEMBER = service_list.Member(ids.AgentName('fieldbook-1'), ('10.0.0.1', 7000),
                              ids.ZoneName('muscat-a'), ids.Incarnation(1),
@@ -119,6 +125,38 @@
     assert found.steps == 1 and 'asked' in found.difference.reason
 
 
+def test_router_replays_with_the_state_it_asked(path):
+    """Guards against a real controller whose replay needs what it asked of
+    the replica, the contracts and the gate."""
+    contracts = state.ContractState.empty().apply(
+        change.ContractSet(
+            contract.Contract(
+                'rider-1', (contract.Grant('rider-1', 'fieldbook', FLOW.dst),),
+                (), contract.Limits(9, 9, 9), 1)), 1)
+    lists = service_list.ServiceList('fieldbook', 3, (MEMBER,))
+
+    class Fresh:
+        """A replica that may serve."""
+        may_serve = True
+
+        def is_behind(self, now_ms: int) -> bool:
+            """Returns whether the replica is behind."""
+            return now_ms > 7_000
+
+    writer = trace.TraceWriter(path)
+    packet_router = writer.build('router', router.Router,
+                                 'muscat-a', ('10.0.0.9', 7002),
+                                 serving.ServingGate(Fresh()))
+    action = packet_router.route(5, FLOW.src, FLOW.dst, COAP_GET, contracts,
+                                 lambda _: lists)
+    assert isinstance(action, router.Forward)
+    writer.close()
+    registry = replay.Registry()
+    registry.register('router', 'figdrum.routing.router:Router')
+    assert replay.replay(trace.TraceReader(path).steps(),
+                         registry) == replay.Replayed(2, None)
+
+
 def test_unknown_controller_is_an_error(path):
     """Guards against a trace that passes because nothing was run."""
     record(path)
--- a/figdrum/telemetry/trace.py
+++ b/figdrum/telemetry/trace.py
@@ -153,8 +153,8 @@
         if self._file is None:
             self.skipped += 1
             return fn(*args, **kwargs)
-        given, shown = self._watch(args)
-        named, shown_named = self._watch(tuple(kwargs.values()))
+        given, shown = self._watch_all(args)
+        named, shown_named = self._watch_all(tuple(kwargs.values()))
         keys = tuple(kwargs)
         outer, self._asked = self._asked, []
         outcome: typing.Any = None
@@ -174,7 +174,7 @@
             self._asked = outer
 
     def note(self, oracle: str, name: str, args: tuple | None,
-             answer: typing.Any) -> None:
+             answer: typing.Any) -> typing.Any:
         """Notes what an oracle answered during the current call.
 
         Args:
@@ -182,9 +182,14 @@
           name: Method or attribute asked for.
           args: Arguments of the method, or None for an attribute.
           answer: The answer.
+
+        Returns:
+          The answer, or an oracle in its place if it is not a value.
         """
         shown = None if args is None else values.encode(args)
-        self._asked.append([oracle, name, shown, values.encode(answer)])
+        given, form = self._watch(answer)
+        self._asked.append([oracle, name, shown, form])
+        return given
 
     def close(self) -> None:
         """Ends the recording."""
@@ -195,17 +200,18 @@
             except OSError:
                 pass
 
-    def _watch(self, args: tuple) -> tuple[list, list]:
-        given, shown = [], []
-        for arg in args:
-            form = values.encode(arg)
-            if isinstance(form, dict) and 'o' in form:
-                self._oracles += 1
-                oracle = f'{form["o"]}#{self._oracles}'
-                arg, form = _OracleProxy(self, oracle, arg), {'o': oracle}
-            given.append(arg)
-            shown.append(form)
-        return given, shown
+    def _watch(self, value: typing.Any) -> tuple[typing.Any, typing.Any]:
+        """Returns what to hand on for `value`, and its encoded form."""
+        form = values.encode(value)
+        if values.is_readable(form):
+            return value, form
+        self._oracles += 1
+        oracle = f'{type(value).__name__}#{self._oracles}'
+        return _OracleProxy(self, oracle, value), {'o': oracle}
+
+    def _watch_all(self, args: tuple) -> tuple[list, list]:
+        pairs = [self._watch(arg) for arg in args]
+        return [given for given, _ in pairs], [form for _, form in pairs]
 
     def _write(self, step: Step) -> None:
         row = {'v': TRACE_VERSION, **step._asdict()}
@@ -255,22 +261,15 @@
         self._wrapped = wrapped
 
     def __call__(self, *args: typing.Any) -> typing.Any:
-        answer = self._wrapped(*args)
-        self._writer.note(self._oracle, '__call__', args, answer)
-        return answer
+        return self._writer.note(self._oracle, '__call__', args,
+                                 self._wrapped(*args))
 
     def __getattr__(self, name: str) -> typing.Any:
         found = getattr(self._wrapped, name)
         if not callable(found):
-            self._writer.note(self._oracle, name, None, found)
-            return found
-
-        def ask(*args):
-            answer = found(*args)
-            self._writer.note(self._oracle, name, args, answer)
-            return answer
-
-        return ask
+            return self._writer.note(self._oracle, name, None, found)
+        return lambda *args: self._writer.note(self._oracle, name, args,
+                                               found(*args))
 
 
 def raised(exc: Exception) -> dict:
--- a/figdrum/telemetry/values.py
+++ b/figdrum/telemetry/values.py
@@ -42,9 +42,16 @@
 _MESSAGES = typing.get_args(codec.Message)
 
 
-def is_value(value: typing.Any) -> bool:
-    """Returns whether `value` can be read back from its encoded form."""
-    return 'o' not in _kinds(encode(value))
+def is_readable(form: typing.Any) -> bool:
+    """Returns whether the encoded `form` can be read back.
+
+    Examples
+    ========
+
+    >>> is_readable(encode((1, b'x'))), is_readable(encode((1, object())))
+    (True, False)
+    """
+    return 'o' not in _kinds(form)
 
 
 def encode(value: typing.Any) -> typing.Any:
