--- a/figdrum/cli/base.py
+++ b/figdrum/cli/base.py
@@ -32,13 +32,9 @@
 
     def fail(self, exc: errors.FigdrumError) -> int:
         """Prints an error with its remedy and returns its exit code."""
-        remedy = remedies.find(exc)
-        self.print_error(f'{remedy.part}: {exc.code} in step "{exc.step}" '
-                         f'at {exc.peer}')
-        for reason in exc.reason.split('; '):
-            self.print_error(f'  {reason}')
-        self.print_error(f'What to do: {remedy.remedy}')
-        return int(remedy.exit_code)
+        for line in remedies.describe(exc):
+            self.print_error(line)
+        return int(remedies.find(exc).exit_code)
 
     def print(self, text: str) -> None:
         """Writes a line of the result, without reading it as markup."""
--- a/figdrum/cli/onefile.py
+++ b/figdrum/cli/onefile.py
@@ -36,30 +36,34 @@
 PRIVATE_MODE = 0o700
 OTHERS_MAY_WRITE = stat.S_IWGRP | stat.S_IWOTH
 EXIT_FAULT = 1
+# First argument with which the file runs `serve` instead of a command.
+SERVE = '--serve'
+
+_running: list[str] = []
 
 
 class NativeError(Exception):
     """The native libraries cannot be unpacked or trusted."""
 
 
-def prepare(archive: str) -> None:
-    """Puts the native packages of `archive` on the import path.
+def prepare(path: str) -> None:
+    """Puts the native packages of the file at `path` on the import path.
 
     Raises:
       NativeError: if they cannot be unpacked or others may change them.
     """
     try:
-        sys.path.insert(0, str(unpack(archive)))
+        sys.path.insert(0, str(unpack(path)))
     except (OSError, zipfile.BadZipFile, KeyError) as exc:
         raise NativeError(f'cannot unpack native libraries: {exc}') from exc
 
 
-def unpack(archive: str) -> pathlib.Path:
-    """Returns the directory with the native packages of `archive`."""
+def unpack(path: str) -> pathlib.Path:
+    """Returns the directory with the native packages of the file at `path`."""
     root = _root()
     root.mkdir(PRIVATE_MODE, parents=True, exist_ok=True)
     _check_private(root)
-    with zipfile.ZipFile(archive) as source:
+    with zipfile.ZipFile(path) as source:
         target = root / source.read(DIGEST_NAME).decode().strip()
         if not target.exists():
             _extract(source, root, target)
@@ -99,10 +103,10 @@
         shutil.rmtree(scratch, ignore_errors=True)
 
 
-def main(archive: str) -> int:
-    """Runs the program in `archive` and returns its exit code."""
+def main(path: str) -> int:
+    """Runs the program in the one file at `path` and returns its exit code."""
     try:
-        prepare(archive)
+        prepare(path)
     except NativeError as exc:
         print(f'cli: {exc}', file=sys.stderr)
         print(
@@ -110,6 +114,16 @@
             'own on a file system that allows programs.',
             file=sys.stderr)
         return EXIT_FAULT
-    # The import needs the native packages.
-    from figdrum.cli import app  # pylint: disable=import-outside-toplevel
+    _running.append(os.path.abspath(path))
+    # The imports need the native packages, and each of them takes memory.
+    # pylint: disable=import-outside-toplevel
+    if sys.argv[1:2] == [SERVE]:
+        from figdrum.cli import serve
+        return serve.main(sys.argv[2:])
+    from figdrum.cli import app
     return app.main()
+
+
+def archive() -> str:
+    """Returns the path of the one file that runs, or '' if none does."""
+    return _running[0] if _running else ''
--- a/figdrum/cli/remedies.py
+++ b/figdrum/cli/remedies.py
@@ -144,3 +144,13 @@
 def find(exc: errors.FigdrumError) -> Remedy:
     """Returns the remedy of the error's own class or its nearest base."""
     return next(REMEDIES[cls] for cls in type(exc).__mro__ if cls in REMEDIES)
+
+
+def describe(exc: errors.FigdrumError) -> list[str]:
+    """Returns the lines that tell an operator of an error."""
+    remedy = find(exc)
+    return [
+        f'{remedy.part}: {exc.code} in step "{exc.step}" at {exc.peer}',
+        *(f'  {reason}' for reason in exc.reason.split('; ')),
+        f'What to do: {remedy.remedy}',
+    ]
--- a/figdrum/cli/role.py
+++ b/figdrum/cli/role.py
@@ -1,17 +1,14 @@
 """Base of the commands that start a balancer or an agent."""
 
-import importlib
-
 from cleo.io.inputs import option as cleo_option
 
 from figdrum.cli import base
 from figdrum.cli import remedies
-from figdrum.settings import loader
-from figdrum.telemetry import logs
+from figdrum.cli import serve
 
 
 class RoleCommand(base.Command):
-    """Loads the settings of a role, opens the log and runs the process."""
+    """Reads the options and goes on as the process of a role."""
     role = ''
     options = [
         base.CONFIG_OPTION,
@@ -22,16 +19,6 @@
     ]
 
     def act(self) -> remedies.ExitCode:
-        path = self.config_path()
-        cfg = loader.load(path, self.role)
-        record = self.option('record')
-        if record:
-            process = cfg.process.model_copy(update={'record': record})
-            cfg = cfg.model_copy(update={'process': process})
-        loader.check_ports(cfg, path, self.role)
-        logs.setup(cfg.process.name, cfg.process.log_level,
-                   cfg.process.log_format)
-        logs.bridge_twisted()
-        # The process and its reactor are loaded only for sound settings.
-        process = importlib.import_module(f'figdrum.{self.role}.process')
-        return remedies.ExitCode(process.run(cfg) or 0)
+        serve.replace_process(
+            serve.Request(self.role, self.config_path(),
+                          self.option('record') or ''))
