Add CoAP termination and the HTTP call

The agent could neither read a caller's request nor call its target. The server does no I/O: datagrams in, request events and datagrams out, so exchanges, observations and downloads are tested in virtual time.

All notifications are confirmable. Non-confirmable ones were ruled out: a lost last change would stay unseen until the next one. Message ids and Observe values come from one sequence per flow that moves with a handover.

Before: no CoAP.

--- a/figdrum/admission/controller.py
+++ b/figdrum/admission/controller.py
@@ -102,8 +102,7 @@
         self._name = name
         self._capacity = capacity
         self._names: tuple[str, ...] = (name,)
-        self._terms: collections.abc.Callable[[str], Terms |
-                                              None] = (lambda customer: Terms())
+        self._terms: TermsLookup = lambda customer: Terms()
         self._flows: collections.Counter[str] = collections.Counter()
         self._requests: dict[collections.abc.Hashable, str] = {}
         self._per_customer: collections.Counter[str] = collections.Counter()
@@ -131,9 +130,8 @@
         for customer, bucket in self._buckets.items():
             bucket.set_rate(now_ms, self._share(customer).new_flows or 0)
 
-    def on_terms(self, terms: collections.abc.Callable[[str],
-                                                       Terms | None]) -> None:
-        """Takes a function from a customer to its terms; None is no contract."""
+    def on_terms(self, terms: TermsLookup) -> None:
+        """Takes a function from a customer to its terms."""
         self._terms = terms
 
     def terms(self, customer: str) -> Terms | None:
--- /dev/null
+++ b/figdrum/coap/blocks.py
@@ -0,0 +1,110 @@
+"""Cuts stored responses into blocks.
+
+Explanation
+===========
+
+All blocks of a download come from one stored response, whose ETag is a hash of
+its body. A caller that gets blocks with different ETags starts again; after a
+move to another agent an unchanged body has the same ETag, so the download goes
+on.
+
+Examples
+========
+
+>>> store = ResponseStore()
+>>> store.put(0, 'flow', '/photo', codes.Response(69, bytes(1500)))
+>>> stored = store.get(1, 'flow', '/photo', None)
+>>> [(len(piece.payload), piece.more)
+...  for piece in (cut(stored, request.Block(n, 6)) for n in (0, 1))]
+[(1024, True), (476, False)]
+
+References
+==========
+
+RFC 7959, sections 2.4 and 3.3.
+"""
+
+import collections
+import collections.abc
+import typing
+
+import xxhash
+
+from figdrum.coap import codes
+from figdrum.coap import exchange
+from figdrum.coap import request
+
+DEFAULT_BLOCK = request.Block(0, 6)
+MAX_STORED_BYTES = 64_000_000
+
+
+class Stored(typing.NamedTuple):
+    """A response under a flow and path."""
+    response: codes.Response
+    etag: bytes
+    at_ms: int
+
+
+class Piece(typing.NamedTuple):
+    """One block of a response; `block` is None when it fits in one message."""
+    payload: bytes
+    block: request.Block | None
+    more: bool
+
+
+def etag(payload: bytes) -> bytes:
+    """Returns the version of a body."""
+    return xxhash.xxh3_64_digest(payload)
+
+
+def cut(stored: Stored, block: request.Block | None) -> Piece | None:
+    """Returns the block asked for, or None if the response has no such one."""
+    payload = stored.response.payload
+    size = 16 << (block or DEFAULT_BLOCK).exponent
+    if len(payload) <= size and (block is None or block.number == 0):
+        return Piece(payload, block, False)
+    block = block or DEFAULT_BLOCK
+    start = block.number * size
+    if start >= len(payload):
+        return None
+    return Piece(payload[start:start + size], block, start + size
+                 < len(payload))
+
+
+class ResponseStore:
+    """Keeps the responses that were larger than one block, with bounds."""
+
+    def __init__(self, max_bytes: int = MAX_STORED_BYTES):
+        self._stored: collections.OrderedDict[tuple, Stored] = (
+            collections.OrderedDict())
+        self._bytes = 0
+        self._max_bytes = max_bytes
+
+    def put(self, now_ms: int, flow: collections.abc.Hashable, path: str,
+            response: codes.Response) -> None:
+        """Stores a response as the latest and by its ETag."""
+        stored = Stored(response, etag(response.payload), now_ms)
+        for version in (None, stored.etag):
+            self._drop((flow, path, version))
+            self._stored[(flow, path, version)] = stored
+            self._bytes += len(response.payload)
+        self._expire(now_ms)
+
+    def get(self, now_ms: int, flow: collections.abc.Hashable, path: str,
+            version: bytes | None) -> Stored | None:
+        """Returns the version asked for, or the latest for None."""
+        self._expire(now_ms)
+        return self._stored.get((flow, path, version))
+
+    def _expire(self, now_ms: int) -> None:
+        while self._stored:
+            name, first = next(iter(self._stored.items()))
+            if (self._bytes <= self._max_bytes and
+                    first.at_ms > now_ms - exchange.EXCHANGE_LIFETIME_MS):
+                return
+            self._drop(name)
+
+    def _drop(self, name: tuple) -> None:
+        stored = self._stored.pop(name, None)
+        if stored is not None:
+            self._bytes -= len(stored.response.payload)
--- /dev/null
+++ b/figdrum/coap/exchange.py
@@ -0,0 +1,126 @@
+"""State of CoAP message exchanges.
+
+Explanation
+===========
+
+A caller repeats a confirmable message until it is acknowledged, so each
+message id is remembered with its reply and answered again from the record. The
+server repeats its own confirmable messages in the same way.
+
+Examples
+========
+
+>>> cache = DuplicateCache()
+>>> flow = ids.FlowKey('10.0.0.1', 4000, '10.9.0.1', 5683)
+>>> cache.begin(0, flow, 7) is None
+True
+>>> cache.finish(flow, 7, b'reply')
+>>> cache.begin(10, flow, 7)
+Seen(reply=b'reply')
+
+References
+==========
+
+RFC 7252, sections 4.2, 4.5 and 4.8.
+"""
+
+import collections
+import random
+import typing
+
+from figdrum.core import ids
+
+EXCHANGE_LIFETIME_MS = 247_000
+ACK_TIMEOUT_MS = 2000
+ACK_RANDOM_FACTOR = 1.5
+MAX_RETRANSMIT = 4
+# 2,000 flows with one request each 8 s for 247 s, rounded up.
+MAX_ENTRIES = 65_536
+MAX_REPLY_BYTES = 32_000_000
+
+
+class Seen(typing.NamedTuple):
+    """Record of a message id; `reply` is empty until one was sent."""
+    reply: bytes
+
+
+class _Entry(typing.NamedTuple):
+    at_ms: int
+    reply: bytes
+
+
+class DuplicateCache:
+    """Remembers message ids and their replies, with bounds.
+
+    The oldest records go first when a bound is met. A copy of a forgotten
+    non-idempotent request is still caught by its idempotency key.
+    """
+
+    def __init__(self,
+                 max_entries: int = MAX_ENTRIES,
+                 max_bytes: int = MAX_REPLY_BYTES):
+        self._entries: collections.OrderedDict[tuple[ids.FlowKey, int],
+                                               _Entry] = (
+                                                   collections.OrderedDict())
+        self._bytes = 0
+        self._max_entries = max_entries
+        self._max_bytes = max_bytes
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def begin(self, now_ms: int, flow: ids.FlowKey, mid: int) -> Seen | None:
+        """Records a message id; returns the earlier record if there is one."""
+        self._expire(now_ms)
+        entry = self._entries.get((flow, mid))
+        if entry is not None:
+            return Seen(entry.reply)
+        self._entries[(flow, mid)] = _Entry(now_ms, b'')
+        return None
+
+    def finish(self, flow: ids.FlowKey, mid: int, reply: bytes) -> None:
+        """Records the reply to a message id."""
+        entry = self._entries.get((flow, mid))
+        if entry is None:
+            return
+        self._bytes += len(reply) - len(entry.reply)
+        self._entries[(flow, mid)] = entry._replace(reply=reply)
+
+    def _expire(self, now_ms: int) -> None:
+        while self._entries:
+            first = next(iter(self._entries.values()))
+            if (first.at_ms > now_ms - EXCHANGE_LIFETIME_MS and
+                    len(self._entries) < self._max_entries and
+                    self._bytes <= self._max_bytes):
+                return
+            self._bytes -= len(first.reply)
+            self._entries.popitem(last=False)
+
+
+class Retransmission:
+    """A confirmable message of the server that awaits its acknowledgement."""
+
+    def __init__(self, now_ms: int, mid: int, datagram: bytes,
+                 rng: random.Random):
+        self.mid = mid
+        self.datagram = datagram
+        self._timeout_ms = ACK_TIMEOUT_MS * rng.uniform(1, ACK_RANDOM_FACTOR)
+        self._attempts = 0
+        self.due_ms = now_ms + int(self._timeout_ms)
+
+    @property
+    def failed(self) -> bool:
+        """True when the last attempt got no acknowledgement in time."""
+        return self._attempts > MAX_RETRANSMIT
+
+    def retry(self, now_ms: int) -> bool:
+        """Counts an attempt that is due; returns False after the last one."""
+        self._attempts += 1
+        self._timeout_ms *= 2
+        self.due_ms = now_ms + int(self._timeout_ms)
+        return not self.failed
+
+    def replace(self, mid: int, datagram: bytes) -> None:
+        """Takes a newer message and keeps the count (RFC 7641, 4.5.2)."""
+        self.mid = mid
+        self.datagram = datagram
--- /dev/null
+++ b/figdrum/coap/server.py
@@ -0,0 +1,483 @@
+"""CoAP server without input or output.
+
+Explanation
+===========
+
+A datagram of a caller goes in; requests come out as events and replies as
+datagrams. The agent answers a request later by its exchange number. An answer
+within 1 s is piggybacked on the acknowledgement; otherwise an empty
+acknowledgement stops the caller's repetitions and the answer follows as a
+confirmable message of its own.
+
+Message ids and Observe values come from one sequence per flow, which moves with
+the flow to another agent. The caller thus never takes a message of the new
+agent for a copy of one of the old agent's.
+
+Examples
+========
+
+>>> server = CoapServer(random.Random(1))
+>>> flow = ids.FlowKey('10.0.0.1', 4000, '10.9.0.1', 5683)
+>>> get = aiocoap.Message(code=aiocoap.GET, _mtype=aiocoap.CON, _mid=9,
+...                       _token=b't', uri_path=('visits',)).encode()
+>>> event, = server.on_datagram(0, flow, get).events
+>>> event.request.path
+'/visits'
+>>> answer = codes.Response(69, b'x')
+>>> reply, = server.answer(5, event.exchange, answer).datagrams
+>>> server.on_datagram(9, flow, get).datagrams == (reply,)
+True
+
+References
+==========
+
+RFC 7252, RFC 7641, RFC 7959.
+"""
+
+import dataclasses
+import heapq
+import random
+import typing
+
+import aiocoap
+from aiocoap import optiontypes
+
+from figdrum.coap import blocks
+from figdrum.coap import codes
+from figdrum.coap import exchange
+from figdrum.coap import observation
+from figdrum.coap import request
+from figdrum.core import ids
+
+# Half of the shortest repetition time of a caller (RFC 7252, 4.8).
+SEPARATE_AFTER_MS = 1000
+MAX_OPEN = 4096
+MAX_OBSERVATIONS = 16
+SEQUENCE_RANGE = 1 << 24
+MID_RANGE = 1 << 16
+# The agent that gives a flow away may still use numbers after it offered it.
+HANDOVER_GAP = 256
+
+
+class Datagram(typing.NamedTuple):
+    """A datagram to the caller of a flow."""
+    flow: ids.FlowKey
+    payload: bytes
+
+
+class Requested(typing.NamedTuple):
+    """A request to answer by its exchange number."""
+    exchange: int
+    flow: ids.FlowKey
+    request: request.Request
+
+
+class Observed(typing.NamedTuple):
+    """A caller registered an observation."""
+    flow: ids.FlowKey
+    token: bytes
+    request: request.Request
+
+
+class ObservationEnded(typing.NamedTuple):
+    """An observation was cancelled or its caller is gone."""
+    flow: ids.FlowKey
+    token: bytes
+
+
+class Dropped(typing.NamedTuple):
+    """A datagram that was ignored, with the name of the counter."""
+    counter: str
+
+
+Event = Requested | Observed | ObservationEnded | Dropped
+
+
+class Reaction(typing.NamedTuple):
+    """What follows from an input."""
+    datagrams: tuple[Datagram, ...] = ()
+    events: tuple[Event, ...] = ()
+
+    def __add__(self, other: 'Reaction') -> 'Reaction':
+        return Reaction(self.datagrams + other.datagrams,
+                        self.events + other.events)
+
+
+_NOTHING = Reaction()
+
+
+@dataclasses.dataclass(slots=True)
+class _Exchange:
+    flow: ids.FlowKey
+    mid: int
+    token: bytes
+    confirmable: bool
+    request: request.Request
+    acknowledged: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Flow:
+    sequence: int
+    observations: dict[bytes, observation.Observation]
+
+    def next(self) -> int:
+        """Returns the next number of the flow's sequence."""
+        self.sequence = (self.sequence + 1) % SEQUENCE_RANGE
+        return self.sequence
+
+
+class CoapServer:
+    """Exchanges, observations and downloads of all flows of an agent."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._seen = exchange.DuplicateCache()
+        self._store = blocks.ResponseStore()
+        self._flows: dict[ids.FlowKey, _Flow] = {}
+        self._open: dict[int, _Exchange] = {}
+        self._separate: dict[tuple[ids.FlowKey, int],
+                             exchange.Retransmission] = {}
+        self._timers: list[tuple[int, int, typing.Any]] = []
+        self._count = 0
+
+    @property
+    def open_exchanges(self) -> int:
+        """Requests without an answer so far."""
+        return len(self._open)
+
+    def on_datagram(self, now_ms: int, flow: ids.FlowKey,
+                    data: bytes) -> Reaction:
+        """Takes a datagram of a caller; bad input is dropped."""
+        message = request.decode(data)
+        if message is None:
+            return _drop('coap.malformed')
+        if message.code.is_request():
+            return self._on_request(now_ms, flow, message, data)
+        if message.mtype is aiocoap.ACK:
+            return self._on_ack(now_ms, flow, message.mid)
+        if message.mtype is aiocoap.RST:
+            return self._on_reset(flow, message.mid)
+        if message.mtype is aiocoap.CON:
+            return Reaction((Datagram(flow, _empty(aiocoap.RST, message.mid)),))
+        return _drop('coap.unexpected')
+
+    def answer(self, now_ms: int, number: int,
+               response: codes.Response) -> Reaction:
+        """Answers the request of exchange `number`; once, later ones drop."""
+        item = self._open.pop(number, None)
+        if item is None:
+            return _drop('coap.answered_before')
+        reaction = _NOTHING
+        observe = None
+        if item.request.observe == request.OBSERVE_REGISTER and response.ok:
+            reaction = self._observe(now_ms, item, response)
+            observe = self._flow(item.flow).next()
+        elif item.request.observe is not None:
+            reaction = self._end_observation(item.flow, item.token)
+        stored = self._stored(now_ms, item, response)
+        piece = blocks.cut(stored, item.request.block)
+        if piece is None:
+            stored = stored._replace(
+                response=codes.error(aiocoap.BAD_REQUEST, 'no such block'))
+            piece = blocks.Piece(stored.response.payload, None, False)
+        return self._reply(now_ms, item, stored, piece, observe) + reaction
+
+    def notify(self, now_ms: int, flow: ids.FlowKey, token: bytes,
+               response: codes.Response) -> Reaction:
+        """Sends an observation's state if it differs from the last one.
+
+        A response that is not of class 2 ends the observation (RFC 7641,
+        section 4.2).
+        """
+        item = self._observation(flow, token)
+        if item is None or item.response == response:
+            return _NOTHING
+        item.response = response
+        if item.outstanding is not None and response.ok:
+            item.dirty = True
+            return _NOTHING
+        reaction = self._send_notification(now_ms, item)
+        if not response.ok:
+            reaction += self._end_observation(flow, token)
+        return reaction
+
+    def tick(self, now_ms: int) -> Reaction:
+        """Sends what is due; to be called each 100 ms."""
+        reaction = _NOTHING
+        while self._timers and self._timers[0][0] <= now_ms:
+            subject = heapq.heappop(self._timers)[2]
+            reaction += self._on_timer(now_ms, subject)
+        return reaction
+
+    def handover(self,
+                 flow: ids.FlowKey) -> tuple[tuple[request.Request, ...], int]:
+        """Returns a flow's observations and its sequence for another agent."""
+        item = self._flow(flow)
+        return (tuple(each.request for each in item.observations.values()),
+                item.sequence)
+
+    def adopt(self, now_ms: int, flow: ids.FlowKey, raw: tuple[bytes, ...],
+              sequence: int) -> Reaction:
+        """Takes over a flow's observations and its sequence."""
+        item = self._flow(flow)
+        item.sequence = (sequence + HANDOVER_GAP) % SEQUENCE_RANGE
+        events = []
+        for data in raw[:MAX_OBSERVATIONS]:
+            message = request.decode(data)
+            if message is None or not message.code.is_request():
+                continue
+            try:
+                req = request.read(message, data)
+            except request.BadRequest:
+                continue
+            item.observations[message.token] = observation.Observation(
+                flow, message.token, req, None, now_ms)
+            events.append(Observed(flow, message.token, req))
+        return Reaction((), tuple(events))
+
+    def forget(self, flow: ids.FlowKey) -> Reaction:
+        """Drops the state of a flow that ended or moved."""
+        reaction = _NOTHING
+        item = self._flows.get(flow)
+        for token in tuple(item.observations) if item else ():
+            reaction += self._end_observation(flow, token)
+        self._flows.pop(flow, None)
+        return reaction
+
+    def _on_request(self, now_ms: int, flow: ids.FlowKey,
+                    message: aiocoap.Message, data: bytes) -> Reaction:
+        if message.mtype not in (aiocoap.CON, aiocoap.NON):
+            return _drop('coap.unexpected')
+        if len(self._open) >= MAX_OPEN:
+            return _drop('coap.too_many_open')
+        seen = self._seen.begin(now_ms, flow, message.mid)
+        if seen is not None:
+            sent = (Datagram(flow, seen.reply),) if seen.reply else ()
+            return Reaction(sent, (Dropped('coap.duplicate'),))
+        item = _Exchange(flow, message.mid, message.token, message.mtype
+                         is aiocoap.CON, None)
+        try:
+            item.request = request.read(message, data)
+        except request.BadRequest as exc:
+            failed = codes.error(exc.code, exc.reason)
+            stored = blocks.Stored(failed, b'', now_ms)
+            return self._reply(now_ms, item, stored,
+                               blocks.Piece(failed.payload, None, False), None)
+        return self._serve_block(now_ms, item) or self._begin(now_ms, item)
+
+    def _begin(self, now_ms: int, item: _Exchange) -> Reaction:
+        self._count += 1
+        number = self._count
+        self._open[number] = item
+        if item.confirmable:
+            self._set_timer(now_ms + SEPARATE_AFTER_MS, number)
+        return Reaction((), (Requested(number, item.flow, item.request),))
+
+    def _serve_block(self, now_ms: int, item: _Exchange) -> Reaction | None:
+        block = item.request.block
+        if block is None or block.number == 0:
+            return None
+        stored = self._store.get(now_ms, item.flow, _cache_key(item.request),
+                                 item.request.etag)
+        piece = blocks.cut(stored, block) if stored else None
+        if piece is None:
+            return None
+        return self._reply(now_ms, item, stored, piece, None)
+
+    def _stored(self, now_ms: int, item: _Exchange,
+                response: codes.Response) -> blocks.Stored:
+        size = 16 << (item.request.block or blocks.DEFAULT_BLOCK).exponent
+        if response.ok and len(response.payload) > size:
+            self._store.put(now_ms, item.flow, _cache_key(item.request),
+                            response)
+        return blocks.Stored(response, blocks.etag(response.payload), now_ms)
+
+    def _reply(self, now_ms: int, item: _Exchange, stored: blocks.Stored,
+               piece: blocks.Piece, observe: int | None) -> Reaction:
+        if item.confirmable and not item.acknowledged:
+            mtype, mid = aiocoap.ACK, item.mid
+        else:
+            mtype = aiocoap.CON if item.confirmable else aiocoap.NON
+            mid = self._next_mid(item.flow)
+        data = _encode(mtype, mid, item.token, stored, piece, observe)
+        if mtype is aiocoap.CON:
+            waiting = exchange.Retransmission(now_ms, mid, data, self._rng)
+            self._separate[(item.flow, mid)] = waiting
+            self._set_timer(waiting.due_ms, (item.flow, mid))
+        else:
+            self._seen.finish(item.flow, item.mid, data)
+        return Reaction((Datagram(item.flow, data),))
+
+    def _on_ack(self, now_ms: int, flow: ids.FlowKey, mid: int) -> Reaction:
+        if self._separate.pop((flow, mid), None) is not None:
+            return _NOTHING
+        item = self._by_mid(flow, mid)
+        if item is None:
+            return _drop('coap.unexpected')
+        item.outstanding = None
+        if item.dirty:
+            return self._send_notification(now_ms, item)
+        return _NOTHING
+
+    def _on_reset(self, flow: ids.FlowKey, mid: int) -> Reaction:
+        if self._separate.pop((flow, mid), None) is not None:
+            return _NOTHING
+        item = self._by_mid(flow, mid)
+        if item is None:
+            return _drop('coap.unexpected')
+        return self._end_observation(flow, item.token)
+
+    def _observe(self, now_ms: int, item: _Exchange,
+                 response: codes.Response) -> Reaction:
+        known = self._flow(item.flow).observations
+        if item.token not in known and len(known) >= MAX_OBSERVATIONS:
+            return self._end_observation(item.flow, next(iter(known)))
+        known[item.token] = observation.Observation(item.flow, item.token,
+                                                    item.request, response,
+                                                    now_ms)
+        self._set_timer(now_ms + observation.CONFIRM_MS,
+                        (item.flow, item.token))
+        return Reaction((), (Observed(item.flow, item.token, item.request),))
+
+    def _end_observation(self, flow: ids.FlowKey, token: bytes) -> Reaction:
+        item = self._flows.get(flow)
+        if item is None or item.observations.pop(token, None) is None:
+            return _NOTHING
+        return Reaction((), (ObservationEnded(flow, token),))
+
+    def _send_notification(self, now_ms: int,
+                           item: observation.Observation) -> Reaction:
+        data = self._notification(now_ms, item)
+        item.sent_ms = now_ms
+        item.dirty = False
+        item.outstanding = exchange.Retransmission(
+            now_ms,
+            self._flow(item.flow).sequence % MID_RANGE, data, self._rng)
+        self._set_timer(item.outstanding.due_ms, (item.flow, item.token))
+        return Reaction((Datagram(item.flow, data),))
+
+    def _notification(self, now_ms: int,
+                      item: observation.Observation) -> bytes:
+        number = self._flow(item.flow).next()
+        response = item.response
+        stored = blocks.Stored(response, blocks.etag(response.payload), now_ms)
+        block = item.request.block
+        piece = blocks.cut(stored, block._replace(number=0) if block else None)
+        if piece.more:
+            self._store.put(now_ms, item.flow, _cache_key(item.request),
+                            response)
+        return _encode(aiocoap.CON, number % MID_RANGE, item.token, stored,
+                       piece, number if response.ok else None)
+
+    def _on_timer(self, now_ms: int, subject: typing.Any) -> Reaction:
+        if isinstance(subject, int):
+            return self._acknowledge(subject)
+        if isinstance(subject[1], int):
+            return self._repeat_separate(now_ms, subject)
+        item = self._observation(*subject)
+        if item is None:
+            return _NOTHING
+        if item.outstanding is not None:
+            return self._repeat_notification(now_ms, item)
+        if item.confirm_due(now_ms):
+            return self._send_notification(now_ms, item)
+        self._set_timer(max(now_ms + 1, item.sent_ms + observation.CONFIRM_MS),
+                        subject)
+        return _NOTHING
+
+    def _acknowledge(self, number: int) -> Reaction:
+        item = self._open.get(number)
+        if item is None:
+            return _NOTHING
+        item.acknowledged = True
+        data = _empty(aiocoap.ACK, item.mid)
+        self._seen.finish(item.flow, item.mid, data)
+        return Reaction((Datagram(item.flow, data),))
+
+    def _repeat_separate(self, now_ms: int, subject: tuple[ids.FlowKey,
+                                                           int]) -> Reaction:
+        waiting = self._separate.get(subject)
+        if waiting is None:
+            return _NOTHING
+        if not waiting.retry(now_ms):
+            del self._separate[subject]
+            return _drop('coap.answer_not_acknowledged')
+        self._set_timer(waiting.due_ms, subject)
+        return Reaction((Datagram(subject[0], waiting.datagram),))
+
+    def _repeat_notification(self, now_ms: int,
+                             item: observation.Observation) -> Reaction:
+        waiting = item.outstanding
+        if waiting.due_ms > now_ms:
+            return _NOTHING
+        if not waiting.retry(now_ms):
+            return self._end_observation(
+                item.flow, item.token) + _drop('coap.observer_gone')
+        if item.dirty:
+            data = self._notification(now_ms, item)
+            waiting.replace(self._flow(item.flow).sequence % MID_RANGE, data)
+            item.dirty = False
+            item.sent_ms = now_ms
+        self._set_timer(waiting.due_ms, (item.flow, item.token))
+        return Reaction((Datagram(item.flow, waiting.datagram),))
+
+    def _flow(self, flow: ids.FlowKey) -> _Flow:
+        item = self._flows.get(flow)
+        if item is None:
+            item = _Flow(self._rng.randrange(MID_RANGE), {})
+            self._flows[flow] = item
+        return item
+
+    def _next_mid(self, flow: ids.FlowKey) -> int:
+        return self._flow(flow).next() % MID_RANGE
+
+    def _observation(self, flow: ids.FlowKey,
+                     token: bytes) -> observation.Observation | None:
+        item = self._flows.get(flow)
+        return item.observations.get(token) if item else None
+
+    def _by_mid(self, flow: ids.FlowKey,
+                mid: int) -> observation.Observation | None:
+        item = self._flows.get(flow)
+        for each in item.observations.values() if item else ():
+            if each.outstanding is not None and each.outstanding.mid == mid:
+                return each
+        return None
+
+    def _set_timer(self, due_ms: int, subject: typing.Any) -> None:
+        self._count += 1
+        heapq.heappush(self._timers, (due_ms, self._count, subject))
+
+
+def _drop(counter: str) -> Reaction:
+    return Reaction((), (Dropped(counter),))
+
+
+def _empty(mtype: aiocoap.Type, mid: int) -> bytes:
+    return aiocoap.Message(code=aiocoap.EMPTY,
+                           _mtype=mtype,
+                           _mid=mid,
+                           _token=b'').encode()
+
+
+def _cache_key(req: request.Request) -> str:
+    return f'{req.method} {req.path} {req.key}'
+
+
+def _encode(mtype: aiocoap.Type, mid: int, token: bytes, stored: blocks.Stored,
+            piece: blocks.Piece, observe: int | None) -> bytes:
+    message = aiocoap.Message(code=aiocoap.Code(stored.response.code),
+                              _mtype=mtype,
+                              _mid=mid,
+                              _token=token,
+                              payload=piece.payload)
+    if piece.block is not None:
+        message.opt.block2 = optiontypes.BlockOption.BlockwiseTuple(
+            piece.block.number, piece.more, piece.block.exponent)
+        message.opt.etag = stored.etag
+    if observe is not None:
+        message.opt.observe = observe
+    if stored.response.max_age_s is not None:
+        message.opt.max_age = stored.response.max_age_s
+    return message.encode()
--- /dev/null
+++ b/figdrum/coap/tests/test_http_client.py
@@ -0,0 +1,114 @@
+"""Tests of the HTTP client against a server on a port of the kernel."""
+
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.internet import reactor
+from twisted.trial import unittest
+from twisted.web import resource
+from twisted.web import server
+
+from figdrum.coap import http_client
+from figdrum.core import errors
+from figdrum.core import ports
+
+
+def request(method='GET', path='/a?x=1', key='', deadline_ms=20_000):
+    """Returns a request to the target."""
+    return ports.TargetRequest(method, path, b'body' if key else b'', 'al',
+                               'fieldbook', key, deadline_ms)
+
+
+class _Target(resource.Resource):
+    """Echoes, refuses or hangs, as the path says."""
+    isLeaf = True
+
+    def __init__(self):
+        super().__init__()
+        self.seen = []
+        self.closed = defer.Deferred()
+
+    def render(self, request):  # pylint: disable=redefined-outer-name
+        self.seen.append(request)
+        if request.path == b'/hang':
+            request.notifyFinish().addErrback(
+                lambda _: self.closed.callback(None))
+            return server.NOT_DONE_YET
+        if request.path == b'/refuse':
+            request.setResponseCode(503)
+            request.setHeader(b'X-Did-Not-Run', b'1')
+        return request.method + b' ' + request.uri
+
+
+class _Cut(protocol.Protocol):
+    """Closes the connection in the middle of a body."""
+
+    def dataReceived(self, data):
+        self.transport.write(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab')
+        self.transport.loseConnection()
+
+
+class HttpTargetTest(unittest.TestCase):
+    """Each test ends by an event; trial's time limit is the deadline."""
+    timeout = 60
+
+    def setUp(self):
+        self.resource = _Target()
+        self.port = reactor.listenTCP(0,
+                                      server.Site(self.resource),
+                                      interface='127.0.0.1')
+        self.target = self._target(self.port)
+
+    def tearDown(self):
+        return defer.gatherResults(
+            [self.target.close(),
+             defer.maybeDeferred(self.port.stopListening)])
+
+    def _target(self, port):
+        return http_client.HttpTarget(reactor,
+                                      ('127.0.0.1', port.getHost().port))
+
+    @defer.inlineCallbacks
+    def test_headers_and_path_go_through(self):
+        """Guards against a path or header that changes on the way."""
+        answer = yield self.target.call(request('POST', '/a%2Fb?x=1%202', 'k'))
+        self.assertEqual(answer.body, b'POST /a%2Fb?x=1%202')
+        headers = self.resource.seen[0].requestHeaders
+        for name, value in ((b'Idempotency-Key', b'k'), (b'X-Customer', b'al'),
+                            (b'X-Service', b'fieldbook'), (b'X-Deadline-Ms',
+                                                           b'20000')):
+            self.assertEqual(headers.getRawHeaders(name), [value])
+
+    @defer.inlineCallbacks
+    def test_refusal_of_the_target_is_seen(self):
+        """Guards against a did-not-run that is lost or invented."""
+        refused = yield self.target.call(request(path='/refuse'))
+        answered = yield self.target.call(request())
+        self.assertEqual((refused.status, refused.did_not_run), (503, True))
+        self.assertFalse(answered.did_not_run)
+
+    @defer.inlineCallbacks
+    def test_expired_call_closes_its_connection(self):
+        """Guards against work at the target that nobody waits for."""
+        with self.assertRaises(errors.TargetError):
+            yield self.target.call(request(path='/hang', deadline_ms=50))
+        yield self.resource.closed
+
+    @defer.inlineCallbacks
+    def test_cut_body_is_no_answer(self):
+        """Guards against a part of a body that passes for the whole (P5)."""
+        factory = protocol.Factory.forProtocol(_Cut)
+        port = reactor.listenTCP(0, factory, interface='127.0.0.1')
+        target = self._target(port)
+        with self.assertRaises(errors.TargetError):
+            yield target.call(request())
+        yield port.stopListening()
+        yield target.close()
+
+    @defer.inlineCallbacks
+    def test_connection_never_made_is_a_did_not_run(self):
+        """Guards against an unknown outcome for a request never sent."""
+        port = reactor.listenTCP(0, protocol.Factory(), interface='127.0.0.1')
+        target = self._target(port)
+        yield port.stopListening()
+        answer = yield target.call(request('POST', key='k'))
+        self.assertTrue(answer.did_not_run)
--- /dev/null
+++ b/figdrum/coap/tests/test_server.py
@@ -0,0 +1,318 @@
+"""Tests of the CoAP server in virtual time."""
+
+import random
+
+import aiocoap
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from figdrum.coap import codes
+from figdrum.coap import exchange
+from figdrum.coap import server
+from figdrum.core import ids
+from figdrum.core import states
+
+FLOW = ids.FlowKey('10.0.0.1', 4000, '10.9.0.1', 5683)
+OTHER = ids.FlowKey('10.0.0.2', 4000, '10.9.0.1', 5683)
+CONTENT = int(aiocoap.CONTENT)
+
+
+def make(seed: int = 1) -> server.CoapServer:
+    """Returns a server with seeded randomness."""
+    return server.CoapServer(random.Random(seed))
+
+
+def encode(code=aiocoap.GET, mid=1, token=b't', mtype=aiocoap.CON, **options):
+    """Returns a caller's datagram."""
+    return aiocoap.Message(code=code,
+                           _mtype=mtype,
+                           _mid=mid,
+                           _token=token,
+                           **options).encode()
+
+
+def only(reaction: server.Reaction) -> aiocoap.Message:
+    """Returns the one message of a reaction."""
+    datagram, = reaction.datagrams
+    return aiocoap.Message.decode(datagram.payload)
+
+
+def request(coap, now_ms, data, flow=FLOW):
+    """Returns the exchange number of a new request."""
+    event, = coap.on_datagram(now_ms, flow, data).events
+    return event.exchange
+
+
+def observe(coap, now_ms=0, body=b'0', token=b't', mid=1):
+    """Registers an observation and returns the first answer."""
+    number = request(coap, now_ms,
+                     encode(mid=mid, token=token, uri_path=('f',), observe=0))
+    return only(coap.answer(now_ms, number, codes.Response(CONTENT, body)))
+
+
+def test_answer_is_piggybacked_and_copies_get_the_same_reply():
+    """Guards against a copy of a request that runs a second time."""
+    coap = make()
+    data = encode(mid=77, token=b'ab')
+    assert request(coap, 0, data) == 1
+    assert not coap.on_datagram(5, FLOW, data).datagrams
+    reply = only(coap.answer(9, 1, codes.Response(CONTENT, b'x')))
+    assert (reply.mtype, reply.mid, reply.token,
+            reply.payload) == (aiocoap.ACK, 77, b'ab', b'x')
+    again = coap.on_datagram(exchange.EXCHANGE_LIFETIME_MS - 1, FLOW, data)
+    assert only(again).payload == b'x'
+    assert isinstance(again.events[0], server.Dropped)
+    # Another caller may use the same message id.
+    assert request(coap, 10, data, OTHER)
+
+
+def test_answers_out_of_order_reach_their_own_requests():
+    """Guards against answers that are mixed up between requests (P5)."""
+    coap = make()
+    numbers = {
+        token: request(coap, 0, encode(mid=mid, token=token))
+        for mid, token in enumerate((b'a', b'b', b'c'))
+    }
+    for token in (b'c', b'a', b'b'):
+        reply = only(
+            coap.answer(1, numbers[token], codes.Response(CONTENT, token)))
+        assert reply.token == reply.payload == token
+    assert not coap.answer(2, numbers[b'a'], codes.Response(CONTENT)).datagrams
+
+
+def test_late_answer_is_separate_and_repeated_until_acknowledged():
+    """Guards against a lost late answer (RFC 7252, 5.2.2)."""
+    coap = make()
+    number = request(coap, 0, encode(mid=5))
+    assert not coap.tick(server.SEPARATE_AFTER_MS - 1).datagrams
+    empty = only(coap.tick(server.SEPARATE_AFTER_MS))
+    assert (empty.mtype, empty.mid, empty.code) == (aiocoap.ACK, 5,
+                                                    aiocoap.EMPTY)
+    reply = only(coap.answer(1500, number, codes.Response(CONTENT, b'x')))
+    assert reply.mtype is aiocoap.CON and reply.token == b't'
+    assert only(coap.tick(1500 + 3000)).mid == reply.mid
+    coap.on_datagram(4600, FLOW,
+                     encode(aiocoap.EMPTY, reply.mid, b'', aiocoap.ACK))
+    assert not coap.tick(600_000).datagrams
+
+
+def test_separate_answer_is_given_up_after_the_last_attempt():
+    """Guards against repetition without end to a caller that is gone."""
+    coap = make()
+    number = request(coap, 0, encode())
+    coap.tick(1000)
+    coap.answer(1500, number, codes.Response(CONTENT, b'x'))
+    sent = sum(
+        len(coap.tick(now_ms).datagrams)
+        for now_ms in range(1500, 200_000, 100))
+    assert sent == exchange.MAX_RETRANSMIT
+
+
+def test_refusal_names_the_outcome_and_the_retry_delay():
+    """Guards against a refusal that a caller cannot read."""
+    coap = make()
+    number = request(coap, 0, encode())
+    reply = only(
+        coap.answer(0, number, codes.refusal(states.Refusal.OUTCOME_UNKNOWN,
+                                             3)))
+    assert (reply.code, reply.payload,
+            reply.opt.max_age) == (aiocoap.SERVICE_UNAVAILABLE,
+                                   b'outcome-unknown', 3)
+
+
+@pytest.mark.parametrize('options,code', [
+    ({
+        'uri_path': ('a', '..')
+    }, aiocoap.BAD_REQUEST),
+    ({
+        'uri_query': ('deadline_ms=-1',)
+    }, aiocoap.BAD_REQUEST),
+    ({
+        'uri_query': ('key=' + 'k' * 129,)
+    }, aiocoap.BAD_REQUEST),
+    ({
+        'uri_path': ('a\r\nX: y',)
+    }, aiocoap.BAD_REQUEST),
+    ({
+        'if_none_match': True
+    }, aiocoap.BAD_OPTION),
+    ({
+        'block1': (0, True, 6)
+    }, aiocoap.BAD_OPTION),
+    ({
+        'proxy_uri': 'coap://x/'
+    }, aiocoap.PROXYING_NOT_SUPPORTED),
+    ({
+        'code': aiocoap.FETCH
+    }, aiocoap.METHOD_NOT_ALLOWED),
+])
+def test_bad_requests_are_answered_with_an_error(options, code):
+    """Guards against bad requests that reach the target or hang."""
+    reaction = make().on_datagram(0, FLOW, encode(**options))
+    assert only(reaction).code == code and not reaction.events
+
+
+def test_download_is_whole_although_blocks_come_in_any_order():
+    """Guards against a download pieced together from two versions."""
+    coap = make()
+    body = random.Random(3).randbytes(5000)
+    first = request(coap, 0, encode(mid=1, uri_path=('p',)))
+    pieces = {0: only(coap.answer(0, first, codes.Response(CONTENT, body)))}
+    for mid, number in enumerate((4, 2, 1, 3), 2):
+        pieces[number] = only(
+            coap.on_datagram(
+                9, FLOW,
+                encode(mid=mid, uri_path=('p',), block2=(number, False, 6))))
+    assert b''.join(pieces[n].payload for n in range(5)) == body
+    assert len({piece.opt.etag for piece in pieces.values()}) == 1
+    assert [pieces[n].opt.block2.more for n in range(5)
+           ] == [True, True, True, True, False]
+
+
+def test_block_of_a_moved_download_is_fetched_again():
+    """Guards against a download that cannot go on at another agent."""
+    coap = make()
+    body = bytes(range(250)) * 10
+    number = request(coap, 0, encode(uri_path=('p',), block2=(1, False, 6)))
+    piece = only(coap.answer(0, number, codes.Response(CONTENT, body)))
+    assert piece.payload == body[1024:2048] and piece.opt.block2.more
+    number = request(coap, 0,
+                     encode(mid=2, uri_path=('p',), block2=(9, False, 6)))
+    assert only(coap.answer(0, number,
+                            codes.Response(CONTENT,
+                                           body))).code == aiocoap.BAD_REQUEST
+
+
+def test_older_version_is_served_by_its_etag():
+    """Guards against a change of the body in the middle of a download."""
+    coap = make()
+    old, new = b'a' * 3000, b'b' * 3000
+    number = request(coap, 0, encode(mid=1, uri_path=('p',)))
+    tag = only(coap.answer(0, number, codes.Response(CONTENT, old))).opt.etag
+    number = request(coap, 0, encode(mid=2, uri_path=('p',), token=b'u'))
+    coap.answer(0, number, codes.Response(CONTENT, new))
+    piece = only(
+        coap.on_datagram(
+            1, FLOW,
+            encode(mid=3, uri_path=('p',), block2=(1, False, 6), etag=tag)))
+    assert piece.payload == old[1024:2048]
+
+
+def test_notifications_are_ordered_and_only_on_change():
+    """Guards against a feed that repeats or reorders its states."""
+    coap = make()
+    first = observe(coap)
+    assert not coap.notify(1, FLOW, b't', codes.Response(CONTENT,
+                                                         b'0')).datagrams
+    second = only(coap.notify(2, FLOW, b't', codes.Response(CONTENT, b'1')))
+    assert second.mtype is aiocoap.CON and second.token == b't'
+    assert 0 < second.opt.observe - first.opt.observe < 2**23
+    # Not acknowledged yet: the newest state goes out with the next repetition.
+    for body in (b'2', b'3'):
+        assert not coap.notify(3, FLOW, b't', codes.Response(CONTENT,
+                                                             body)).datagrams
+    third = only(coap.tick(3002))
+    assert third.payload == b'3' and third.opt.observe > second.opt.observe
+    assert third.mid != second.mid
+
+
+def test_acknowledgement_releases_the_newest_state():
+    """Guards against a last change that is never sent."""
+    coap = make()
+    observe(coap)
+    sent = only(coap.notify(2, FLOW, b't', codes.Response(CONTENT, b'1')))
+    coap.notify(3, FLOW, b't', codes.Response(CONTENT, b'2'))
+    ack = encode(aiocoap.EMPTY, sent.mid, b'', aiocoap.ACK)
+    assert only(coap.on_datagram(4, FLOW, ack)).payload == b'2'
+
+
+def test_quiet_feed_is_confirmed_each_minute():
+    """Guards against a live feed whose records expire unused."""
+    coap = make()
+    observe(coap)
+    sent = []
+    for now_ms in range(0, 300_000, 100):
+        for datagram in coap.tick(now_ms).datagrams:
+            message = aiocoap.Message.decode(datagram.payload)
+            sent.append(now_ms)
+            coap.on_datagram(
+                now_ms, FLOW,
+                encode(aiocoap.EMPTY, message.mid, b'', aiocoap.ACK))
+    assert sent == [60_000, 120_000, 180_000, 240_000]
+
+
+@pytest.mark.parametrize('how', ['reset', 'cancel', 'silence', 'error'])
+def test_observation_ends(how):
+    """Guards against feeds that go on for callers that left."""
+    coap = make()
+    observe(coap)
+    sent = only(coap.notify(2, FLOW, b't', codes.Response(CONTENT, b'1')))
+    if how == 'reset':
+        events = coap.on_datagram(
+            3, FLOW, encode(aiocoap.EMPTY, sent.mid, b'', aiocoap.RST)).events
+    elif how == 'cancel':
+        number = request(coap, 3, encode(mid=9, uri_path=('f',), observe=1))
+        events = coap.answer(3, number, codes.Response(CONTENT, b'1')).events
+    elif how == 'silence':
+        events = coap.tick(3000).events
+        for now_ms in range(3000, 200_000, 1000):
+            events += coap.tick(now_ms).events
+    else:
+        coap.on_datagram(3, FLOW,
+                         encode(aiocoap.EMPTY, sent.mid, b'', aiocoap.ACK))
+        events = coap.notify(4, FLOW, b't', codes.Response(132)).events
+    assert server.ObservationEnded(FLOW, b't') in events
+    assert not coap.notify(300_000, FLOW, b't', codes.Response(CONTENT,
+                                                               b'9')).datagrams
+
+
+def test_handed_over_feed_goes_on_in_order():
+    """Guards against a caller that takes the new agent's states for old."""
+    giver, taker = make(1), make(2)
+    observe(giver)
+    last = only(giver.notify(1, FLOW, b't', codes.Response(CONTENT, b'1')))
+    requests, sequence = giver.handover(FLOW)
+    events = taker.adopt(5, FLOW, tuple(req.raw for req in requests),
+                         sequence).events
+    assert [event.token for event in events] == [b't']
+    sent = only(taker.notify(6, FLOW, b't', codes.Response(CONTENT, b'2')))
+    assert 0 < sent.opt.observe - last.opt.observe < 2**23
+    assert sent.mid != last.mid
+    assert giver.forget(FLOW).events == (server.ObservationEnded(FLOW, b't'),)
+
+
+def test_ping_is_reset_and_stray_acknowledgements_are_counted():
+    """Guards against stray messages that change any state."""
+    coap = make()
+    ping = encode(aiocoap.EMPTY, 8, b'')
+    assert only(coap.on_datagram(0, FLOW, ping)).mtype is aiocoap.RST
+    for mtype in (aiocoap.ACK, aiocoap.RST):
+        stray = encode(aiocoap.EMPTY, 8, b'', mtype)
+        assert coap.on_datagram(
+            0, FLOW, stray).events == (server.Dropped('coap.unexpected'),)
+
+
+@hypothesis.given(
+    strategies.lists(strategies.binary(max_size=40) | strategies.binary(
+        max_size=40).map(lambda tail: b'\x41\x01\x00\x01t' + tail),
+                     max_size=20))
+def test_random_datagrams_never_raise(datagrams):
+    """Guards against a datagram that ends the process."""
+    coap = make()
+    for now_ms, data in enumerate(datagrams):
+        for event in coap.on_datagram(now_ms, FLOW, data).events:
+            if isinstance(event, server.Requested):
+                coap.answer(now_ms, event.exchange,
+                            codes.Response(CONTENT, bytes(2000)))
+        coap.tick(now_ms * 5000)
+
+
+def test_duplicate_cache_is_bounded():
+    """Guards against memory that grows with the callers' message ids."""
+    cache = exchange.DuplicateCache(max_entries=10, max_bytes=100)
+    for mid in range(100):
+        cache.begin(mid, FLOW, mid)
+        cache.finish(FLOW, mid, bytes(30))
+        assert len(cache) <= 10
+    assert len(cache) <= 5
