--- a/figdrum/admission/controller.py
+++ b/figdrum/admission/controller.py
@@ -37,6 +37,7 @@
 from figdrum.admission import slots
 from figdrum.admission import warmup
 from figdrum.core import ids
+from figdrum.ownership import admission_check
 
 
 class Capacity(typing.NamedTuple):
@@ -90,12 +91,16 @@
     displaced: collections.abc.Hashable | None = None
 
 
-class AdmissionController:
+class AdmissionController(admission_check.AdmissionCheck):
     """Decides what the target beside this agent may get.
 
     Args:
       name: This agent's name.
       capacity: The target's capacity.
+
+    Attributes:
+      flows_stopped: True once no new flow is taken.
+      requests_stopped: True once no new request is taken.
     """
 
     def __init__(self, name: str, capacity: Capacity):
@@ -110,7 +115,8 @@
         self.warmup = warmup.Warmup(capacity.cold_rate, capacity.full_rate)
         self.slots = slots.SlotQueue(capacity.slots, capacity.queue)
         self.retries = retry_budget.RetryBudget()
-        self.stopped = False
+        self.flows_stopped = False
+        self.requests_stopped = False
 
     @property
     def utilisation(self) -> float:
@@ -141,7 +147,7 @@
     def can_admit(self, now_ms: int, customer: ids.CustomerId) -> bool:
         """Returns True if a new flow of `customer` may be taken now."""
         terms = self._terms(customer)
-        if self.stopped or terms is None:
+        if self.flows_stopped or terms is None:
             return False
         if not shedding.admits(terms.rank, self.utilisation):
             return False
@@ -170,25 +176,40 @@
         if self._flows[customer] > 0:
             self._flows[customer] -= 1
 
-    def offer(self, now_ms: int, name: collections.abc.Hashable, customer: str,
-              deadline_at_ms: int) -> RequestOffer:
-        """Takes a request into the slot queue or says why not."""
+    def offer(self,
+              now_ms: int,
+              name: collections.abc.Hashable,
+              customer: str,
+              deadline_at_ms: int,
+              background: bool = False) -> RequestOffer:
+        """Takes a request into the slot queue or says why not.
+
+        Args:
+          now_ms: Time.
+          name: Identifies the request.
+          customer: Its customer.
+          deadline_at_ms: Time by which its answer is of use.
+          background: True for the agent's own polling, which has the last rank
+            and no part in the customer's limit.
+        """
         terms = self._terms(customer)
-        if self.stopped or terms is None:
+        if self.requests_stopped or terms is None:
             return RequestOffer(Denial.LIMIT)
-        limit = self._share(customer).requests
+        rank = shedding.LAST_RANK if background else terms.rank
+        limit = None if background else self._share(customer).requests
         if limit is not None and self._per_customer[customer] >= limit:
             return RequestOffer(Denial.LIMIT)
-        if not shedding.admits(terms.rank, self.slots.utilisation):
+        if not shedding.admits(rank, self.slots.utilisation):
             return RequestOffer(Denial.SHED)
         result = self.slots.offer(
-            now_ms, slots.Ticket(name, terms.rank, deadline_at_ms),
+            now_ms, slots.Ticket(name, rank, deadline_at_ms),
             self.warmup.expected_run_ms, self.warmup.rate)
         if result.verdict is not slots.Verdict.QUEUED:
             return RequestOffer(Denial(result.verdict.value))
         self.retries.request(now_ms)
-        self._requests[name] = customer
-        self._per_customer[customer] += 1
+        if not background:
+            self._requests[name] = customer
+            self._per_customer[customer] += 1
         if result.displaced is None:
             return RequestOffer(None)
         self._forget(result.displaced.name)
--- a/figdrum/admission/tests/test_controller.py
+++ b/figdrum/admission/tests/test_controller.py
@@ -28,7 +28,7 @@
     """Guards against work without a contract and after a drain began."""
     made = make()
     assert made.can_admit(0, 'c') and not made.can_admit(0, 'stranger')
-    made.stopped = True
+    made.flows_stopped = made.requests_stopped = True
     assert not made.can_admit(0, 'c')
     assert made.offer(0, 1, 'c', 999).denial is controller.Denial.LIMIT
 
@@ -65,6 +65,18 @@
     assert made.offer(5, 3, 'c', 9999).denial is None
 
 
+def test_background_polling_gives_way_to_requests():
+    """Guards against feeds that take the place or the limit of requests."""
+    made = make(rank=5, limits=shares.Limits(requests=1))
+    taken = [
+        made.offer(0, f'poll {i}', 'c', 9999, background=True).denial
+        for i in range(6)
+    ]
+    assert taken == [None] * 4 + [controller.Denial.SHED] * 2
+    assert made.offer(0, 'request', 'c', 9999).denial is None
+    assert made.next_start(0) == controller.Start('request')
+
+
 @hypothesis.given(strategies.integers(0, 2**32))
 def test_counters_return_to_zero(seed):
     """Guards against a leak that refuses a customer for ever."""
--- a/figdrum/admission/tests/test_warmup.py
+++ b/figdrum/admission/tests/test_warmup.py
@@ -87,6 +87,15 @@
     assert limiter.rate == 2
 
 
+def test_health_that_stays_cold_does_not_stop_the_growth():
+    """Guards against a target that waits for load while the agent waits."""
+    limiter = warmup.Warmup(2, 16)
+    for now_ms in range(200):
+        limiter.on_health(now_ms, 'cold')
+        limiter.completed(now_ms, True, WARM_MS)
+    assert not limiter.cold
+
+
 def test_good_health_alone_never_warms():
     """Guards against a health endpoint that misleads."""
     limiter = warmup.Warmup(2, 100)
--- a/figdrum/admission/warmup.py
+++ b/figdrum/admission/warmup.py
@@ -94,6 +94,7 @@
         self._warm_median_ms: float | None = None
         self._fell_ms: int | None = None
         self._incarnation: str | None = None
+        self._health: str | None = None
 
     @property
     def cold(self) -> bool:
@@ -160,9 +161,14 @@
         self._recent.clear()
 
     def on_health(self, now_ms: int, health: str) -> None:
-        """Takes the target's word that it is cold; nothing else it says."""
-        if health == 'cold':
+        """Takes the target's word that it turned cold; nothing else it says.
+
+        A target that goes on saying `cold` while it warms up does not stop the
+        growth, which follows its completions.
+        """
+        if health == 'cold' and self._health != 'cold':
             self.fall(now_ms)
+        self._health = health
 
     def on_incarnation(self, now_ms: int, incarnation: str) -> None:
         """Falls back when the target's process is another one than before."""
