--- a/figdrum/admission/controller.py
+++ b/figdrum/admission/controller.py
@@ -201,9 +201,9 @@
             return RequestOffer(Denial.LIMIT)
         if not shedding.admits(rank, self.slots.utilisation):
             return RequestOffer(Denial.SHED)
-        result = self.slots.offer(
-            now_ms, slots.Ticket(name, rank, deadline_at_ms),
-            self.warmup.expected_run_ms, self.warmup.rate)
+        result = self.slots.offer(now_ms,
+                                  slots.Ticket(name, rank, deadline_at_ms),
+                                  self.warmup.expected_run_ms, self.warmup.rate)
         if result.verdict is not slots.Verdict.QUEUED:
             return RequestOffer(Denial(result.verdict.value))
         self.retries.request(now_ms)
--- /dev/null
+++ b/figdrum/agent/beat.py
@@ -0,0 +1,39 @@
+"""Notices pauses of this process and the passing of seconds.
+
+Examples
+========
+
+>>> beat = Beat(500)
+>>> beat.gap_ms(0), beat.gap_ms(499), beat.gap_ms(999)
+(0, 0, 500)
+>>> [beat.second(now_ms) for now_ms in (0, 400, 1000, 1100)]
+[True, False, True, False]
+"""
+
+from figdrum.core import clock
+
+
+class Beat:
+    """Times of the last event and of the last second.
+
+    Args:
+      wake_gap_ms: Time without an event after which the process was paused.
+    """
+
+    def __init__(self, wake_gap_ms: int):
+        self._wake_gap_ms = wake_gap_ms
+        self._last_ms: int | None = None
+        self._next_second_ms = 0
+
+    def gap_ms(self, now_ms: int) -> int:
+        """Records an event; returns the length of a pause before it, or 0."""
+        last_ms, self._last_ms = self._last_ms, now_ms
+        gap_ms = now_ms - last_ms if last_ms is not None else 0
+        return gap_ms if gap_ms >= self._wake_gap_ms else 0
+
+    def second(self, now_ms: int) -> bool:
+        """Returns True once a second."""
+        if now_ms < self._next_second_ms:
+            return False
+        self._next_second_ms = now_ms + clock.MS_PER_S
+        return True
--- /dev/null
+++ b/figdrum/agent/claim_service.py
@@ -0,0 +1,258 @@
+"""Obtains claims of idempotency keys and serves those of other agents.
+
+Explanation
+===========
+
+A request with a key runs here only after a walk through the members of the
+service has won the key. A request that finds its key in progress here waits for
+the same answer; one whose key another agent claimed gets the answer from that
+agent. Whatever becomes of a key that was claimed is stored as its answer, so
+that every later copy gets the same one.
+
+References
+==========
+
+docs/design.md, section 5.4.
+"""
+
+import collections.abc
+import typing
+
+from twisted.internet import defer
+
+from figdrum.agent import questions
+from figdrum.agent import surroundings
+from figdrum.agent import view
+from figdrum.coap import codes
+from figdrum.core import ids
+from figdrum.core import states
+from figdrum.filters import filter  # pylint: disable=redefined-builtin
+from figdrum.filters import request_claim
+from figdrum.filters import request_context
+from figdrum.idempotency import claim_registry
+from figdrum.idempotency import claim_walk
+from figdrum.idempotency import result_table
+from figdrum.membership import service_list
+from figdrum.messages import codec
+from figdrum.messages import datagram
+
+MAX_WALKS = 4
+# An answer has to fit into one datagram with the rest of its message.
+MAX_ANSWER_BYTES = 60_000
+MAX_WAITERS = 64
+
+_Key = tuple[str, str]
+_REFUSED = codes.refusal(states.Refusal.DID_NOT_RUN)
+
+
+class ClaimService(request_claim.Claims):
+    """The executor's and the member's side of claims.
+
+    Args:
+      own: What this agent knows of its service.
+      around: Ports of the agent.
+      asking: Questions to other agents.
+      answer_ms: Time in which a member has to answer a claim.
+    """
+
+    def __init__(self, own: view.View, around: surroundings.Surroundings,
+                 asking: questions.Questions, answer_ms: int):
+        self._own = own
+        self._clock = around.clock
+        self._timers = around.timers
+        self._peers = around.peers
+        self._metrics = around.metrics
+        self._questions = asking
+        self._answer_ms = answer_ms
+        self._registry = claim_registry.ClaimRegistry(own.name)
+        self._results = result_table.ResultTable()
+        self._claimed: dict[int, _Key] = {}
+        self._waiters: dict[_Key,
+                            list[collections.abc.Callable[[codes.Response],
+                                                          None]]] = {}
+
+    def acquire(self, ctx: request_context.RequestContext) -> defer.Deferred:
+        key = (ctx.customer, ctx.request.key)
+        begun = self._results.begin(self._clock.now_ms(), *key)
+        if isinstance(begun, result_table.Done):
+            return defer.succeed(filter.Answer(_stored(begun)))
+        if isinstance(begun, result_table.Running):
+            return self._wait(key, ctx.deadline_at_ms)
+        if isinstance(begun, result_table.Full):
+            self._metrics.incr('agent.results_full')
+            return defer.succeed(filter.Answer(request_context.UNKNOWN))
+        return self._claim(key, ctx)
+
+    def settle(self, number: int, response: codes.Response) -> None:
+        """Stores the answer of a request that holds a claim."""
+        key = self._claimed.pop(number, None)
+        if key is not None:
+            self._finish(key, response)
+
+    def on_claim(self, address: ids.Address, claim: datagram.Claim) -> None:
+        """Answers the question of another agent."""
+        if not self._own.may_run():
+            self._metrics.incr('agent.claim_while_fenced')
+            return
+        reply = self._judge(claim)
+        if not claim.copy:
+            self._peers.send(address, codec.encode(reply))
+
+    def on_execute(self, address: ids.Address, ask: datagram.Execute) -> None:
+        """Answers with the stored answer now or when it comes."""
+        state = self._results.find(ask.customer, ask.key)
+        if isinstance(state, result_table.Running):
+            waiting = self._waiters.setdefault((ask.customer, ask.key), [])
+            if len(waiting) < MAX_WAITERS:
+                waiting.append(
+                    lambda response: self._reply(address, ask.nonce, response))
+            return
+        self._reply(address, ask.nonce, _stored(state) if state else None)
+
+    def on_reply(self,
+                 reply: datagram.ClaimReply | datagram.ExecuteReply) -> None:
+        """Takes the answer to a question."""
+        if not self._questions.answer(reply.nonce, reply):
+            self._metrics.incr('agent.late_reply')
+
+    def copies(self) -> tuple[tuple[service_list.Member, datagram.Claim], ...]:
+        """Returns the claims that a leaving member gives to others."""
+        members = self._own.members
+        pairs = []
+        for claim in self._registry.copies(members.version):
+            order = members.order(
+                claim_registry.key_bytes(claim.customer, claim.key))
+            others = [m for m in order if m.name != self._own.name]
+            pairs += [(member, claim) for member in others[:claim_walk.COPIES]]
+        return tuple(pairs)
+
+    def expire(self) -> None:
+        """Forgets what is older than the key lifetime."""
+        now_ms = self._clock.now_ms()
+        self._registry.expire(now_ms)
+        self._results.expire(now_ms)
+
+    @defer.inlineCallbacks
+    def _claim(self, key: _Key, ctx: request_context.RequestContext):
+        response = request_context.UNKNOWN
+        won = False
+        try:
+            step = yield self._walk(key)
+            won = isinstance(step, claim_walk.Won) and self._own.may_run()
+            if isinstance(step, claim_walk.Taken):
+                response = yield self._ask_executor(key, step.executor,
+                                                    ctx.deadline_at_ms)
+        finally:
+            # A key must not stay in progress for ever, whatever failed.
+            if not won:
+                self._finish(key, response)
+        if not won:
+            return filter.Answer(response)
+        self._claimed[ctx.number] = key
+        return filter.Pass(ctx._replace(claimed=True))
+
+    @defer.inlineCallbacks
+    def _walk(self, key: _Key):
+        for _ in range(MAX_WALKS):
+            members = self._own.members
+            lost = self._own.lost()
+            walk = claim_walk.ClaimWalk(
+                claim_walk.walk_order(*key, members, lost), lost)
+            step = walk.start()
+            while isinstance(step, claim_walk.Ask):
+                reply = yield self._ask(step.member, key, members)
+                step = _advance(walk, step.member, reply)
+            if not isinstance(step, claim_walk.Stale):
+                return step
+            self._metrics.incr('agent.stale_walk')
+            yield self._own.fetch(step.list_version)
+        return claim_walk.Uncertain()
+
+    def _ask(self, name: str, key: _Key,
+             members: service_list.ServiceList) -> defer.Deferred:
+
+        def make(nonce: int) -> datagram.Claim:
+            return datagram.Claim(nonce, *key, self._own.name,
+                                  self._own.incarnation, members.version)
+
+        if name == self._own.name:
+            return defer.succeed(self._judge(make(0)))
+        member = members.find(name)
+        if member is None:
+            return defer.succeed(None)
+        return self._questions.ask(member.address, make, self._answer_ms)
+
+    def _judge(self, claim: datagram.Claim) -> datagram.ClaimReply:
+        return self._registry.on_claim(self._clock.now_ms(), claim,
+                                       self._own.members.version,
+                                       self._own.claim_standing())
+
+    @defer.inlineCallbacks
+    def _ask_executor(self, key: _Key, executor: claim_registry.Executor,
+                      deadline_at_ms: int):
+        member = self._own.members.find(executor.name)
+        alive = (member is not None and executor.name != self._own.name and
+                 member.incarnation == executor.incarnation and member.state
+                 in (states.MemberState.ACTIVE, states.MemberState.DRAINING))
+        left_ms = deadline_at_ms - self._clock.now_ms()
+        if not alive or left_ms <= 0:
+            return request_context.UNKNOWN
+        reply = yield self._questions.ask(
+            member.address,
+            lambda nonce: datagram.Execute(nonce, *key, left_ms), left_ms)
+        if (not isinstance(reply, datagram.ExecuteReply) or not reply.known or
+                not 64 <= reply.code < 192):
+            return request_context.UNKNOWN
+        return _stored(reply)
+
+    def _wait(self, key: _Key, deadline_at_ms: int) -> defer.Deferred:
+        done: defer.Deferred = defer.Deferred()
+        waiting = self._waiters.setdefault(key, [])
+        if len(waiting) >= MAX_WAITERS:
+            return defer.succeed(filter.Answer(request_context.UNKNOWN))
+
+        def answer(response: codes.Response) -> None:
+            if not done.called:
+                timer.cancel()
+                done.callback(filter.Answer(response))
+
+        def time_out() -> None:
+            done.callback(filter.Answer(request_context.UNKNOWN))
+
+        timer = self._timers.call_later(
+            max(1, deadline_at_ms - self._clock.now_ms()), time_out)
+        waiting.append(answer)
+        return done
+
+    def _finish(self, key: _Key, response: codes.Response) -> None:
+        self._results.finish(self._clock.now_ms(), *key, response.code,
+                             response.payload)
+        for answer in self._waiters.pop(key, ()):
+            answer(response)
+
+    def _reply(self, address: ids.Address, nonce: int,
+               response: codes.Response | None) -> None:
+        if response is None or len(response.payload) > MAX_ANSWER_BYTES:
+            response = None
+        reply = datagram.ExecuteReply(nonce, response is not None,
+                                      response.code if response else 0,
+                                      response.payload if response else b'')
+        self._peers.send(address, codec.encode(reply))
+
+
+def _advance(walk: claim_walk.ClaimWalk, member: str,
+             reply: typing.Any) -> claim_walk.WalkStep:
+    """Returns the next step; a reply that makes no sense is none."""
+    step = None
+    if isinstance(reply, datagram.ClaimReply):
+        try:
+            step = walk.on_reply(reply)
+        except ValueError:
+            step = None
+    return walk.on_timeout(member) if step is None else step
+
+
+def _stored(state: result_table.Done | datagram.ExecuteReply) -> codes.Response:
+    """Returns a stored answer; a refusal gets its retry delay back."""
+    retry_s = _REFUSED.max_age_s if state.code == _REFUSED.code else None
+    return codes.Response(state.code, state.body, retry_s)
--- /dev/null
+++ b/figdrum/agent/core.py
@@ -0,0 +1,393 @@
+"""The agent without sockets.
+
+Explanation
+===========
+
+The core takes datagrams, changes of the replica and ticks, and carries out what
+the controllers decide through the ports of its surroundings. `process` connects
+it to sockets and signals; tests and benches connect it to their own ports.
+
+References
+==========
+
+docs/design.md, sections 5.3 to 5.6 and 6.4.
+"""
+
+import collections.abc
+import typing
+
+from twisted.internet import defer
+
+from figdrum.admission import controller
+from figdrum.agent import beat
+from figdrum.agent import claim_service
+from figdrum.agent import drain
+from figdrum.agent import feeds
+from figdrum.agent import handover
+from figdrum.agent import health
+from figdrum.agent import list_waits
+from figdrum.agent import membership
+from figdrum.agent import place
+from figdrum.agent import questions
+from figdrum.agent import reply_routes
+from figdrum.agent import requests
+from figdrum.agent import slot_waiter
+from figdrum.agent import stale_notices
+from figdrum.agent import surroundings
+from figdrum.coap import server
+from figdrum.contracts import state as contract_state
+from figdrum.core import clock as clock_lib
+from figdrum.core import errors
+from figdrum.core import ids
+from figdrum.core import states
+from figdrum.filters import chain
+from figdrum.filters import request_claim
+from figdrum.filters import request_context
+from figdrum.filters import request_contract
+from figdrum.filters import request_deadline
+from figdrum.filters import request_run
+from figdrum.filters import request_slot
+from figdrum.membership import leases
+from figdrum.membership import lister
+from figdrum.membership import service_list
+from figdrum.messages import codec
+from figdrum.messages import datagram
+from figdrum.ownership import actions
+from figdrum.ownership import owner
+from figdrum.telemetry import logs
+from figdrum.telemetry import trace as trace_lib
+
+FEED_INTERVAL_MS = 1_000
+
+_log = logs.part('agent')
+
+_OWNER_MESSAGES = (datagram.Heartbeat, datagram.Held, datagram.Refused,
+                   datagram.Handover, datagram.HandoverReply, datagram.Moved)
+_REFUSALS = frozenset(refusal.value for refusal in states.Refusal)
+
+
+class _Guard(request_run.RunGuard):
+    """Starts and ends of runs, for the run filter."""
+
+    def __init__(self, own: place.Place, clock: clock_lib.Clock,
+                 admission: controller.AdmissionController,
+                 slots: slot_waiter.SlotWaiter):
+        self._own = own
+        self._clock = clock
+        self._admission = admission
+        self._slots = slots
+
+    def may_run(self) -> bool:
+        return self._own.may_run()
+
+    def may_retry(self) -> bool:
+        now_ms = self._clock.now_ms()
+        return (self._admission.warmup.may_start(now_ms) and
+                self._admission.retries.try_retry(now_ms) and
+                self._admission.warmup.try_start(now_ms))
+
+    def finished(self, ctx: request_context.RequestContext, ok: bool,
+                 latency_ms: int) -> None:
+        self._admission.finished(self._clock.now_ms(), ctx.number, ok,
+                                 latency_ms)
+        self._slots.pump()
+
+
+class AgentCore:
+    """One agent.
+
+    Args:
+      cfg: Settings, see `figdrum.settings.schema.Settings`.
+      address: Address of the frame port.
+      around: Ports.
+      fetch: Asks the balancers for what changed since the known revision.
+      trace: Records the owner's decisions.
+      feed_ms: Time between polls of an observed path.
+
+    Attributes:
+      place: The agent's place in its service.
+      admission: What the target may get.
+      flows: The flows held here.
+      leave: Steps of the leave.
+    """
+
+    def __init__(self,
+                 cfg: typing.Any,
+                 address: ids.Address,
+                 around: surroundings.Surroundings,
+                 fetch: collections.abc.Callable[[], None],
+                 trace: trace_lib.Trace = trace_lib.NullTrace(),
+                 feed_ms: int = FEED_INTERVAL_MS):
+        self._around = around
+        self._cfg = cfg.agent
+        self._beat = beat.Beat(self._cfg.wake_gap_ms)
+        self._routes = reply_routes.ReplyRoutes()
+        self._stale = stale_notices.StaleNotices(self._cfg.stale_ms)
+        self._owner = trace.build('owner', owner.Owner,
+                                  ids.AgentName(cfg.process.name),
+                                  ids.ServiceName(self._cfg.service),
+                                  ids.ZoneName(cfg.process.zone))
+        self._membership = self._make_membership(cfg, address)
+        self.place = place.Place(cfg, around.clock, self._owner,
+                                 self._membership,
+                                 list_waits.ListWaits(self._cfg.park_ms, fetch))
+        self.admission = controller.AdmissionController(
+            self.place.name,
+            controller.Capacity(self._cfg.slots, self._cfg.connections,
+                                self._cfg.queue, self._cfg.cold_rate,
+                                self._cfg.full_rate))
+        self.admission.on_terms(self.place.terms)
+        self._claims = claim_service.ClaimService(
+            self.place, around,
+            questions.Questions(around.timers, around.peers,
+                                self._cfg.repeat_ms, around.rng),
+            self._cfg.claim_answer_ms)
+        self._slots = slot_waiter.SlotWaiter(around.clock, around.timers,
+                                             self.admission, around.metrics)
+        self._requests = self._make_requests()
+        self.flows = handover.HeldFlows(self.place.name, around, self._owner,
+                                        self.admission, self._routes,
+                                        self._requests, self._claims)
+        self._feeds = feeds.Feeds(feed_ms, self._poll, self._requests.notify)
+        self._health = health.HealthPoller(around, self.place.service,
+                                           self.admission.warmup)
+        self.leave = drain.Drain(self.flows, self._cfg.drain_ms,
+                                 self._cfg.linger_ms)
+
+    def start(self) -> None:
+        """Joins the service's list."""
+        self._membership.start()
+
+    def start_drain(self) -> None:
+        """Begins to leave; `leave.phase` tells when it is done."""
+        if self.leave.phase is not drain.Phase.SERVING:
+            return
+        now_ms = self._around.clock.now_ms()
+        self.admission.flows_stopped = True
+        self._membership.publish_draining()
+        # The drain paces the offers, so the first burst is not sent.
+        self._owner.start_drain(now_ms)
+        self.leave.start(now_ms)
+
+    def publish_leave(self) -> defer.Deferred:
+        """Publishes that the agent has left."""
+        return self._membership.leave()
+
+    def stop(self) -> None:
+        """Ends all repetitions."""
+        self._membership.stop()
+
+    def on_replica(self, members: service_list.ServiceList,
+                   contracts: contract_state.ContractState) -> None:
+        """Takes the replica's newest state."""
+        self.place.contracts = contracts
+        self._take_list(members)
+        for flow, customer in self.flows.items():
+            if not self.place.allows(customer, flow.src_host):
+                # Requests are answered by the contract filter; feeds end.
+                self._requests.forget(flow)
+
+    def on_datagram(self, address: ids.Address, data: bytes) -> None:
+        """Takes a datagram of a balancer or agent; bad input is dropped."""
+        self._notice_gap()
+        try:
+            message = codec.decode(data, f'{address[0]}:{address[1]}')
+        except errors.FigdrumError:
+            self._around.metrics.incr('agent.malformed')
+            return
+        now_ms = self._around.clock.now_ms()
+        if isinstance(message, datagram.Packet):
+            self._on_packet(now_ms, address, message)
+        elif isinstance(message, datagram.Ping):
+            self._routes.heard(now_ms, address)
+            self._send(address, datagram.Pong(message.nonce, self.place.name))
+        elif isinstance(message, datagram.Claim):
+            self._claims.on_claim(address, message)
+        elif isinstance(message, datagram.Execute):
+            self._claims.on_execute(address, message)
+        elif isinstance(message, (datagram.ClaimReply, datagram.ExecuteReply)):
+            self._claims.on_reply(message)
+        elif isinstance(message, _OWNER_MESSAGES):
+            self._on_member(now_ms, message)
+        else:
+            self._around.metrics.incr('agent.unexpected')
+
+    def tick(self) -> None:
+        """Does what is due; to be called each `tick_ms`."""
+        self._notice_gap()
+        now_ms = self._around.clock.now_ms()
+        self._membership.tick(now_ms)
+        self._owner.set_suspects(self._membership.suspected(now_ms))
+        self._act(now_ms, self._owner.on_tick(now_ms))
+        for _ in range(self.place.waits.expire(now_ms)):
+            self._around.metrics.incr('agent.dropped.list_not_fetched')
+        self._slots.pump()
+        self._requests.tick()
+        if self.place.may_run():
+            self._feeds.tick(now_ms)
+        self._health.tick(now_ms)
+        self.leave.tick(now_ms)
+        if self._beat.second(now_ms):
+            self._claims.expire()
+            self._report()
+
+    def _make_membership(self, cfg: typing.Any,
+                         address: ids.Address) -> membership.Membership:
+        agent, around = cfg.agent, self._around
+        writer = lister.Lister(
+            around.db, around.timers, agent.service, cfg.process.name, address,
+            cfg.process.zone, around.rng,
+            lister.ListerLimits(agent.lost_window_ms, agent.tombstone_ms))
+        table = leases.LeaseTable(
+            cfg.process.name,
+            leases.LeaseLimits(agent.heartbeat_ms, agent.skip_after_ms,
+                               agent.lost_after_ms, agent.wake_gap_ms))
+        return membership.Membership(cfg.process.name, around, writer, table,
+                                     agent.key_ms, self._on_joined)
+
+    def _make_requests(self) -> requests.Requests:
+        around = self._around
+        contract = request_contract.RequestContractFilter(
+            self.place.service, lambda: self.place.contracts)
+        slot = request_slot.RequestSlotFilter(self._slots)
+        run = request_run.RequestRunFilter(
+            around.target, around.clock,
+            _Guard(self.place, around.clock, self.admission, self._slots))
+        filters = chain.FilterChain(
+            contract, request_deadline.RequestDeadlineFilter(around.clock),
+            request_claim.RequestClaimFilter(self._claims), slot, run)
+        return requests.Requests(
+            server.CoapServer(around.rng), filters,
+            chain.FilterChain(contract, slot, run), self._claims, around.clock,
+            around.metrics,
+            requests.Output(self._reply, self._on_observed,
+                            self._on_observation_ended))
+
+    def _notice_gap(self) -> None:
+        """Records a pause of this process before anything is decided."""
+        now_ms = self._around.clock.now_ms()
+        gap_ms = self._beat.gap_ms(now_ms)
+        if gap_ms:
+            self._around.metrics.incr('agent.woken')
+            _log.warning('woke after a gap of %d ms', gap_ms)
+            self._membership.woke(now_ms)
+
+    def _on_joined(self, incarnation: ids.Incarnation,
+                   members: service_list.ServiceList) -> None:
+        now_ms = self._around.clock.now_ms()
+        self._act(now_ms, self._owner.join(now_ms, incarnation))
+        self._take_list(members)
+
+    def _take_list(self, members: service_list.ServiceList) -> None:
+        now_ms = self._around.clock.now_ms()
+        own = self.place
+        own.take_list(members)
+        self._act(
+            now_ms,
+            self._owner.on_list(now_ms, own.members, own.contracts.zones_out))
+        self._membership.on_list(now_ms, own.members)
+        if own.take_zone():
+            self._on_zone(now_ms)
+        self.admission.on_members(now_ms, own.admitting())
+        for packet in self.place.waits.on_list(own.members.version):
+            self._act(now_ms,
+                      self._owner.on_packet(now_ms, packet, self.admission))
+
+    def _on_zone(self, now_ms: int) -> None:
+        """Gives the flows up when the zone goes out; starts cold and
+        inquiring when it returns."""
+        own = self.place
+        _log.info('zone %s is %s', own.zone, 'out' if own.out else 'in service')
+        if own.out:
+            self._around.metrics.incr('agent.given_up_flows', len(self.flows))
+        if own.incarnation:
+            self._act(now_ms, self._owner.join(now_ms, own.incarnation))
+        self.admission.warmup.fall(now_ms)
+
+    def _on_packet(self, now_ms: int, address: ids.Address,
+                   packet: datagram.Packet) -> None:
+        self._routes.carried(now_ms, packet.flow, packet.balancer)
+        own = self.place
+        if packet.change > own.contracts.change:
+            own.waits.fetch()
+        behind = (packet.change < own.contracts.change or
+                  packet.list_version < own.members.version)
+        direct = address == packet.balancer
+        if behind and direct and self._stale.due(now_ms, address):
+            self._send(
+                address,
+                datagram.Stale(own.contracts.change, own.service,
+                               own.members.version))
+        self._act(now_ms, self._owner.on_packet(now_ms, packet, self.admission))
+
+    def _on_member(self, now_ms: int, message: typing.Any) -> None:
+        if (isinstance(message, datagram.Refused) and
+                message.refusal not in _REFUSALS):
+            self._around.metrics.incr('agent.malformed')
+            return
+        if isinstance(message, datagram.Heartbeat):
+            self._membership.on_heartbeat(now_ms, message)
+        decided = self._owner.on_message(now_ms, message, self.admission)
+        if isinstance(message, datagram.Handover):
+            self.flows.adopt(now_ms, message, decided)
+        self._act(now_ms, decided)
+        if isinstance(message, datagram.HandoverReply):
+            self.leave.on_reply(now_ms, message)
+
+    def _act(self, now_ms: int,
+             decided: collections.abc.Iterable[actions.Action]) -> None:
+        for action in decided:
+            if isinstance(action, actions.Deliver):
+                self._deliver(now_ms, action.packet)
+            elif isinstance(action, actions.Send):
+                self._send(action.to.address, action.message)
+            elif isinstance(action, actions.Refuse):
+                packet = action.packet
+                self._requests.refuse(packet.flow, packet.payload,
+                                      _origin(packet), action.refusal)
+            elif isinstance(action, actions.Drop):
+                self._around.metrics.incr(
+                    f'agent.dropped.{action.reason.value}')
+            elif isinstance(action, actions.FetchList):
+                if not self.place.waits.park(now_ms, action.packet):
+                    self._around.metrics.incr('agent.dropped.too_many_parked')
+            elif isinstance(action, actions.Release):
+                self.flows.end(action.flow)
+
+    def _deliver(self, now_ms: int, packet: datagram.Packet) -> None:
+        self.flows.begin(now_ms, packet.flow, ids.CustomerId(packet.customer))
+        self._requests.deliver(packet.flow, packet.payload, _origin(packet))
+
+    def _on_observed(self, customer: ids.CustomerId,
+                     event: server.Observed) -> None:
+        self._feeds.add(self._around.clock.now_ms(), customer, event)
+
+    def _on_observation_ended(self, event: server.ObservationEnded) -> None:
+        self._feeds.remove(event.flow, event.token)
+
+    def _poll(self, flow: ids.FlowKey, customer: ids.CustomerId,
+              req: typing.Any) -> defer.Deferred:
+        return self._requests.poll(
+            flow, requests.Origin(customer, self.place.service), req)
+
+    def _reply(self, reply: server.Datagram) -> None:
+        balancer = self._routes.choose(self._around.clock.now_ms(), reply.flow)
+        if balancer is None:
+            self._around.metrics.incr('agent.dropped.no_balancer')
+            return
+        self._send(balancer, datagram.Reply(reply.flow, reply.payload))
+
+    def _send(self, address: ids.Address, message: codec.Message) -> None:
+        self._around.peers.send(address, codec.encode(message))
+
+    def _report(self) -> None:
+        metrics = self._around.metrics
+        metrics.gauge('agent.flows', len(self.flows))
+        metrics.gauge('agent.rate', self.admission.warmup.rate)
+        metrics.gauge('agent.utilisation', self.admission.utilisation)
+        metrics.gauge('agent.queue', self.admission.slots.waiting)
+
+
+def _origin(packet: datagram.Packet) -> requests.Origin:
+    return requests.Origin(ids.CustomerId(packet.customer),
+                           ids.ServiceName(packet.service), packet.uncertain)
--- /dev/null
+++ b/figdrum/agent/feeds.py
@@ -0,0 +1,104 @@
+"""Polls the target for observed paths.
+
+Explanation
+===========
+
+Observers of one path of one customer share one poll. A poll goes through the
+same admission as a request, with the last rank, so that a cold or busy target
+is polled less often. A poll without an answer of the target changes nothing for
+the observers.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+import aiocoap
+from twisted.internet import defer
+
+from figdrum.coap import codes
+from figdrum.coap import request as request_lib
+from figdrum.coap import server
+from figdrum.core import ids
+
+# Errors after which the observed resource is gone; others may pass.
+_FINAL_ERRORS = (aiocoap.BAD_REQUEST, aiocoap.UNAUTHORIZED, aiocoap.FORBIDDEN,
+                 aiocoap.NOT_FOUND, aiocoap.METHOD_NOT_ALLOWED)
+
+Poll = collections.abc.Callable[
+    [ids.FlowKey, ids.CustomerId, request_lib.Request], defer.Deferred]
+Notify = collections.abc.Callable[[ids.FlowKey, bytes, codes.Response], None]
+_Name = tuple[str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class _Feed:
+    request: request_lib.Request
+    next_ms: int
+    observers: set[tuple[ids.FlowKey, bytes]]
+    polling: bool = False
+
+
+class Feeds:
+    """Observed paths and their observers.
+
+    Args:
+      interval_ms: Time between polls of one path.
+      poll: Runs a request; its Deferred fires with a response.
+      notify: Takes the newest state for one observer.
+    """
+
+    def __init__(self, interval_ms: int, poll: Poll, notify: Notify):
+        self._interval_ms = interval_ms
+        self._poll = poll
+        self._notify = notify
+        self._feeds: dict[_Name, _Feed] = {}
+        self._by_observer: dict[tuple[ids.FlowKey, bytes], _Name] = {}
+
+    def __len__(self) -> int:
+        return len(self._feeds)
+
+    def add(self, now_ms: int, customer: ids.CustomerId,
+            event: server.Observed) -> None:
+        """Adds an observer."""
+        observer = (event.flow, event.token)
+        self.remove(*observer)
+        name = (customer, event.request.path)
+        feed = self._feeds.get(name)
+        if feed is None:
+            feed = _Feed(event.request, now_ms + self._interval_ms, set())
+            self._feeds[name] = feed
+        feed.observers.add(observer)
+        self._by_observer[observer] = name
+
+    def remove(self, flow: ids.FlowKey, token: bytes) -> None:
+        """Removes an observer."""
+        name = self._by_observer.pop((flow, token), None)
+        if name is None:
+            return
+        feed = self._feeds[name]
+        feed.observers.discard((flow, token))
+        if not feed.observers:
+            del self._feeds[name]
+
+    def tick(self, now_ms: int) -> None:
+        """Starts the polls that are due."""
+        for name, feed in list(self._feeds.items()):
+            if feed.next_ms <= now_ms and not feed.polling:
+                feed.next_ms = now_ms + self._interval_ms
+                feed.polling = True
+                self._start(name, feed)
+
+    def _start(self, name: _Name, feed: _Feed) -> None:
+
+        def done(response: typing.Any) -> None:
+            feed.polling = False
+            if not isinstance(response, codes.Response):
+                return
+            if response.ok or response.code in _FINAL_ERRORS:
+                for observer in tuple(feed.observers):
+                    self._notify(*observer, response)
+
+        flow, _ = next(iter(feed.observers))
+        poll = self._poll(flow, ids.CustomerId(name[0]), feed.request)
+        poll.addBoth(done)
--- /dev/null
+++ b/figdrum/agent/handover.py
@@ -0,0 +1,116 @@
+"""Flows that this agent holds, and their handover to other agents."""
+
+import collections.abc
+
+from figdrum.agent import claim_service
+from figdrum.agent import drain
+from figdrum.agent import reply_routes
+from figdrum.agent import requests as requests_lib
+from figdrum.agent import surroundings
+from figdrum.admission import controller
+from figdrum.core import ids
+from figdrum.membership import service_list
+from figdrum.messages import codec
+from figdrum.messages import datagram
+from figdrum.ownership import actions
+from figdrum.ownership import owner as owner_lib
+
+
+class HeldFlows(drain.Leaver):
+    """The flows held here, their counts and the state that moves with them.
+
+    Args:
+      name: The agent's name.
+      around: Ports of the agent.
+      owner: Controller of the flows.
+      admission: Counts the flows.
+      routes: Balancers that carry the flows.
+      requests: Exchanges and observations of the flows.
+      claims: Claims that a leaving agent gives away.
+    """
+
+    def __init__(self, name: ids.AgentName, around: surroundings.Surroundings,
+                 owner: owner_lib.Owner,
+                 admission: controller.AdmissionController,
+                 routes: reply_routes.ReplyRoutes,
+                 requests: requests_lib.Requests,
+                 claims: claim_service.ClaimService):
+        self._name = name
+        self._around = around
+        self._owner = owner
+        self._admission = admission
+        self._routes = routes
+        self._requests = requests
+        self._claims = claims
+        self._held: dict[ids.FlowKey, ids.CustomerId] = {}
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def items(self) -> tuple[tuple[ids.FlowKey, ids.CustomerId], ...]:
+        """Returns the flows and their customers."""
+        return tuple(self._held.items())
+
+    def begin(self, now_ms: int, flow: ids.FlowKey,
+              customer: ids.CustomerId) -> None:
+        """Counts a flow unless it is held already."""
+        if flow not in self._held:
+            self._held[flow] = customer
+            self._admission.flow_started(now_ms, customer)
+
+    def end(self, flow: ids.FlowKey) -> None:
+        """Forgets a flow that ended, moved or was held elsewhere."""
+        customer = self._held.pop(flow, None)
+        if customer is not None:
+            self._admission.flow_ended(customer)
+        self._requests.forget(flow)
+
+    def adopt(self, now_ms: int, message: datagram.Handover,
+              decided: collections.abc.Iterable[actions.Action]) -> None:
+        """Takes a flow that the owner accepted; its offer may be repeated."""
+        accepted = any(
+            isinstance(action, actions.Send) and
+            isinstance(action.message, datagram.HandoverReply) and
+            action.message.accepted for action in decided)
+        if not accepted or message.flow in self._held:
+            return
+        customer = ids.CustomerId(message.customer)
+        self.begin(now_ms, message.flow, customer)
+        if message.balancer[0]:
+            self._routes.set(message.flow, message.balancer)
+        self._requests.adopt(message.flow, customer, message.observations,
+                             message.sequence)
+
+    def offers(self, declined):
+        return [
+            action for action in self._owner.offers(declined)
+            if isinstance(action, actions.Offer)
+        ]
+
+    def send_offer(self, offer: actions.Offer) -> None:
+        observations, sequence = self._requests.handover(offer.flow)
+        balancer = self._routes.choose(self._around.clock.now_ms(), offer.flow)
+        message = datagram.Handover(self._name, offer.flow,
+                                    self._held.get(offer.flow, ''), balancer or
+                                    ('', 0), observations, sequence)
+        self._around.peers.send(offer.to.address, codec.encode(message))
+
+    def send_claim(self, to: service_list.Member,
+                   claim: datagram.Claim) -> None:
+        self._around.peers.send(to.address, codec.encode(claim))
+
+    def held(self) -> int:
+        return len(self._held)
+
+    def busy(self) -> bool:
+        slots = self._admission.slots
+        return bool(slots.running or slots.waiting or self._requests.open)
+
+    def claim_copies(self):
+        return self._claims.copies()
+
+    def stop_requests(self) -> None:
+        self._admission.requests_stopped = True
+
+    def broken(self, count: int) -> None:
+        self._around.metrics.incr('agent.broken_flows', count)
--- /dev/null
+++ b/figdrum/agent/health.py
@@ -0,0 +1,81 @@
+"""Asks the target how it is.
+
+Explanation
+===========
+
+The answers lag and may mislead. Only `cold` and another incarnation have an
+effect, and only towards less load; the load is a metric. Nothing that a target
+says adds load or removes it from the list.
+"""
+
+import json
+import typing
+
+from figdrum.admission import warmup as warmup_lib
+from figdrum.agent import surroundings
+from figdrum.core import ids
+from figdrum.core import ports
+
+INTERVAL_MS = 500
+DEADLINE_MS = 1_000
+
+
+class HealthPoller:
+    """Polls `/health` and `/load` in turn.
+
+    Args:
+      around: Ports of the agent.
+      service: Service of the target.
+      warmup: Hears what the target says.
+    """
+
+    def __init__(self, around: surroundings.Surroundings,
+                 service: ids.ServiceName, warmup: warmup_lib.Warmup):
+        self._around = around
+        self._service = service
+        self._warmup = warmup
+        self._next_ms = 0
+        self._busy = False
+
+    def tick(self, now_ms: int) -> None:
+        """Asks when it is time."""
+        if self._busy or now_ms < self._next_ms:
+            return
+        self._next_ms = now_ms + INTERVAL_MS
+        self._busy = True
+        self._get('/health').addCallback(self._on_health).addCallback(
+            lambda _: self._get('/load')).addCallback(self._on_load).addBoth(
+                self._done)
+
+    def _get(self, path: str) -> typing.Any:
+        return self._around.target.call(
+            ports.TargetRequest('GET', path, b'',
+                                ids.CustomerId(''), self._service,
+                                ids.IdempotencyKey(''), DEADLINE_MS))
+
+    def _on_health(self, answer: ports.TargetAnswer) -> None:
+        doc = _read(answer)
+        now_ms = self._around.clock.now_ms()
+        if isinstance(doc.get('incarnation'), (str, int)):
+            self._warmup.on_incarnation(now_ms, str(doc['incarnation']))
+        if isinstance(doc.get('state'), str):
+            self._warmup.on_health(now_ms, doc['state'])
+
+    def _on_load(self, answer: ports.TargetAnswer) -> None:
+        utilisation = _read(answer).get('utilisation')
+        if isinstance(utilisation, (int, float)):
+            self._around.metrics.gauge('agent.target_utilisation', utilisation)
+
+    def _done(self, result: typing.Any) -> None:
+        self._busy = False
+        if result is not None:
+            self._around.metrics.incr('agent.health_failed')
+
+
+def _read(answer: ports.TargetAnswer) -> dict:
+    """Returns the JSON object of an answer, or an empty one."""
+    try:
+        doc = json.loads(answer.body)
+    except (ValueError, RecursionError):
+        return {}
+    return doc if isinstance(doc, dict) else {}
--- /dev/null
+++ b/figdrum/agent/membership.py
@@ -0,0 +1,160 @@
+"""Keeps the agent in its service's list and watches the other members."""
+
+import typing
+
+from figdrum.agent import surroundings
+from figdrum.core import ids
+from figdrum.core import states
+from figdrum.idempotency import claim_registry
+from figdrum.membership import leases
+from figdrum.membership import lister
+from figdrum.membership import service_list
+from figdrum.messages import codec
+from figdrum.telemetry import logs
+
+# A failing write is tried again after this time; a tick each 100 ms would
+# take a tenth of the platform's reads in an outage of one service.
+WRITE_PAUSE_MS = 1_000
+
+_log = logs.part('membership')
+
+
+class Membership:
+    """The agent's place in its list, its heartbeats and lost members.
+
+    Args:
+      name: The agent's name.
+      around: Ports of the agent.
+      own: The list's writer for this agent.
+      table: Signs of life of the other members.
+      key_ms: Lifetime of an idempotency key.
+      joined: Called with the incarnation and the list after each join.
+    """
+
+    def __init__(self, name: ids.AgentName, around: surroundings.Surroundings,
+                 own: lister.Lister, table: leases.LeaseTable, key_ms: int,
+                 joined: typing.Any):
+        self._name = name
+        self._around = around
+        self._lister = own
+        self._leases = table
+        self._key_ms = key_ms
+        self._joined = joined
+        self._joining = False
+        self._leaving = False
+        self._next_write_ms = 0
+        self._lost_since: dict[str, int] = {}
+        self._joined_ms: int | None = None
+        self._woken_ms: int | None = None
+        self._member: service_list.Member | None = None
+
+    @property
+    def incarnation(self) -> ids.Incarnation:
+        """The own incarnation, 0 before the first join."""
+        return self._lister.incarnation
+
+    def start(self) -> None:
+        """Joins the list; retried until it is done."""
+        if self._joining or self._leaving:
+            return
+        self._joining = True
+        self._lister.join().addCallback(self._on_join).addErrback(
+            self._on_failure)
+
+    def on_list(self, now_ms: int, members: service_list.ServiceList) -> None:
+        """Takes a newer list."""
+        self._lister.observe(now_ms, members)
+        self._leases.on_list(now_ms, members, self.incarnation)
+        lost = {
+            m.name
+            for m in members.members
+            if m.state is states.MemberState.LOST
+        }
+        for name in lost:
+            self._lost_since.setdefault(name, now_ms)
+        self._lost_since = {
+            name: at_ms
+            for name, at_ms in self._lost_since.items()
+            if now_ms - at_ms < self._key_ms and
+            (name in lost or members.find(name) is None)
+        }
+        if self._lister.is_fenced(members):
+            self.start()
+
+    def lost(self) -> frozenset[str]:
+        """Returns the members lost within the key lifetime."""
+        now_ms = self._around.clock.now_ms()
+        return frozenset(name for name, at_ms in self._lost_since.items()
+                         if now_ms - at_ms < self._key_ms)
+
+    def on_heartbeat(self, now_ms: int, heartbeat: typing.Any) -> None:
+        """Takes a sign of life of another member."""
+        self._leases.on_heartbeat(now_ms, heartbeat)
+
+    def suspected(self, now_ms: int) -> frozenset[str]:
+        """Returns the members that do not answer."""
+        return self._leases.suspected(now_ms)
+
+    def woke(self, now_ms: int) -> None:
+        """Records that this process was paused."""
+        self._woken_ms = now_ms
+
+    def claim_standing(self, now_ms: int) -> claim_registry.MemberStanding:
+        """Returns what a missing claim at this agent proves."""
+        member = self._member
+        if member is None or self._joined_ms is None:
+            return claim_registry.MemberStanding.AMNESIC
+        young = now_ms - self._joined_ms < self._key_ms
+        woken = (self._woken_ms is not None and
+                 now_ms - self._woken_ms < self._key_ms)
+        if woken or (young and member.rejoined):
+            return claim_registry.MemberStanding.AMNESIC
+        # The first member has been in the list since it was created.
+        if not young or member.incarnation == 1:
+            return claim_registry.MemberStanding.MATURE
+        return claim_registry.MemberStanding.NEW
+
+    def tick(self, now_ms: int) -> None:
+        """Sends heartbeats and publishes lost members."""
+        tick = self._leases.on_tick(now_ms)
+        if tick.heartbeat is not None:
+            data = codec.encode(tick.heartbeat)
+            for member in tick.to:
+                self._around.peers.send(member.address, data)
+        if now_ms < self._next_write_ms or self._leaving:
+            return
+        if self._leases.due_lost(now_ms):
+            self._next_write_ms = now_ms + WRITE_PAUSE_MS
+            self._lister.publish_lost(
+                now_ms, lambda: self._leases.due_lost(self._around.clock.now_ms(
+                ))).addErrback(self._on_failure)
+        elif (self._lister.has_old_tombstones(now_ms) and
+              self._leases.is_first_live(now_ms)):
+            self._next_write_ms = now_ms + WRITE_PAUSE_MS
+            self._lister.prune(now_ms).addErrback(self._on_failure)
+
+    def publish_draining(self) -> None:
+        """Marks the own member as draining; retried until it is done."""
+        self._leaving = True
+        self._lister.publish_draining().addErrback(self._on_failure)
+
+    def leave(self) -> typing.Any:
+        """Marks the own member as left; returns a Deferred."""
+        return self._lister.leave().addErrback(self._on_failure)
+
+    def stop(self) -> None:
+        """Ends all repetitions."""
+        self._lister.stop()
+
+    def _on_join(self, members: service_list.ServiceList | None) -> None:
+        self._joining = False
+        own = members.find(self._name) if members else None
+        if own is None:
+            return
+        self._member = own
+        self._joined_ms = self._around.clock.now_ms()
+        self._joined(own.incarnation, members)
+
+    def _on_failure(self, failure) -> None:
+        self._around.metrics.incr('membership.failed')
+        _log.warning('%s', failure.getErrorMessage())
--- /dev/null
+++ b/figdrum/agent/place.py
@@ -0,0 +1,109 @@
+"""The agent's place in its service: list, contracts, zone and lease."""
+
+import typing
+
+from twisted.internet import defer
+
+from figdrum.admission import controller
+from figdrum.admission import shares
+from figdrum.agent import list_waits
+from figdrum.agent import membership
+from figdrum.agent import view
+from figdrum.contracts import state as contract_state
+from figdrum.core import clock as clock_lib
+from figdrum.core import ids
+from figdrum.core import states
+from figdrum.idempotency import claim_registry
+from figdrum.membership import service_list
+from figdrum.ownership import decision
+from figdrum.ownership import owner as owner_lib
+
+
+class Place(view.View):
+    """What this agent knows of its service and of itself.
+
+    Args:
+      cfg: Settings, see `figdrum.settings.schema.Settings`.
+      clock: Source of the time.
+      owner: Controller of the flows.
+      member: Keeps the agent in its list.
+      waits: What waits for a newer list.
+
+    Attributes:
+      service: Service of the target.
+      zone: The agent's zone.
+      contracts: The contracts in force.
+      out: True while operators have taken the zone out.
+      waits: What waits for a newer list.
+    """
+
+    def __init__(self, cfg: typing.Any, clock: clock_lib.Clock,
+                 owner: owner_lib.Owner, member: membership.Membership,
+                 waits: list_waits.ListWaits):
+        self.name = ids.AgentName(cfg.process.name)
+        self.service = ids.ServiceName(cfg.agent.service)
+        self.zone = ids.ZoneName(cfg.process.zone)
+        self.members = service_list.ServiceList.empty(cfg.agent.service)
+        self.contracts = contract_state.ContractState.empty()
+        self.out = False
+        self._clock = clock
+        self._owner = owner
+        self._member = member
+        self.waits = waits
+
+    @property
+    def incarnation(self) -> ids.Incarnation:
+        """The own incarnation, 0 before the first join."""
+        return self._member.incarnation
+
+    def take_list(self, members: service_list.ServiceList) -> None:
+        """Takes a list unless it is older than the known one."""
+        if members.version > self.members.version:
+            self.members = members
+
+    def take_zone(self) -> bool:
+        """Reads from the contracts if the zone is out.
+
+        Returns:
+          True when that changed.
+        """
+        before, self.out = self.out, self.zone in self.contracts.zones_out
+        return before != self.out
+
+    def admitting(self) -> tuple[str, ...]:
+        """Returns the names of the members among which limits are shared."""
+        return tuple(m.name
+                     for m in self.members.routable(self.contracts.zones_out)
+                     if m.state is states.MemberState.ACTIVE)
+
+    def allows(self, customer: str, src_host: str) -> bool:
+        """Returns True if a contract in force allows the caller."""
+        return self.contracts.allows(customer, self.service, src_host)
+
+    def terms(self, customer: str) -> controller.Terms | None:
+        """Returns the customer's terms, or None without a contract."""
+        contract = self.contracts.contract(customer)
+        if contract is None or self.service not in contract.services:
+            return None
+        limits = contract.limits
+        return controller.Terms(
+            contract.rank,
+            shares.Limits(limits.flows, limits.new_flows, limits.requests))
+
+    def phase(self) -> decision.Phase:
+        """Returns what this agent may decide now."""
+        return self._owner.phase(self._clock.now_ms())
+
+    def lost(self) -> frozenset[str]:
+        return self._member.lost()
+
+    def claim_standing(self) -> claim_registry.MemberStanding:
+        return self._member.claim_standing(self._clock.now_ms())
+
+    def may_run(self) -> bool:
+        return not self.out and self.phase() is not decision.Phase.FENCED
+
+    def fetch(self, list_version: int) -> defer.Deferred:
+        if self.members.version >= list_version:
+            return defer.succeed(None)
+        return self.waits.wait(self._clock.now_ms(), list_version)
--- a/figdrum/agent/questions.py
+++ b/figdrum/agent/questions.py
@@ -20,7 +20,8 @@
         self.done = done
         self.address = address
         self.data = data
-        self.timers: list[typing.Any] = []
+        self.timeout: typing.Any = None
+        self.repeat: typing.Any = None
 
 
 class Questions:
@@ -56,10 +57,8 @@
         question = _Question(defer.Deferred(), address,
                              codec.encode(make(nonce)))
         self._open[nonce] = question
-        question.timers = [
-            self._timers.call_later(timeout_ms, lambda: self.answer(nonce, None)
-                                   ), None
-        ]
+        question.timeout = self._timers.call_later(
+            timeout_ms, lambda: self._time_out(nonce))
         self._send(nonce)
         return question.done
 
@@ -68,16 +67,18 @@
         question = self._open.pop(nonce, None)
         if question is None:
             return False
-        for timer in question.timers:
+        for timer in (question.timeout, question.repeat):
             if timer is not None:
                 timer.cancel()
         question.done.callback(reply)
         return True
 
+    def _time_out(self, nonce: int) -> None:
+        self._open[nonce].timeout = None
+        self.answer(nonce, None)
+
     def _send(self, nonce: int) -> None:
-        question = self._open.get(nonce)
-        if question is None:
-            return
+        question = self._open[nonce]
+        question.repeat = self._timers.call_later(self._repeat_ms,
+                                                  lambda: self._send(nonce))
         self._peers.send(question.address, question.data)
-        question.timers[1] = self._timers.call_later(self._repeat_ms,
-                                                     lambda: self._send(nonce))
--- /dev/null
+++ b/figdrum/agent/requests.py
@@ -0,0 +1,199 @@
+"""Takes the requests of held flows through the filters to their answers."""
+
+import collections.abc
+import typing
+
+from twisted.internet import defer
+
+from figdrum.agent import claim_service
+from figdrum.coap import codes
+from figdrum.coap import request as request_lib
+from figdrum.coap import server
+from figdrum.core import clock as clock_lib
+from figdrum.core import ids
+from figdrum.core import states
+from figdrum.filters import chain
+from figdrum.filters import filter  # pylint: disable=redefined-builtin
+from figdrum.filters import request_claim
+from figdrum.filters import request_context
+from figdrum.telemetry import logs
+
+# A poll's answer is of no use once the next ones are due.
+POLL_DEADLINE_MS = 5_000
+
+_log = logs.part('coap')
+
+
+class Output(typing.NamedTuple):
+    """Where the results go.
+
+    Attributes:
+      send: Takes datagrams to callers.
+      observed: Takes new observations with their customer.
+      ended: Takes observations that ended.
+    """
+    send: collections.abc.Callable[[server.Datagram], None]
+    observed: collections.abc.Callable[[ids.CustomerId, server.Observed], None]
+    ended: collections.abc.Callable[[server.ObservationEnded], None]
+
+
+class Origin(typing.NamedTuple):
+    """What the agent knows of a datagram beside its bytes."""
+    customer: ids.CustomerId
+    service: ids.ServiceName
+    uncertain: bool = False
+
+
+class Requests:
+    """Joins the CoAP server and the filters.
+
+    Args:
+      coap: Exchanges with the callers.
+      filters: The filters of callers' requests.
+      poll_filters: The filters of the agent's own polls.
+      claims: Claims of idempotency keys.
+      clock: Source of the time.
+      metrics: Takes counters.
+      output: Where the results go.
+    """
+
+    def __init__(self, coap: server.CoapServer, filters: chain.FilterChain,
+                 poll_filters: chain.FilterChain,
+                 claims: claim_service.ClaimService, clock: clock_lib.Clock,
+                 metrics: typing.Any, output: Output):
+        self._coap = coap
+        self._filters = filters
+        self._poll_filters = poll_filters
+        self._claims = claims
+        self._clock = clock
+        self._metrics = metrics
+        self._output = output
+        self._customers: dict[ids.FlowKey, ids.CustomerId] = {}
+        self._polls = 0
+
+    @property
+    def open(self) -> int:
+        """Requests without an answer so far."""
+        return self._coap.open_exchanges
+
+    def deliver(self, flow: ids.FlowKey, data: bytes, origin: Origin) -> None:
+        """Takes a datagram of a held flow."""
+        self._customers[flow] = origin.customer
+        for event in self._take(
+                self._coap.on_datagram(self._clock.now_ms(), flow, data)):
+            self._run(self._context(event, origin), self._filters)
+
+    def refuse(self, flow: ids.FlowKey, data: bytes, origin: Origin,
+               refusal: states.Refusal) -> None:
+        """Refuses a datagram of a flow that is not admitted.
+
+        A did-not-run for a request with a key is sent only with a claim.
+        """
+        for event in self._take(
+                self._coap.on_datagram(self._clock.now_ms(), flow, data)):
+            ctx = self._context(event, origin)
+            response = codes.refusal(refusal)
+            self._metrics.incr(f'agent.refused.{refusal.value}')
+            if refusal is states.Refusal.DID_NOT_RUN and not ctx.repeatable:
+                self._refuse_claimed(ctx)
+            else:
+                self._answer(ctx.number, response)
+
+    def notify(self, flow: ids.FlowKey, token: bytes,
+               response: codes.Response) -> None:
+        """Takes the newest state for an observer."""
+        self._take(
+            self._coap.notify(self._clock.now_ms(), flow, token, response))
+
+    def poll(self, flow: ids.FlowKey, origin: Origin,
+             req: request_lib.Request) -> defer.Deferred:
+        """Runs a poll; returns a Deferred of the response."""
+        self._polls += 1
+        # Numbers below 0 are those of polls, exchanges have those above 0.
+        ctx = request_context.RequestContext(-self._polls,
+                                             flow,
+                                             origin.customer,
+                                             origin.service,
+                                             req,
+                                             self._clock.now_ms() +
+                                             POLL_DEADLINE_MS,
+                                             background=True)
+        done = defer.maybeDeferred(self._poll_filters.run, ctx)
+        return done.addCallback(lambda verdict: verdict.value)
+
+    def tick(self) -> None:
+        """Sends what is due; to be called each 100 ms."""
+        self._take(self._coap.tick(self._clock.now_ms()))
+
+    def handover(self, flow: ids.FlowKey) -> tuple[tuple[bytes, ...], int]:
+        """Returns a flow's observations and sequence for another agent."""
+        requests, sequence = self._coap.handover(flow)
+        return tuple(req.raw for req in requests), sequence
+
+    def adopt(self, flow: ids.FlowKey, customer: ids.CustomerId,
+              observations: tuple[bytes, ...], sequence: int) -> None:
+        """Takes a flow over from another agent."""
+        self._customers[flow] = customer
+        self._take(
+            self._coap.adopt(self._clock.now_ms(), flow, observations,
+                             sequence))
+
+    def forget(self, flow: ids.FlowKey) -> None:
+        """Drops a flow that ended or moved."""
+        self._take(self._coap.forget(flow))
+        self._customers.pop(flow, None)
+
+    def _context(self, event: server.Requested,
+                 origin: Origin) -> request_context.RequestContext:
+        return request_context.RequestContext(
+            event.exchange, event.flow, origin.customer, origin.service,
+            event.request,
+            self._clock.now_ms() + event.request.deadline_ms, origin.uncertain)
+
+    def _run(self, ctx: request_context.RequestContext,
+             filters: chain.FilterChain) -> None:
+        done = defer.maybeDeferred(filters.run, ctx)
+        done.addCallback(lambda verdict: verdict.value)
+        done.addErrback(self._failed)
+        done.addCallback(lambda response: self._answer(ctx.number, response))
+
+    def _refuse_claimed(self, ctx: request_context.RequestContext) -> None:
+
+        def answer(verdict: filter.Verdict) -> codes.Response:
+            if isinstance(verdict, filter.Answer):
+                return verdict.value
+            return request_context.refuse(verdict.ctx)
+
+        claim = request_claim.RequestClaimFilter(self._claims)
+        done = defer.maybeDeferred(claim.apply, ctx)
+        done.addCallback(answer)
+        done.addErrback(self._failed)
+        done.addCallback(lambda response: self._answer(ctx.number, response))
+
+    def _failed(self, failure) -> codes.Response:
+        self._metrics.incr('agent.request_failed')
+        _log.error('request failed: %s', failure.getErrorMessage())
+        return request_context.UNKNOWN
+
+    def _answer(self, number: int, response: codes.Response) -> None:
+        self._claims.settle(number, response)
+        self._metrics.incr('agent.answered')
+        self._take(self._coap.answer(self._clock.now_ms(), number, response))
+
+    def _take(self, reaction: server.Reaction) -> tuple[server.Requested, ...]:
+        """Carries out a reaction and returns its new requests."""
+        for datagram in reaction.datagrams:
+            self._output.send(datagram)
+        requested = []
+        for event in reaction.events:
+            if isinstance(event, server.Requested):
+                requested.append(event)
+            elif isinstance(event, server.Observed):
+                customer = self._customers.get(event.flow)
+                if customer is not None:
+                    self._output.observed(customer, event)
+            elif isinstance(event, server.ObservationEnded):
+                self._output.ended(event)
+            else:
+                self._metrics.incr(event.counter)
+        return tuple(requested)
--- /dev/null
+++ b/figdrum/agent/subscription.py
@@ -0,0 +1,171 @@
+"""Streams by which an agent hears of changes from two balancers.
+
+Explanation
+===========
+
+Two streams are kept to different balancers. One that ends or cannot be opened
+moves on to the next configured balancer that the other stream does not use. A
+repeated `Subscribe` is answered at once, so it also fetches what is new.
+"""
+
+import collections.abc
+import typing
+
+from twisted.internet import protocol
+
+from figdrum.agent import surroundings
+from figdrum.balancer import control_stream
+from figdrum.core import ids
+from figdrum.messages import codec
+from figdrum.messages import control
+from figdrum.sync import replica as replica_lib
+from figdrum.telemetry import logs
+
+STREAMS = 2
+CONNECT_TIMEOUT_S = 1
+# A burst of packets with a newer list must not empty the balancer's budget.
+FETCH_PAUSE_MS = 100
+FIRST_PAUSE_MS = 200
+LONGEST_PAUSE_MS = 2_000
+
+_log = logs.part('sync')
+
+
+class _Link:
+    """One stream to one of the balancers; a `control_stream.StreamOwner`."""
+
+    def __init__(self, owner: 'Subscriptions', index: int):
+        self._owner = owner
+        self.index = index
+        self.stream: control_stream.ControlStream | None = None
+        self.fetched_ms: int | None = None
+        self.pause_ms = FIRST_PAUSE_MS
+
+    def on_opened(self, stream: control_stream.ControlStream) -> None:
+        """Subscribes; see `StreamOwner`."""
+        self.stream = stream
+        self.pause_ms = FIRST_PAUSE_MS
+        self.fetched_ms = None
+        self._owner.fetch()
+
+    def on_message(self, stream: control_stream.ControlStream,
+                   message: codec.Message) -> None:
+        """Takes a delta; see `StreamOwner`."""
+        del stream
+        self._owner.on_message(self, message)
+
+    def on_closed(self, stream: control_stream.ControlStream) -> None:
+        """Moves on to another balancer; see `StreamOwner`."""
+        del stream
+        self.stream = None
+        self._owner.on_closed(self)
+
+    def count(self, name: str) -> None:
+        """Counts a fault under the agent's name; see `StreamOwner`."""
+        self._owner.count(name.replace('balancer.', 'agent.', 1))
+
+
+class _Factory(protocol.ClientFactory):
+    """Builds the stream of a link."""
+    noisy = False
+
+    def __init__(self, link: _Link):
+        self._link = link
+
+    def buildProtocol(self, addr):
+        return control_stream.ControlStream(self._link)
+
+    def clientConnectionFailed(self, connector, reason):
+        self._link.on_closed(None)
+
+
+class Subscriptions:
+    """The agent's streams.
+
+    Args:
+      reactor: Twisted's reactor.
+      around: Ports of the agent.
+      name: The agent's name.
+      service: Its service.
+      balancers: Control addresses.
+      replica: Takes the deltas.
+      changed: Called after the replica changed.
+    """
+
+    def __init__(self, reactor: typing.Any, around: surroundings.Surroundings,
+                 name: ids.AgentName, service: ids.ServiceName,
+                 balancers: tuple[ids.Address,
+                                  ...], replica: replica_lib.Replica,
+                 changed: collections.abc.Callable[[], None]):
+        self._reactor = reactor
+        self._around = around
+        self._name = name
+        self._service = service
+        self._balancers = balancers
+        self._replica = replica
+        self._changed = changed
+        self._links = [
+            _Link(self, i) for i in range(min(STREAMS, len(balancers)))
+        ]
+        self._stopped = False
+
+    def start(self) -> None:
+        """Opens the streams."""
+        for link in self._links:
+            self._connect(link)
+
+    def stop(self) -> None:
+        """Ends the streams."""
+        self._stopped = True
+        for link in self._links:
+            if link.stream is not None:
+                link.stream.close()
+
+    def fetch(self) -> None:
+        """Asks for what is new, at most once in 100 ms for each stream."""
+        now_ms = self._around.clock.now_ms()
+        for link in self._links:
+            if link.stream is None or (link.fetched_ms is not None and now_ms -
+                                       link.fetched_ms < FETCH_PAUSE_MS):
+                continue
+            link.fetched_ms = now_ms
+            link.stream.send(
+                control.Subscribe(self._name, self._service,
+                                  self._replica.revision))
+
+    def on_message(self, link: _Link, message: codec.Message) -> None:
+        """Applies a delta."""
+        if not isinstance(message, control.Delta):
+            self.count('agent.unexpected_control_message')
+            return
+        if not self._replica.accepts(message):
+            link.fetched_ms = None
+            self.fetch()
+        elif self._replica.apply(message):
+            self._changed()
+
+    def on_closed(self, link: _Link) -> None:
+        """Opens another stream after a pause."""
+        if self._stopped:
+            return
+        self.count('agent.stream_closed')
+        taken = {other.index for other in self._links if other is not link}
+        for step in range(1, len(self._balancers) + 1):
+            index = (link.index + step) % len(self._balancers)
+            if index not in taken:
+                link.index = index
+                break
+        jitter = self._around.rng.uniform(0.5, 1)
+        self._around.timers.call_later(int(link.pause_ms * jitter),
+                                       lambda: self._connect(link))
+        link.pause_ms = min(LONGEST_PAUSE_MS, 2 * link.pause_ms)
+
+    def count(self, name: str) -> None:
+        """Counts a fault."""
+        self._around.metrics.incr(name)
+
+    def _connect(self, link: _Link) -> None:
+        if self._stopped:
+            return
+        host, port = self._balancers[link.index]
+        self._reactor.connectTCP(host, port, _Factory(link), CONNECT_TIMEOUT_S)
--- a/figdrum/filters/request_claim.py
+++ b/figdrum/filters/request_claim.py
@@ -25,7 +25,7 @@
         self._claims = claims
 
     def apply(
-        self, ctx: request_context.RequestContext
+            self, ctx: request_context.RequestContext
     ) -> filter.Verdict | defer.Deferred:
         if ctx.repeatable:
             return filter.Pass(ctx)
