--- a/figdrum/messages/datagram.py
+++ b/figdrum/messages/datagram.py
@@ -31,6 +31,7 @@
       asker_incarnation: The asker's incarnation, or 0.
       tries: Agents that could have admitted the flow but for their load.
       uncertain: True when an earlier copy may have run somewhere.
+      asker_holds: True when the asker held the flow before it was paused.
     """
     change: int
     list_version: int
@@ -46,6 +47,7 @@
     asker_incarnation: int = 0
     tries: int = 0
     uncertain: bool = False
+    asker_holds: bool = False
 
 
 class Reply(typing.NamedTuple):
@@ -107,12 +109,14 @@
     """Offers a held flow to another member.
 
     Attributes:
+      giver: Name of the leaving member.
       flow: The flow.
       customer: Its customer.
       balancer: Balancer that carried the flow's last packet.
       observations: Encoded CoAP requests that registered observations.
       sequence: The last Observe sequence number sent.
     """
+    giver: str
     flow: ids.FlowKey
     customer: str
     balancer: ids.Address
@@ -145,7 +149,6 @@
       executor: Agent that wants to run the request.
       incarnation: The executor's incarnation.
       list_version: List version by which the executor chose the members.
-      kind: Value of `idempotency.claim_registry.ClaimKind`.
       copy: True for a copy from a leaving member, recorded without a reply.
     """
     nonce: int
@@ -154,7 +157,6 @@
     executor: str
     incarnation: int
     list_version: int
-    kind: str
     copy: bool = False
 
 
@@ -167,7 +169,6 @@
       verdict: Value of `idempotency.claim_registry.Verdict`.
       executor: The recorded executor when the key is taken, else ''.
       incarnation: The recorded executor's incarnation, else 0.
-      kind: The recorded kind when the key is taken, else ''.
       list_version: List version that the member knows.
     """
     nonce: int
@@ -175,18 +176,9 @@
     verdict: str
     executor: str
     incarnation: int
-    kind: str
     list_version: int
 
 
-class Withdraw(typing.NamedTuple):
-    """Takes back the claim of an executor that lost the key to another."""
-    customer: str
-    key: str
-    executor: str
-    incarnation: int
-
-
 class Execute(typing.NamedTuple):
     """Asks the executor of a key for the stored or coming answer."""
     nonce: int
@@ -211,5 +203,5 @@
 
 
 Message = (Packet | Reply | Ping | Pong | Stale | Held | Refused | Heartbeat |
-           Handover | HandoverReply | Moved | Claim | ClaimReply | Withdraw |
-           Execute | ExecuteReply)
+           Handover | HandoverReply | Moved | Claim | ClaimReply | Execute |
+           ExecuteReply)
