Replace the process image before a role serves

Wrong: a balancer had 51.7 MB resident after its imports, of which about 5 MB are the command line's library and what only that imports; the design gives a node 64 MB for control.

Ruled out: python -OO (52.0 MB), malloc_trim after the imports (51.2 MB), and a parser of our own beside cleo.

Change: `balancer` and `agent` parse their options with cleo and then execve figdrum.cli.serve, in the same process id; cli.program knows how to start again, from the one file too.

--- a/figdrum/cli/onefile.py
+++ b/figdrum/cli/onefile.py
@@ -36,10 +36,6 @@
 PRIVATE_MODE = 0o700
 OTHERS_MAY_WRITE = stat.S_IWGRP | stat.S_IWOTH
 EXIT_FAULT = 1
-# First argument with which the file runs `serve` instead of a command.
-SERVE = '--serve'
-
-_running: list[str] = []
 
 
 class NativeError(Exception):
@@ -114,16 +110,12 @@
             'own on a file system that allows programs.',
             file=sys.stderr)
         return EXIT_FAULT
-    _running.append(os.path.abspath(path))
     # The imports need the native packages, and each of them takes memory.
     # pylint: disable=import-outside-toplevel
-    if sys.argv[1:2] == [SERVE]:
+    from figdrum.cli import program
+    program.note_archive(path)
+    if sys.argv[1:2] == [program.SERVE_FLAG]:
         from figdrum.cli import serve
         return serve.main(sys.argv[2:])
     from figdrum.cli import app
     return app.main()
-
-
-def archive() -> str:
-    """Returns the path of the one file that runs, or '' if none does."""
-    return _running[0] if _running else ''
--- a/figdrum/cli/serve.py
+++ b/figdrum/cli/serve.py
@@ -5,7 +5,7 @@
 
 `figdrum balancer` and `figdrum agent` parse their options and then replace
 their own process image by this module (execve, the process id stays). The
-command line's library and what it imports take about 14 MB, which a process
+command line's library and what only it imports take about 5 MB, which a process
 that runs for months would keep for nothing (`python -m bench.memory`).
 """
 
@@ -15,7 +15,7 @@
 import sys
 import typing
 
-from figdrum.cli import onefile
+from figdrum.cli import program
 from figdrum.cli import remedies
 from figdrum.core import errors
 from figdrum.settings import loader
@@ -39,9 +39,8 @@
     """Goes on as a process that runs `request`."""
     sys.stdout.flush()
     sys.stderr.flush()
-    program = ([onefile.archive(), onefile.SERVE]
-               if onefile.archive() else ['-m', __name__])
-    os.execv(sys.executable, [sys.executable, *program, *request])
+    os.execv(sys.executable,
+             [sys.executable, *program.serve_arguments(), *request])
 
 
 def run(request: Request) -> int:
