Prune silent balancers and mend faults that tests with a cut found

Missing: readers did not prune the registry of their zone.

Found: a reader that is cut off from the others but reaches the platform pruned the first of them after 10 min, because it had heard them last at different moments and the check for "less than half heard" used the same 10 min (test_a_balancer_that_is_cut_off_prunes_nobody, seen in test_prunes_a_dead_balancer_only). A reply whose flow has a host with a null character raised ValueError in proxy_header.pack (hypothesis, text hosts).

Change: `Registration` prunes what `GossipController.silent_peers` names. The fake network cuts open streams as well, and hosts can be dead.

Ruled out: pruning by probes of this branch's own, as the readers hear digests of all live balancers of the zone already.

--- a/figdrum/balancer/process.py
+++ b/figdrum/balancer/process.py
@@ -149,7 +149,7 @@
                                                frames, self._controls.on_stale,
                                                self._counts)
         self._registration = registration.Registration(
-            own, data,
+            own, controller,
             registry_writer.RegistryWriter(db, self._timers, zone, rng))
         self._report = status_report.StatusReport(zone, self._gate, controller,
                                                   packet_router, self._counts,
--- a/figdrum/balancer/proxy_header.py
+++ b/figdrum/balancer/proxy_header.py
@@ -66,7 +66,7 @@
     try:
         addresses = _ADDRESSES.pack(socket.inet_aton(src[0]),
                                     socket.inet_aton(dst[0]), src[1], dst[1])
-    except (OSError, struct.error) as exc:
+    except (OSError, ValueError, struct.error) as exc:
         raise errors.MessageError('encode PROXY header', f'{src}>{dst}',
                                   repr(exc)) from exc
     prefix = _PREFIX.pack(_SIGNATURE, _VERSION_2 | _COMMAND_PROXY,
--- a/figdrum/balancer/registration.py
+++ b/figdrum/balancer/registration.py
@@ -13,8 +13,8 @@
 
 from figdrum.core import errors
 from figdrum.membership import registry as registry_writer
+from figdrum.sync import gossip
 from figdrum.sync import registry as registry_lib
-from figdrum.sync import replica
 from figdrum.telemetry import logs
 
 # Two balancers with one name would otherwise register in turns without pause.
@@ -26,10 +26,11 @@
 class Registration:
     """One balancer's writes to the registry."""
 
-    def __init__(self, own: registry_lib.Balancer, data: replica.Replica,
+    def __init__(self, own: registry_lib.Balancer,
+                 controller: gossip.GossipController,
                  writer: registry_writer.RegistryWriter):
         self._own = own
-        self._replica = data
+        self._gossip = controller
         self._writer = writer
         self._next_ms = 0
         self._version = 0
@@ -38,22 +39,24 @@
         self._stopped = False
 
     def on_tick(self, now_ms: int) -> None:
-        """Registers if it is needed; call it about once a second."""
-        known = self._replica.registry(self._own.zone)
-        # An older copy of the registry does not have the entry yet.
-        missing = (known.version >= self._version and
-                   self._own not in known.balancers)
-        if (self._stopped or self._running or not missing or
-                now_ms < self._next_ms):
+        """Registers and prunes if it is needed; call it once a second."""
+        if self._stopped:
             return
-        self._next_ms = now_ms + REPEAT_MS
-        self._running = True
-        self._writer.register(self._own).addCallbacks(self._registered,
-                                                      self._failed)
-
-    def prune(self, silent: tuple[str, ...]) -> None:
-        """Removes balancers that were silent for too long."""
-        if not silent or self._pruning or self._stopped:
+        if self._is_missing() and not self._running and now_ms >= self._next_ms:
+            self._next_ms = now_ms + REPEAT_MS
+            self._running = True
+            self._writer.register(self._own).addCallbacks(
+                self._registered, self._failed)
+        self._prune(self._gossip.silent_peers(now_ms))
+
+    def _is_missing(self) -> bool:
+        known = self._gossip.replica.registry(self._own.zone)
+        # An older copy of the registry does not have the entry yet.
+        return (known.version >= self._version and
+                self._own not in known.balancers)
+
+    def _prune(self, silent: tuple[str, ...]) -> None:
+        if not silent or self._pruning:
             return
         self._pruning = True
         _log.warning('pruning silent balancers %s', ', '.join(silent))
--- a/figdrum/balancer/status_report.py
+++ b/figdrum/balancer/status_report.py
@@ -40,7 +40,7 @@
         return {
             'serving': int(self._gate.drop_reason(now_ms) is None),
             'behind': int(self._gossip.is_behind(now_ms)),
-            'reader': int(self._gossip.is_reader(now_ms)),
+            'reader': int(self._gossip.is_reader()),
             'platform_up': int(self._gossip.platform_up),
             'confirmed_age_ms': self._gossip.confirmed_age_ms(now_ms),
             'revision': self._gossip.replica.revision,
--- a/figdrum/balancer/tests/fake_network.py
+++ b/figdrum/balancer/tests/fake_network.py
@@ -46,9 +46,10 @@
 class _Stream:
     """Transport of one end of a TCP connection."""
 
-    def __init__(self, network, protocol):
+    def __init__(self, network, protocol, hosts):
         self._network = network
         self.protocol = protocol
+        self._hosts = hosts
         self.other = None
         self.open = True
 
@@ -58,7 +59,7 @@
 
     def receive(self, data):
         """Takes bytes from the other end."""
-        if self.open:
+        if self.open and not self._hosts & self._network.cut:
             self.protocol.dataReceived(data)
 
     def abortConnection(self):
@@ -90,13 +91,15 @@
     """The reactor of all processes of a test.
 
     Attributes:
-        cut: Hosts that nothing reaches.
+        cut: Hosts that nothing reaches and that reach nothing.
+        dead: Hosts whose timers do not run; cut them too.
         sent: (from, to, datagram) of all datagrams.
     """
 
     def __init__(self):
         super().__init__()
         self.cut = set()
+        self.dead = set()
         self.sent = []
         self._udp = {}
         self._tcp = {}
@@ -123,24 +126,25 @@
         return _Port(self._tcp, self._bind(self._tcp, (interface, port),
                                            factory))
 
-    def connectTCP(self, host, port, factory, timeout):
-        """Connects to a TCP port after a short time."""
+    def connectTCP(self, host, port, factory, timeout, source=''):
+        """Connects from `source` to a TCP port after a short time."""
         del timeout
         assert ipaddress.IPv4Address(host) and 0 < port < 2**16
-        self.callLater(_DELAY_S, self._connect, (host, port), factory)
+        self.callLater(_DELAY_S, self._connect, source, (host, port), factory)
         return _Connector()
 
-    def _connect(self, to, factory):
+    def _connect(self, source, to, factory):
         listener = self._tcp.get(to)
         accepted = None
-        if listener is not None and to[0] not in self.cut:
+        hosts = {source, to[0]}
+        if listener is not None and not hosts & self.cut:
             accepted = listener.buildProtocol(None)
         if accepted is None:
             factory.clientConnectionFailed(
                 None, failure.Failure(error.ConnectionRefusedError()))
             return
         ends = [
-            _Stream(self, protocol)
+            _Stream(self, protocol, hosts)
             for protocol in (factory.buildProtocol(None), accepted)
         ]
         ends[0].other, ends[1].other = ends[1], ends[0]
@@ -164,3 +168,28 @@
         while self.calls and self.calls[0].getTime() <= end:
             self.advance(max(0, self.calls[0].getTime() - self.seconds()))
         self.advance(max(0, end - self.seconds()))
+
+
+class Host:
+    """The reactor of one host of a network."""
+
+    def __init__(self, network, name):
+        self._network = network
+        self._name = name
+
+    def __getattr__(self, name):
+        return getattr(self._network, name)
+
+    def callLater(self, delay, fn, *args):
+        """Calls `fn` unless the host is dead then."""
+
+        def call():
+            if self._name not in self._network.dead:
+                fn(*args)
+
+        return self._network.callLater(delay, call)
+
+    def connectTCP(self, host, port, factory, timeout):
+        """Connects from this host."""
+        return self._network.connectTCP(host, port, factory, timeout,
+                                        self._name)
--- a/figdrum/balancer/tests/test_process.py
+++ b/figdrum/balancer/tests/test_process.py
@@ -76,7 +76,7 @@
                                 states.MemberState.ACTIVE))
         self.store.put('lists/fieldbook', members.to_json(), 0)
 
-    def start(self, i, zone='a', peers=(), db=None):
+    def start(self, i, zone='a', peers=()):
         """Starts balancer lb-<i>."""
         cfg = schema.Settings(process=schema.Process(name=f'lb-{i}', zone=zone),
                               platform=schema.Platform(url='http://10.7.0.1:1'),
@@ -87,9 +87,9 @@
                                   control_port=0,
                                   fabric=FABRIC,
                                   peers=peers))
-        balancer = process.Process(cfg, self.network, _Clock(self.network),
-                                   db or self.store, self.metrics,
-                                   random.Random(i))
+        balancer = process.Process(
+            cfg, fake_network.Host(self.network, f'10.0.0.{i}'),
+            _Clock(self.network), self.store, self.metrics, random.Random(i))
         balancer.start()
         self.balancers.append(balancer)
         return balancer
@@ -311,6 +311,30 @@
     assert system.registered() == ['lb-1', 'lb-2']
 
 
+def test_prunes_a_dead_balancer_only():
+    """Guards against entries of dead balancers that stay, and against pruning
+    live ones that were not heard by chance."""
+    system = _started(4)
+    system.network.cut.add('10.0.0.4')
+    system.network.dead.add('10.0.0.4')
+    system.network.run(590)
+    assert len(system.registered()) == 4
+    system.network.run(60)
+    assert system.registered() == ['lb-1', 'lb-2', 'lb-3']
+
+
+@pytest.mark.parametrize('i', range(1, 5))
+def test_a_balancer_that_is_cut_off_prunes_nobody(i):
+    """Guards against one balancer that hears nobody, but reaches the platform,
+    and takes live ones out of the registry."""
+    system = _started(4)
+    system.network.cut.add(f'10.0.0.{i}')
+    for _ in range(800):
+        system.network.run(1)
+        assert {f'lb-{j}' for j in range(1, 5) if j != i
+               } <= set(system.registered())
+
+
 def test_a_port_in_use_is_a_typed_error():
     """Guards against a start that fails without naming the address."""
     system = _started()
--- a/figdrum/sync/silence.py
+++ b/figdrum/sync/silence.py
@@ -6,7 +6,9 @@
 Every balancer sends digests to its zone's readers, so that a reader hears all
 live balancers of its zone. A balancer that a reader has not heard for 10 min is
 to be pruned from the zone's registry. A reader that was paused, or that hears
-less than half of its zone, cannot tell who is gone and prunes nobody.
+less than half of its zone for 5 min, cannot tell who is gone and prunes nobody.
+The shorter time matters: a reader that is cut off heard the others last at
+different moments, and would prune the first of them after 10 min.
 """
 
 import collections.abc
@@ -45,10 +47,12 @@
 
     def silent(self, now_ms: int) -> tuple[str, ...]:
         """Returns the balancers to prune, sorted by name."""
-        names = [
+        if 2 * len(self._quiet(now_ms, SILENCE_MS // 2)) > len(self._heard_ms):
+            return ()
+        return tuple(sorted(self._quiet(now_ms, SILENCE_MS)))
+
+    def _quiet(self, now_ms: int, silence_ms: int) -> list[str]:
+        return [
             name for name, at_ms in self._heard_ms.items()
-            if now_ms - at_ms > SILENCE_MS
+            if now_ms - at_ms > silence_ms
         ]
-        if 2 * len(names) > len(self._heard_ms):
-            return ()
-        return tuple(sorted(names))
