--- a/figdrum/cli/remedies.py
+++ b/figdrum/cli/remedies.py
@@ -120,10 +120,11 @@
     errors.NotReadyError:
         Remedy(
             'balancer', ExitCode.FAULT,
-            'A process has no state that it may serve from: the platform is '
-            'down and too few peers answered.',
-            'Check that the platform or two balancers of the zone can be '
-            'reached. The process goes on trying.'),
+            'A process has no state that it may serve from, because the '
+            'platform is down and too few peers answered; or a balancer that '
+            'was asked does not answer.',
+            'Check that the process runs, and that it reaches the platform or '
+            'two balancers of its zone. It goes on trying.'),
     errors.TargetError:
         Remedy(
             'coap', ExitCode.FAULT,
@@ -143,3 +144,13 @@
 def find(exc: errors.FigdrumError) -> Remedy:
     """Returns the remedy of the error's own class or its nearest base."""
     return next(REMEDIES[cls] for cls in type(exc).__mro__ if cls in REMEDIES)
+
+
+def describe(exc: errors.FigdrumError) -> list[str]:
+    """Returns the lines that tell an operator of an error."""
+    remedy = find(exc)
+    return [
+        f'{remedy.part}: {exc.code} in step "{exc.step}" at {exc.peer}',
+        *(f'  {reason}' for reason in exc.reason.split('; ')),
+        f'What to do: {remedy.remedy}',
+    ]
