Honour notify_ms, deadline_ms and the retry settings

The demo's feeds were silent for up to 56 s: the agent confirmed a quiet feed each 60 s whatever notify_ms said. Reading the timers for it showed that each notification left a timer that was renewed for ever.

The settings are passed on, and an observation has one timer that counts.

--- a/figdrum/admission/retry_budget.py
+++ b/figdrum/admission/retry_budget.py
@@ -23,9 +23,16 @@
 
 
 class RetryBudget:
-    """Counts requests and retries of the last 10 s."""
+    """Counts requests and retries of the last 10 s.
 
-    def __init__(self):
+    Args:
+      share: Largest part of the requests that may be retries.
+      window_ms: Time for which requests and retries count.
+    """
+
+    def __init__(self, share: float = SHARE, window_ms: int = WINDOW_MS):
+        self._share = share
+        self._window_ms = window_ms
         self._requests: collections.deque[int] = collections.deque()
         self._retries: collections.deque[int] = collections.deque()
 
@@ -37,12 +44,12 @@
     def try_retry(self, now_ms: int) -> bool:
         """Records a retry if the budget has room for it."""
         self._forget(now_ms)
-        if len(self._retries) + 1 > SHARE * len(self._requests):
+        if len(self._retries) + 1 > self._share * len(self._requests):
             return False
         self._retries.append(now_ms)
         return True
 
     def _forget(self, now_ms: int) -> None:
         for times in (self._requests, self._retries):
-            while times and times[0] <= now_ms - WINDOW_MS:
+            while times and times[0] <= now_ms - self._window_ms:
                 times.popleft()
--- a/figdrum/agent/core.py
+++ b/figdrum/agent/core.py
@@ -19,6 +19,7 @@
 from twisted.internet import defer
 
 from figdrum.admission import controller
+from figdrum.admission import retry_budget
 from figdrum.agent import beat
 from figdrum.agent import claim_service
 from figdrum.agent import drain
@@ -137,6 +138,8 @@
                                 self._cfg.queue, self._cfg.cold_rate,
                                 self._cfg.full_rate))
         self.admission.on_terms(self.place.terms)
+        self.admission.retries = retry_budget.RetryBudget(
+            self._cfg.retry_percent / 100, self._cfg.retry_window_ms)
         self._claims = claim_service.ClaimService(
             self.place, around,
             questions.Questions(around.timers, around.peers,
@@ -257,7 +260,8 @@
             contract, request_deadline.RequestDeadlineFilter(around.clock),
             request_claim.RequestClaimFilter(self._claims), slot, run)
         return requests.Requests(
-            server.CoapServer(around.rng), filters,
+            server.CoapServer(around.rng, self._cfg.notify_ms,
+                              self._cfg.deadline_ms), filters,
             chain.FilterChain(contract, slot, run), self._claims, around.clock,
             around.metrics,
             requests.Output(self._reply, self._on_observed,
--- a/figdrum/coap/observation.py
+++ b/figdrum/coap/observation.py
@@ -38,6 +38,7 @@
       sent_ms: Time of the last notification.
       outstanding: Notification that awaits its acknowledgement.
       dirty: True when `response` is newer than the last notification.
+      timer_ms: Time of the one timer that counts, or None.
     """
     flow: ids.FlowKey
     token: bytes
@@ -46,8 +47,4 @@
     sent_ms: int
     outstanding: exchange.Retransmission | None = None
     dirty: bool = False
-
-    def confirm_due(self, now_ms: int) -> bool:
-        """Returns True if the state has to be sent again."""
-        return (self.outstanding is None and self.response is not None and
-                now_ms - self.sent_ms >= CONFIRM_MS)
+    timer_ms: int | None = None
--- a/figdrum/coap/request.py
+++ b/figdrum/coap/request.py
@@ -32,7 +32,7 @@
 
 from figdrum.core import ids
 
-DEFAULT_DEADLINE_MS = 10_000
+DEFAULT_DEADLINE_MS = 30_000
 # An answer later than this could reach a caller that reused its message id.
 MAX_DEADLINE_MS = 120_000
 MAX_KEY_LENGTH = 128
@@ -102,9 +102,16 @@
         return None
 
 
-def read(message: aiocoap.Message, raw: bytes = b'') -> Request:
+def read(message: aiocoap.Message,
+         raw: bytes = b'',
+         default_deadline_ms: int = DEFAULT_DEADLINE_MS) -> Request:
     """Returns the request in `message`.
 
+    Args:
+      message: The message.
+      raw: Its bytes.
+      default_deadline_ms: Deadline of a request that names none.
+
     Raises:
       BadRequest: with the code to answer.
     """
@@ -112,7 +119,8 @@
     if method is None:
         raise BadRequest(aiocoap.METHOD_NOT_ALLOWED, 'method')
     _check_options(message)
-    key, deadline_ms, query = _read_query(message.opt.uri_query)
+    key, deadline_ms, query = _read_query(message.opt.uri_query,
+                                          default_deadline_ms)
     path = _path(message.opt.uri_path)
     return Request(method, f'{path}?{query}' if query else path,
                    bytes(message.payload), key, deadline_ms,
@@ -142,9 +150,9 @@
         urllib.parse.quote(segment, safe=_SEGMENT_SAFE) for segment in segments)
 
 
-def _read_query(
-        parameters: tuple[str, ...]) -> tuple[ids.IdempotencyKey, int, str]:
-    key, deadline_ms, rest = '', DEFAULT_DEADLINE_MS, []
+def _read_query(parameters: tuple[str, ...],
+                deadline_ms: int) -> tuple[ids.IdempotencyKey, int, str]:
+    key, rest = '', []
     for parameter in parameters:
         name, _, value = parameter.partition('=')
         if name == 'key':
--- a/figdrum/coap/server.py
+++ b/figdrum/coap/server.py
@@ -128,10 +128,21 @@
 
 
 class CoapServer:
-    """Exchanges, observations and downloads of all flows of an agent."""
-
-    def __init__(self, rng: random.Random):
+    """Exchanges, observations and downloads of all flows of an agent.
+
+    Args:
+      rng: Source of jitter and first sequence numbers.
+      confirm_ms: Longest time between notifications of an observation.
+      deadline_ms: Deadline of a request that names none.
+    """
+
+    def __init__(self,
+                 rng: random.Random,
+                 confirm_ms: int = observation.CONFIRM_MS,
+                 deadline_ms: int = request.DEFAULT_DEADLINE_MS):
         self._rng = rng
+        self._confirm_ms = confirm_ms
+        self._deadline_ms = deadline_ms
         self._seen = exchange.DuplicateCache()
         self._store = blocks.ResponseStore()
         self._flows: dict[ids.FlowKey, _Flow] = {}
@@ -206,8 +217,8 @@
         """Sends what is due; to be called each 100 ms."""
         reaction = _NOTHING
         while self._timers and self._timers[0][0] <= now_ms:
-            subject = heapq.heappop(self._timers)[2]
-            reaction += self._on_timer(now_ms, subject)
+            due_ms, _, subject = heapq.heappop(self._timers)
+            reaction += self._on_timer(now_ms, due_ms, subject)
         return reaction
 
     def handover(self,
@@ -228,7 +239,7 @@
             if message is None or not message.code.is_request():
                 continue
             try:
-                req = request.read(message, data)
+                req = request.read(message, data, self._deadline_ms)
             except request.BadRequest:
                 continue
             item.observations[message.token] = observation.Observation(
@@ -258,7 +269,7 @@
         item = _Exchange(flow, message.mid, message.token, message.mtype
                          is aiocoap.CON, None)
         try:
-            item.request = request.read(message, data)
+            item.request = request.read(message, data, self._deadline_ms)
         except request.BadRequest as exc:
             failed = codes.error(exc.code, exc.reason)
             stored = blocks.Stored(failed, b'', now_ms)
@@ -333,11 +344,10 @@
         known = self._flow(item.flow).observations
         if item.token not in known and len(known) >= MAX_OBSERVATIONS:
             return self._end_observation(item.flow, next(iter(known)))
-        known[item.token] = observation.Observation(item.flow, item.token,
-                                                    item.request, response,
-                                                    now_ms)
-        self._set_timer(now_ms + observation.CONFIRM_MS,
-                        (item.flow, item.token))
+        new = observation.Observation(item.flow, item.token, item.request,
+                                      response, now_ms)
+        known[item.token] = new
+        self._set_observation_timer(new, now_ms + self._confirm_ms)
         return Reaction((), (Observed(item.flow, item.token, item.request),))
 
     def _end_observation(self, flow: ids.FlowKey, token: bytes) -> Reaction:
@@ -354,7 +364,7 @@
         item.outstanding = exchange.Retransmission(
             now_ms,
             self._flow(item.flow).sequence % MID_RANGE, data, self._rng)
-        self._set_timer(item.outstanding.due_ms, (item.flow, item.token))
+        self._set_observation_timer(item, item.outstanding.due_ms)
         return Reaction((Datagram(item.flow, data),))
 
     def _notification(self, now_ms: int,
@@ -370,20 +380,22 @@
         return _encode(aiocoap.CON, number % MID_RANGE, item.token, stored,
                        piece, number if response.ok else None)
 
-    def _on_timer(self, now_ms: int, subject: typing.Any) -> Reaction:
+    def _on_timer(self, now_ms: int, due_ms: int,
+                  subject: typing.Any) -> Reaction:
         if isinstance(subject, int):
             return self._acknowledge(subject)
         if isinstance(subject[1], int):
             return self._repeat_separate(now_ms, subject)
         item = self._observation(*subject)
-        if item is None:
+        if item is None or item.timer_ms != due_ms:
             return _NOTHING
+        item.timer_ms = None
         if item.outstanding is not None:
             return self._repeat_notification(now_ms, item)
-        if item.confirm_due(now_ms):
+        confirm_ms = item.sent_ms + self._confirm_ms
+        if now_ms >= confirm_ms and item.response is not None:
             return self._send_notification(now_ms, item)
-        self._set_timer(max(now_ms + 1, item.sent_ms + observation.CONFIRM_MS),
-                        subject)
+        self._set_observation_timer(item, max(now_ms + 1, confirm_ms))
         return _NOTHING
 
     def _acknowledge(self, number: int) -> Reaction:
@@ -410,6 +422,7 @@
                              item: observation.Observation) -> Reaction:
         waiting = item.outstanding
         if waiting.due_ms > now_ms:
+            self._set_observation_timer(item, waiting.due_ms)
             return _NOTHING
         if not waiting.retry(now_ms):
             return self._end_observation(
@@ -419,7 +432,7 @@
             waiting.replace(self._flow(item.flow).sequence % MID_RANGE, data)
             item.dirty = False
             item.sent_ms = now_ms
-        self._set_timer(waiting.due_ms, (item.flow, item.token))
+        self._set_observation_timer(item, waiting.due_ms)
         return Reaction((Datagram(item.flow, waiting.datagram),))
 
     def _flow(self, flow: ids.FlowKey) -> _Flow:
@@ -445,6 +458,17 @@
                 return each
         return None
 
+    def _set_observation_timer(self, item: observation.Observation,
+                               due_ms: int) -> None:
+        """Sets the observation's timer unless an earlier one is set.
+
+        Only the last one set counts: one for each notification would be
+        renewed for ever, and their number would grow.
+        """
+        if item.timer_ms is None or due_ms < item.timer_ms:
+            item.timer_ms = due_ms
+            self._set_timer(due_ms, (item.flow, item.token))
+
     def _set_timer(self, due_ms: int, subject: typing.Any) -> None:
         self._count += 1
         heapq.heappush(self._timers, (due_ms, self._count, subject))
--- a/figdrum/coap/tests/test_server.py
+++ b/figdrum/coap/tests/test_server.py
@@ -242,6 +242,21 @@
     assert sent == [60_000, 120_000, 180_000, 240_000]
 
 
+def test_timers_of_a_feed_do_not_grow():
+    """Guards against a timer for each notification that is renewed for ever."""
+    coap = make()
+    for now_ms in range(0, 200_000, 1000):
+        observe(coap, now_ms, b'%d' % now_ms, mid=now_ms // 1000)
+        body = codes.Response(CONTENT, b'n%d' % now_ms)
+        for datagram in coap.notify(now_ms, FLOW, b't', body).datagrams:
+            mid = aiocoap.Message.decode(datagram.payload).mid
+            coap.on_datagram(now_ms, FLOW,
+                             encode(aiocoap.EMPTY, mid, b'', aiocoap.ACK))
+        coap.tick(now_ms)
+    # One for each registration and notification of the last minute at most.
+    assert len(coap._timers) <= 2 * 61  # pylint: disable=protected-access
+
+
 @pytest.mark.parametrize('how', ['reset', 'cancel', 'silence', 'error'])
 def test_observation_ends(how):
     """Guards against feeds that go on for callers that left."""
