Keep only settings that the program obeys

Wrong: seven keys of the schema were read by nothing: behind_ms, gossip_peers, peer_answer_ms, prune_ms, copy_ms, pending_ms and [platform] watch_ms. An operator could set them without effect.

Ruled out: wiring all of them. Six are constants of the decision code that no test needs to shorten.

Change: the six are removed. watch_ms is handed to gossip in balancer/process.py, with the default of sync.gossip (2 s). key_ms must be above the copy lifetime of 247 s, as the rule with copy_ms said. A test fails for a key that no code reads. A test runs a role from the one file.

Before: 7 unread keys. After: none but [process] region, which is for people.

--- a/bench/tests/test_dist.py
+++ b/bench/tests/test_dist.py
@@ -80,6 +80,15 @@
     assert 'figdrum.cli.status' in done.stdout
 
 
+def test_role_goes_on_from_the_file(binary, tmp_path):
+    """Guards against a role that cannot replace its process image when it
+    was started from the one file."""
+    done = run([sys.executable, '-S', binary, 'agent', '-c', 'none.ini'],
+               tmp_path / 'native')
+    assert done.returncode == 1
+    assert 'FD300 in step "load settings" at none.ini' in done.stderr
+
+
 def test_file_holds_no_tests_and_no_tools(binary):
     """Guards against stand-ins, tests or tools in what is shipped."""
     with zipfile.ZipFile(binary) as archive:
--- a/figdrum/balancer/process.py
+++ b/figdrum/balancer/process.py
@@ -133,8 +133,8 @@
         data = replica.Replica()
         controller = gossip.GossipController(
             gossip.GossipConfig(own.name, zone, own.address, self._cfg.peers,
-                                self._cfg.gossip_ms), data, rng,
-            self._clock.now_ms(), bucket)
+                                self._cfg.gossip_ms, cfg.platform.watch_ms),
+            data, rng, self._clock.now_ms(), bucket)
         self._gate = serving.ServingGate(controller)
         packet_router = recorder.build(
             'router', router.Router, zone, self.addresses.frames, self._gate,
--- a/figdrum/settings/schema.py
+++ b/figdrum/settings/schema.py
@@ -16,6 +16,9 @@
 from figdrum.core import ids
 from figdrum.settings import values
 
+# RFC 7252, section 4.8.2: a copy of a request may arrive for EXCHANGE_LIFETIME.
+COPY_LIFETIME_MS = 247_000
+
 
 def _parsed(base: typing.Any, parser: typing.Callable) -> typing.Any:
 
@@ -38,6 +41,8 @@
                               pydantic.Field(ge=1, le=values.MAX_PORT)]
 Ms = typing.Annotated[_parsed(int, values.parse_int),
                       pydantic.Field(ge=1, le=86_400_000)]
+KeyMs = typing.Annotated[_parsed(int, values.parse_int),
+                         pydantic.Field(gt=COPY_LIFETIME_MS, le=86_400_000)]
 Count = typing.Annotated[_parsed(int, values.parse_int),
                          pydantic.Field(ge=1, le=1_000_000_000)]
 Percent = typing.Annotated[_parsed(int, values.parse_int),
@@ -91,18 +96,8 @@
     suspect_ping_ms: Ms = _key('Time between pings of a suspected agent.',
                                default=1_000)
     pings_per_s: Count = _key('Most pings a second.', default=10)
-    behind_ms: Ms = _key(
-        'Time a balancer serves on while it knows that it is behind.',
-        default=7_000)
     gossip_ms: Ms = _key('Time between digests to a random peer.',
                          default=1_000)
-    gossip_peers: Count = _key('Peers to which a change is pushed at once.',
-                               default=3)
-    peer_answer_ms: Ms = _key(
-        'Time a fresh balancer waits for answers of its zone.', default=2_000)
-    prune_ms: Ms = _key(
-        'Silence after which a balancer leaves the registry of its zone.',
-        default=600_000)
     control_bytes_per_s: Count = _key('Bound on control traffic.',
                                       default=5_000)
     control_burst_bytes: Count = _key('Burst of control traffic.',
@@ -143,16 +138,14 @@
         default=10_000)
     tombstone_ms: Ms = _key('Time a lost mark stays in the list.',
                             default=300_000)
-    copy_ms: Ms = _key(
-        'Lifetime of a request\'s copies, records, fences and inquiry.',
-        default=247_000)
-    key_ms: Ms = _key('Lifetime of an idempotency key.', default=300_000)
+    key_ms: KeyMs = _key(
+        'Lifetime of an idempotency key, above that of copies of a request.',
+        default=300_000)
     claim_answer_ms: Ms = _key('Time in which a claim is answered.',
                                default=300)
     repeat_ms: Ms = _key('Time between repeats of an unanswered question.',
                          default=100)
     park_ms: Ms = _key('Time a packet waits for a newer list.', default=1_000)
-    pending_ms: Ms = _key('Time an inquiry for a flow lasts.', default=1_000)
     stale_ms: Ms = _key('Time between reports of staleness to one balancer.',
                         default=1_000)
     notify_ms: Ms = _key(
@@ -168,7 +161,7 @@
     """How the platform's object API is reached."""
     url: Url = _key('Base of the object API, http://host:port.')
     timeout_ms: Ms = _key('Time in which a call is answered.', default=2_000)
-    watch_ms: Ms = _key('Time a watch waits for a change.', default=30_000)
+    watch_ms: Ms = _key('Time a watch waits for a change.', default=2_000)
 
 
 class Statsd(Section):
@@ -217,8 +210,6 @@
           'a member that others skip must see its own pause (R6)'),
     Order('agent', 'heartbeat_ms', 'lost_after_ms',
           'a member that sends its leases must not be marked lost'),
-    Order('agent', 'copy_ms', 'key_ms',
-          'a key must outlive the copies of its request'),
     Order('agent', 'repeat_ms', 'claim_answer_ms',
           'a claim is asked again before its member counts as lost'),
 )
--- a/figdrum/settings/tests/test_loader.py
+++ b/figdrum/settings/tests/test_loader.py
@@ -1,13 +1,18 @@
 """Tests of the settings loader."""
 
+import pathlib
+import re
 import socket
 
 import pytest
 
+import figdrum
 from figdrum.core import errors
 from figdrum.settings import loader
 from figdrum.settings import schema
 
+# The region is for people and for checks of the other keys.
+INFORMATIVE = ['[process] region']
 PLATFORM = '[platform]\nurl = http://127.0.0.1:8000\n'
 PROCESS = '[process]\nname = muscat-1\nzone = muscat-a\nregion = om-north\n'
 AGENT = ('[agent]\nservice = fieldbook\nframe_host = 127.0.0.1\n'
@@ -72,7 +77,7 @@
     ('cold_rate = 201', 'cold_rate'),
     ('slots =', 'slots'),
     ('wake_gap_ms = 1500', 'wake_gap_ms'),
-    ('copy_ms = 300000', 'copy_ms'),
+    ('key_ms = 247000', 'key_ms'),
 ])
 def test_bad_value_is_refused(line, key):
     """Guards against a wrong unit, range or order that goes unnoticed."""
@@ -139,6 +144,21 @@
         assert rule.low in fields and rule.high in fields
 
 
+def test_every_key_is_read():
+    """Guards against a key that an operator sets and nothing obeys."""
+    root = pathlib.Path(figdrum.__file__).parent
+    source = '\n'.join(
+        path.read_text('utf-8')
+        for path in root.rglob('*.py')
+        if 'settings' not in path.parts and 'tests' not in path.parts)
+    unread = [
+        f'[{name}] {key}' for name, section in schema.SECTIONS.items()
+        for key in section.model_fields
+        if not re.search(rf'(?:cfg|{name})\.{key}\b', source)
+    ]
+    assert unread == INFORMATIVE
+
+
 def test_port_in_use_is_refused_at_start(tmp_path):
     """Guards against a process that starts beside another on its ports."""
     path = write(tmp_path, PROCESS + BALANCER + PLATFORM)
