Hand flows over one offer at a time and give up void inquiries

Cause: the specification found a flow given to two members by parallel offers, an inquiry that was answered before a handover, and an inquiry whose asker had meanwhile let another member have the flow. Generated heartbeats with a large list version stopped an agent for good.

--- a/figdrum/agent/core.py
+++ b/figdrum/agent/core.py
@@ -63,7 +63,7 @@
 _log = logs.part('agent')
 
 _OWNER_MESSAGES = (datagram.Heartbeat, datagram.Held, datagram.Refused,
-                   datagram.Handover, datagram.HandoverReply, datagram.Moved)
+                   datagram.Handover, datagram.HandoverReply)
 _REFUSALS = frozenset(refusal.value for refusal in states.Refusal)
 
 
@@ -220,7 +220,6 @@
         self._notice_gap()
         now_ms = self._around.clock.now_ms()
         self._membership.tick(now_ms)
-        self._owner.set_suspects(self._membership.suspected(now_ms))
         self._act(now_ms, self._owner.on_tick(now_ms))
         for _ in range(self.place.waits.expire(now_ms)):
             self._around.metrics.incr('agent.dropped.list_not_fetched')
@@ -305,7 +304,7 @@
         if own.out:
             self._around.metrics.incr('agent.given_up_flows', len(self.flows))
         if own.incarnation:
-            self._act(now_ms, self._owner.join(now_ms, own.incarnation))
+            self._act(now_ms, self._owner.forget(now_ms))
         self.admission.warmup.fall(now_ms)
 
     def _on_packet(self, now_ms: int, address: ids.Address,
@@ -335,8 +334,6 @@
         if isinstance(message, datagram.Handover):
             self.flows.adopt(now_ms, message, decided)
         self._act(now_ms, decided)
-        if isinstance(message, datagram.HandoverReply):
-            self.leave.on_reply(now_ms, message)
 
     def _act(self, now_ms: int,
              decided: collections.abc.Iterable[actions.Action]) -> None:
--- a/figdrum/agent/drain.py
+++ b/figdrum/agent/drain.py
@@ -3,9 +3,9 @@
 Explanation
 ===========
 
-Each held flow is offered to the next member in its order until one accepts. A
-member that declines is passed over for that flow until all have declined; then
-they are asked again. Requests in progress end here, then the agent gives its
+Each held flow is offered to one member at a time until one accepts, see
+`figdrum.ownership.offers`.
+Requests in progress end here, then the agent gives its
 claims away, lingers to pass late packets on, and leaves the list.
 
 References
@@ -16,7 +16,6 @@
 
 import abc
 import collections.abc
-import dataclasses
 import enum
 
 from figdrum.core import ids
@@ -49,10 +48,8 @@
     """What a drain needs of its agent."""
 
     @abc.abstractmethod
-    def offers(
-            self, declined: frozenset[str]
-    ) -> collections.abc.Iterable[actions.Offer]:
-        """Returns offers of all held flows to members not in `declined`."""
+    def offers(self) -> collections.abc.Iterable[actions.Offer]:
+        """Returns the offer of each held flow."""
 
     @abc.abstractmethod
     def send_offer(self, offer: actions.Offer) -> None:
@@ -85,12 +82,6 @@
         """Records flows that nobody took over in time."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Offered:
-    at_ms: int
-    declined: frozenset[str] = frozenset()
-
-
 class Drain:
     """The steps of a leave, driven by ticks.
 
@@ -106,7 +97,7 @@
         self._linger_ms = linger_ms
         self._started_ms = 0
         self._phase_ms = 0
-        self._offered: dict[ids.FlowKey, _Offered] = {}
+        self._sent_ms: dict[tuple[ids.FlowKey, str, int], int] = {}
         self._claims: list[tuple[service_list.Member, datagram.Claim]] = []
         self.phase = Phase.SERVING
 
@@ -116,15 +107,6 @@
             self._started_ms = now_ms
             self._enter(now_ms, Phase.HANDOVER)
 
-    def on_reply(self, now_ms: int, reply: datagram.HandoverReply) -> None:
-        """Notes a member's answer to an offer."""
-        offered = self._offered.get(reply.flow)
-        if reply.accepted:
-            self._offered.pop(reply.flow, None)
-        elif offered is not None:
-            offered.declined |= {reply.name}
-            offered.at_ms = now_ms - REPEAT_MS
-
     def tick(self, now_ms: int) -> None:
         """Goes on; to be called each 100 ms."""
         late = now_ms - self._started_ms
@@ -156,30 +138,24 @@
 
     def _offer(self, now_ms: int) -> None:
         budget = OFFERS_PER_TICK
-        groups = {offered.declined for offered in self._offered.values()}
-        for declined in groups | {frozenset()}:
-            reachable = set()
-            for offer in self._leaver.offers(declined):
-                offered = self._offered.setdefault(offer.flow,
-                                                   _Offered(now_ms - REPEAT_MS))
-                if offered.declined != declined:
-                    continue
-                reachable.add(offer.flow)
-                if budget and now_ms - offered.at_ms >= REPEAT_MS:
-                    budget -= 1
-                    offered.at_ms = now_ms
-                    self._leaver.send_offer(offer)
-            self._ask_again(now_ms, declined, reachable)
-
-    def _ask_again(self, now_ms: int, declined: frozenset[str],
-                   reachable: set[ids.FlowKey]) -> None:
-        """Forgets the refusals of flows that every member declined."""
-        if not declined:
-            return
-        for flow, offered in self._offered.items():
-            if (offered.declined == declined and flow not in reachable and
-                    now_ms - offered.at_ms >= DECLINED_MS):
-                offered.declined = frozenset()
+        sent_ms = {}
+        for offer in self._leaver.offers():
+            key = (offer.flow, offer.to.name, offer.attempt)
+            last_ms = self._sent_ms.get(key)
+            if budget and self._is_due(now_ms, offer, last_ms):
+                budget -= 1
+                last_ms = now_ms
+                self._leaver.send_offer(offer)
+            if last_ms is not None:
+                sent_ms[key] = last_ms
+        self._sent_ms = sent_ms
+
+    def _is_due(self, now_ms: int, offer: actions.Offer,
+                last_ms: int | None) -> bool:
+        if last_ms is not None:
+            return now_ms - last_ms >= REPEAT_MS
+        # Members that have just declined get time to free a place.
+        return now_ms - self._started_ms >= offer.attempt * DECLINED_MS
 
     def _enter(self, now_ms: int, phase: Phase) -> None:
         _log.info('drain: %s', phase.value)
--- a/figdrum/agent/handover.py
+++ b/figdrum/agent/handover.py
@@ -81,18 +81,16 @@
         self._requests.adopt(message.flow, customer, message.observations,
                              message.sequence)
 
-    def offers(self, declined):
-        return [
-            action for action in self._owner.offers(declined)
-            if isinstance(action, actions.Offer)
-        ]
+    def offers(self):
+        return self._owner.offers(self._around.clock.now_ms())
 
     def send_offer(self, offer: actions.Offer) -> None:
         observations, sequence = self._requests.handover(offer.flow)
         balancer = self._routes.choose(self._around.clock.now_ms(), offer.flow)
         message = datagram.Handover(self._name, offer.flow,
-                                    self._held.get(offer.flow, ''), balancer or
-                                    ('', 0), observations, sequence)
+                                    self._held.get(offer.flow,
+                                                   ''), balancer or ('', 0),
+                                    observations, sequence, offer.attempt)
         self._around.peers.send(offer.to.address, codec.encode(message))
 
     def send_claim(self, to: service_list.Member,
--- a/figdrum/messages/datagram.py
+++ b/figdrum/messages/datagram.py
@@ -125,6 +125,8 @@
       balancer: Balancer that carried the flow's last packet.
       observations: Encoded CoAP requests that registered observations.
       sequence: The last Observe sequence number sent.
+      attempt: Grows by one each time that all members have declined, so that
+        the answer to an earlier offer is not taken for one to this.
     """
     giver: str
     flow: ids.FlowKey
@@ -132,14 +134,16 @@
     balancer: ids.Address
     observations: tuple[bytes, ...]
     sequence: int
+    attempt: int = 0
 
 
 class HandoverReply(typing.NamedTuple):
-    """Accepts or declines a `Handover`."""
+    """Accepts or declines a `Handover` of the same attempt."""
     flow: ids.FlowKey
     accepted: bool
     name: str
     incarnation: int
+    attempt: int = 0
 
 
 class Claim(typing.NamedTuple):
--- a/figdrum/ownership/actions.py
+++ b/figdrum/ownership/actions.py
@@ -52,9 +52,16 @@
 
 
 class Offer(typing.NamedTuple):
-    """Offer a held flow to another member before leaving."""
+    """Offer a held flow to another member before leaving.
+
+    Attributes:
+      to: The member.
+      flow: The flow.
+      attempt: To be sent with the offer, see `datagram.Handover`.
+    """
     to: service_list.Member
     flow: ids.FlowKey
+    attempt: int
 
 
 class Release(typing.NamedTuple):
--- a/figdrum/ownership/decision.py
+++ b/figdrum/ownership/decision.py
@@ -43,6 +43,7 @@
 
 # Power of two choices: a third candidate adds little balance and one more hop.
 MAX_TRIES = 2
+MAX_VISITS = 2
 
 
 class Phase(enum.Enum):
@@ -178,8 +179,9 @@
     if isinstance(record, records.Pointer):
         target = view.find(record.to)
         if _is_alive(view, record, target):
-            if target.name not in packet.visited:
-                return _send(record, target, _visit(view, packet))
+            if _should_follow(packet, target.name):
+                packet = packet._replace(visited=packet.visited + (view.name,))
+                return _send(record, target, packet)
             # The target passed the packet on without holding the flow, or
             # asks for it itself: a newer holder may be behind it.
             must_ask = True
@@ -197,10 +199,14 @@
     """Decides on a packet of a flow without a pointer to follow."""
     if not packet.may_start:
         return _search(view, record, packet)
-    if packet.asker == view.name:
-        return _resolve(view, record, packet)
     if isinstance(record, (records.Pending, records.Hold)):
+        if packet.asker == view.name:
+            return _resolve(view, record, packet)
         return _while_asking(view, record, packet)
+    if packet.asker == view.name:
+        # This agent let another member have the flow after it had asked, so
+        # the answers it collected no longer count.
+        packet = packet._replace(asker='', visited=(), must_ask=True)
     if packet.asker:
         return _answer_inquiry(view, record, packet)
     return _consider(view, packet)
@@ -291,7 +297,7 @@
     if accepted:
         record = records.Hold()
     reply = datagram.HandoverReply(handover.flow, accepted, view.name,
-                                   view.incarnation)
+                                   view.incarnation, handover.attempt)
     return Decision(record, (actions.Send(giver, reply),))
 
 
@@ -360,6 +366,32 @@
             target.incarnation == pointer.incarnation)
 
 
+def _pass_along(view: View, pointer: records.Pointer,
+                target: service_list.Member,
+                packet: datagram.Packet) -> Decision:
+    """Sends a packet along a pointer.
+
+    An inquiry leaves a pointer to its asker behind, so that a refusal from
+    `target` that is still under way is not taken for the last word.
+    """
+    if packet.asker and view.rules.claim_at_asking:
+        pointer = records.Pointer(packet.asker, packet.asker_incarnation)
+    packet = packet._replace(visited=packet.visited + (view.name,))
+    return _send(pointer, target, packet)
+
+
+def _should_follow(packet: datagram.Packet, target: str) -> bool:
+    """Returns whether a packet goes along a pointer to `target`.
+
+    An inquiry may visit a member a second time: the flow may have been handed
+    over to that member after the first visit.
+    """
+    visits = packet.visited.count(target)
+    if packet.asker and packet.asker != target:
+        return visits < MAX_VISITS
+    return visits == 0
+
+
 def _waits_for_ghost(view: View, record: records.Record,
                      packet: datagram.Packet) -> bool:
     """Returns whether a member that is marked lost may still hold the flow.
--- /dev/null
+++ b/figdrum/ownership/offers.py
@@ -0,0 +1,100 @@
+"""Offers of a leaving agent's flows, one member at a time.
+
+Explanation
+===========
+
+Two open offers of one flow could both be accepted, so a flow is offered to one
+member until that one declines or is gone. When all have declined, a new
+attempt starts; a member that declined an attempt never accepts it later.
+"""
+
+import collections.abc
+import typing
+
+from figdrum.core import ids
+from figdrum.membership import service_list
+from figdrum.messages import datagram
+
+_DECLINED_LIMIT = 20_000
+
+
+class Offered(typing.NamedTuple):
+    """The open offer of one flow.
+
+    Attributes:
+      to: The member that it is made to, or None.
+      declined: Members that declined this attempt.
+      attempt: Number of the attempt.
+    """
+    to: service_list.Member | None = None
+    declined: frozenset[str] = frozenset()
+    attempt: int = 0
+
+
+def choose(
+        offered: Offered,
+        candidates: collections.abc.Sequence[service_list.Member]) -> Offered:
+    """Returns the offer to make now.
+
+    Args:
+      offered: The offer made before.
+      candidates: Active members that answer, in the flow's order.
+
+    Returns:
+      The same offer while its member is a candidate; else one to the next
+      that has not declined, in a new attempt when all have.
+
+    Examples
+    ========
+
+    >>> from figdrum.core import states
+    >>> one = service_list.Member('a', ('10.0.0.1', 7000), 'muscat-a', 1,
+    ...                           states.MemberState.ACTIVE)
+    >>> choose(Offered(declined=frozenset('a')), [one]).attempt
+    1
+    """
+    if offered.to in candidates:
+        return offered
+    rest = [m for m in candidates if m.name not in offered.declined]
+    if not rest and candidates and offered.declined:
+        return Offered(candidates[0], frozenset(), offered.attempt + 1)
+    return offered._replace(to=rest[0] if rest else None)
+
+
+def on_reply(offered: Offered, reply: datagram.HandoverReply) -> Offered | None:
+    """Returns the offer after a reply, or None when the reply is not to it."""
+    if (offered.to is None or offered.to.name != reply.name or
+            offered.attempt != reply.attempt):
+        return None
+    if reply.accepted:
+        return offered
+    return offered._replace(to=None, declined=offered.declined | {reply.name})
+
+
+class Declined:
+    """Attempts that this agent declined, by flow."""
+
+    def __init__(self):
+        self._attempts: dict[tuple[str, ids.FlowKey], tuple[int, int]] = {}
+
+    def covers(self, handover: datagram.Handover) -> bool:
+        """Returns whether this offer was declined before."""
+        found = self._attempts.get((handover.giver, handover.flow))
+        return found is not None and handover.attempt <= found[0]
+
+    def is_full(self) -> bool:
+        """Returns whether no further refusal can be remembered."""
+        return len(self._attempts) >= _DECLINED_LIMIT
+
+    def add(self, now_ms: int, handover: datagram.Handover) -> None:
+        """Remembers that this offer was declined."""
+        self._attempts[(handover.giver, handover.flow)] = (handover.attempt,
+                                                           now_ms)
+
+    def expire(self, limit_ms: int) -> None:
+        """Forgets what was declined at or before `limit_ms`."""
+        self._attempts = {
+            key: value
+            for key, value in self._attempts.items()
+            if value[1] > limit_ms
+        }
--- a/figdrum/ownership/owner.py
+++ b/figdrum/ownership/owner.py
@@ -18,6 +18,7 @@
 from figdrum.ownership import admission_check
 from figdrum.ownership import decision
 from figdrum.ownership import flow_table
+from figdrum.ownership import offers
 from figdrum.ownership import records
 from figdrum.ownership import standing
 from figdrum.routing import rendezvous
@@ -33,14 +34,6 @@
 Actions = tuple[actions.Action, ...]
 
 
-class _FlowOffer(typing.NamedTuple):
-    to: service_list.Member | None
-    declined: frozenset[str]
-
-
-_NO_OFFER = _FlowOffer(None, frozenset())
-
-
 class Owner:
     """Decides which flows this agent holds."""
 
@@ -68,8 +61,8 @@
         self._pending_since: dict[ids.FlowKey, int] = {}
         self._last_event_ms: int | None = None
         self._departed_ms: dict[tuple[str, int], int] = {}
-        self._offered: dict[ids.FlowKey, _FlowOffer] = {}
-        self._declined_ms: dict[ids.FlowKey, int] = {}
+        self._offered: dict[ids.FlowKey, offers.Offered] = {}
+        self._declined = offers.Declined()
 
     @property
     def list_version(self) -> int:
@@ -151,54 +144,46 @@
         return ()
 
     def on_tick(self, now_ms: int) -> Actions:
-        """Expires records and repeats offers; to be called each 100 ms."""
+        """Expires records; to be called each 100 ms."""
         self._notice_gap(now_ms)
-        released = tuple(
-            actions.Release(hold.flow) for hold in self._table.expire(now_ms))
-        limit_ms = now_ms - flow_table.COPY_LIFETIME_MS
-        for flow, declined_ms in list(self._declined_ms.items()):
-            if declined_ms > limit_ms:
-                break
-            del self._declined_ms[flow]
-        return released + self._offers(now_ms)
+        self._declined.expire(now_ms - flow_table.COPY_LIFETIME_MS)
+        return self._release(self._table.expire(now_ms))
 
-    def start_drain(self, now_ms: int) -> Actions:
-        """Stops admitting and offers every held flow to another member.
-
-        Offers are repeated on each tick until a member accepts.
-        """
+    def start_drain(self, now_ms: int) -> None:
+        """Stops admitting; the held flows are then given away by `offers`."""
         self._notice_gap(now_ms)
         if self._standing is not None:
             self._standing = self._standing._replace(draining=True)
-        return self._offers(now_ms)
 
-    def _offers(self, now_ms: int) -> Actions:
-        """Offers each held flow to one member until that one declines.
-
-        Two open offers of one flow could both be accepted.
-        """
-        if self._standing is None or not self._standing.draining:
-            return ()
-        offers = []
+    def offers(self, now_ms: int) -> tuple[actions.Offer, ...]:
+        """Returns the offer of each held flow, to be sent until answered."""
+        made = []
         silent = self._silent(now_ms)
         for flow, _ in self._table.held():
-            offer = self._offered.get(flow, _NO_OFFER)
-            if self._is_offer_over(offer, silent):
-                offer = _FlowOffer(
-                    self._successor(flow, offer.declined | silent),
-                    offer.declined)
-                self._offered[flow] = offer
-            if offer.to is not None:
-                offers.append(actions.Offer(offer.to, flow))
-        return tuple(offers)
-
-    def _is_offer_over(self, offer: '_FlowOffer',
-                       silent: frozenset[str]) -> bool:
-        if offer.to is None or offer.to.name in silent:
-            return True
-        listed = self._list.find(offer.to.name)
-        return listed is None or listed.incarnation != offer.to.incarnation or (
-            listed.state is not states.MemberState.ACTIVE)
+            candidates = [
+                m for m in self._list.order(flow.to_bytes(), self._zones_out)
+                if m.name != self._name and m.name not in silent and
+                m.state is states.MemberState.ACTIVE
+            ]
+            offered = offers.choose(self._offered.get(flow, offers.Offered()),
+                                    candidates)
+            self._offered[flow] = offered
+            if offered.to is not None:
+                made.append(actions.Offer(offered.to, flow, offered.attempt))
+        return tuple(made)
+
+    def forget(self, now_ms: int) -> Actions:
+        """Forgets all flows, as after a pause; for a zone that goes out."""
+        self._notice_gap(now_ms)
+        if self._standing is not None:
+            self._standing = self._standing.woken(now_ms, self._list)
+        self._pending_since.clear()
+        return self._release(self._table.clear())
+
+    def _release(self, holds: list[flow_table.ExpiredHold]) -> Actions:
+        for hold in holds:
+            self._offered.pop(hold.flow, None)
+        return tuple(actions.Release(hold.flow) for hold in holds)
 
     def _note_departures(self, now_ms: int) -> None:
         """Remembers when each lost or left member was first seen as such."""
@@ -282,9 +267,12 @@
 
     def _on_heartbeat(self, now_ms: int,
                       message: datagram.Heartbeat) -> Actions:
+        member = self._list.find(message.name)
+        if member is None or member.incarnation != message.incarnation:
+            return ()
         self._heard_ms[message.name] = now_ms
         if self._standing is not None:
-            self._standing = self._standing.hear(message.name,
+            self._standing = self._standing.hear(now_ms, message.name,
                                                  message.list_version)
         return ()
 
@@ -320,37 +308,30 @@
 
     def _on_handover(self, now_ms: int, message: datagram.Handover,
                      admission: admission_check.AdmissionCheck) -> Actions:
-        declined = message.flow in self._declined_ms or self._table.is_full()
+        if self._declined.is_full():
+            return ()
+        declined = self._declined.covers(message) or self._table.is_full()
         view = self._view(now_ms, message.flow, message.customer, admission)
         decided = decision.on_handover(view, self._table.get(message.flow),
                                        message, declined)
-        if isinstance(decided.record, records.Hold):
+        if any(a.message.accepted for a in decided.actions):
             self._pending_since.pop(message.flow, None)
             self._table.put(now_ms, message.flow, decided.record,
                             ids.CustomerId(message.customer))
-        elif decided.actions:
-            self._declined_ms.setdefault(message.flow, now_ms)
+        elif decided.actions and not self._declined.covers(message):
+            self._declined.add(now_ms, message)
         return decided.actions
 
     def _on_handover_reply(
             self, now_ms: int, message: datagram.HandoverReply,
             admission: admission_check.AdmissionCheck) -> Actions:
-        offer = self._offered.get(message.flow, _NO_OFFER)
-        if offer.to is None or offer.to.name != message.name:
+        offered = offers.on_reply(
+            self._offered.get(message.flow, offers.Offered()), message)
+        if offered is None:
             return ()
+        self._offered[message.flow] = offered
         if not message.accepted:
-            self._offered[message.flow] = _FlowOffer(
-                None, offer.declined | {message.name})
             return ()
         del self._offered[message.flow]
         return self._on_flow_message(now_ms, message,
                                      decision.on_handover_reply, '', admission)
-
-    def _successor(self, flow: ids.FlowKey,
-                   passed_over: frozenset[str]) -> service_list.Member | None:
-        for member in self._list.order(flow.to_bytes(), self._zones_out):
-            if (member.name != self._name and
-                    member.state is states.MemberState.ACTIVE and
-                    member.name not in passed_over):
-                return member
-        return None
