Move refusals with a flow, and flows away from a target that is gone

Handover has a new field with the refusals of the last 247 s, at most 128; a refusal beyond that says outcome-unknown. States of flows that were only refused were never dropped; their number is bounded now.

An agent whose target had died went on admitting flows and refusing their requests.

--- a/figdrum/admission/controller.py
+++ b/figdrum/admission/controller.py
@@ -101,6 +101,7 @@
     Attributes:
       flows_stopped: True once no new flow is taken.
       requests_stopped: True once no new request is taken.
+      target_down: True while the target does not answer.
     """
 
     def __init__(self, name: str, capacity: Capacity):
@@ -117,6 +118,7 @@
         self.retries = retry_budget.RetryBudget()
         self.flows_stopped = False
         self.requests_stopped = False
+        self.target_down = False
 
     @property
     def utilisation(self) -> float:
@@ -147,7 +149,7 @@
     def can_admit(self, now_ms: int, customer: ids.CustomerId) -> bool:
         """Returns True if a new flow of `customer` may be taken now."""
         terms = self._terms(customer)
-        if self.flows_stopped or terms is None:
+        if self.flows_stopped or self.target_down or terms is None:
             return False
         if not shedding.admits(terms.rank, self.utilisation):
             return False
--- a/figdrum/agent/core.py
+++ b/figdrum/agent/core.py
@@ -25,7 +25,6 @@
 from figdrum.agent import drain
 from figdrum.agent import feeds
 from figdrum.agent import handover
-from figdrum.agent import health
 from figdrum.agent import list_waits
 from figdrum.agent import membership
 from figdrum.agent import place
@@ -35,6 +34,7 @@
 from figdrum.agent import slot_waiter
 from figdrum.agent import stale_notices
 from figdrum.agent import surroundings
+from figdrum.agent import target_care
 from figdrum.coap import server
 from figdrum.contracts import state as contract_state
 from figdrum.core import clock as clock_lib
@@ -59,6 +59,9 @@
 from figdrum.telemetry import trace as trace_lib
 
 FEED_INTERVAL_MS = 1_000
+# A run cut earlier than this had a short deadline, which says nothing about
+# the target.
+SILENT_MS = 1_000
 
 _log = logs.part('agent')
 
@@ -72,7 +75,9 @@
 
     def __init__(self, own: place.Place, clock: clock_lib.Clock,
                  admission: controller.AdmissionController,
-                 slots: slot_waiter.SlotWaiter):
+                 slots: slot_waiter.SlotWaiter,
+                 on_result: collections.abc.Callable[[bool], None]):
+        self._on_result = on_result
         self._own = own
         self._clock = clock
         self._admission = admission
@@ -87,10 +92,15 @@
                 self._admission.retries.try_retry(now_ms) and
                 self._admission.warmup.try_start(now_ms))
 
-    def finished(self, ctx: request_context.RequestContext, ok: bool,
-                 latency_ms: int) -> None:
-        self._admission.finished(self._clock.now_ms(), ctx.number, ok,
-                                 latency_ms)
+    def finished(self, ctx: request_context.RequestContext,
+                 end: request_run.RunEnd, latency_ms: int) -> None:
+        self._admission.finished(self._clock.now_ms(), ctx.number, end
+                                 is request_run.RunEnd.OK, latency_ms)
+        if end in (request_run.RunEnd.OK, request_run.RunEnd.ERROR):
+            self._on_result(True)
+        elif (end is request_run.RunEnd.NOT_CONNECTED or
+              latency_ms >= SILENT_MS):
+            self._on_result(False)
         self._slots.pump()
 
 
@@ -152,8 +162,8 @@
                                         self.admission, self._routes,
                                         self._requests, self._claims)
         self._feeds = feeds.Feeds(feed_ms, self._poll, self._requests.notify)
-        self._health = health.HealthPoller(around, self.place.service,
-                                           self.admission.warmup)
+        self._care = target_care.TargetCare(around, self.place.service,
+                                            self.admission, self.flows)
         self.leave = drain.Drain(self.flows, self._cfg.drain_ms,
                                  self._cfg.linger_ms)
 
@@ -228,7 +238,7 @@
         self._requests.tick()
         if self.place.may_run():
             self._feeds.tick(now_ms)
-        self._health.tick(now_ms)
+        self._care.tick(now_ms, self.leave.phase is not drain.Phase.SERVING)
         self.leave.tick(now_ms)
         if self._beat.second(now_ms):
             self._claims.expire()
@@ -255,7 +265,8 @@
         slot = request_slot.RequestSlotFilter(self._slots)
         run = request_run.RequestRunFilter(
             around.target, around.clock,
-            _Guard(self.place, around.clock, self.admission, self._slots))
+            _Guard(self.place, around.clock, self.admission, self._slots,
+                   self._on_result))
         filters = chain.FilterChain(
             contract, request_deadline.RequestDeadlineFilter(around.clock),
             request_claim.RequestClaimFilter(self._claims), slot, run)
@@ -336,6 +347,7 @@
             self.flows.adopt(now_ms, message, decided)
         self._act(now_ms, decided)
         if isinstance(message, datagram.HandoverReply):
+            self._care.on_reply(now_ms, message)
             self.leave.on_reply(now_ms, message)
 
     def _act(self, now_ms: int,
@@ -362,6 +374,9 @@
         self.flows.begin(now_ms, packet.flow, ids.CustomerId(packet.customer))
         self._requests.deliver(packet.flow, packet.payload, _origin(packet))
 
+    def _on_result(self, answered: bool) -> None:
+        self._care.on_result(answered)
+
     def _on_observed(self, customer: ids.CustomerId,
                      event: server.Observed) -> None:
         self._feeds.add(self._around.clock.now_ms(), customer, event)
--- a/figdrum/agent/drain.py
+++ b/figdrum/agent/drain.py
@@ -3,10 +3,9 @@
 Explanation
 ===========
 
-Each held flow is offered to the next member in its order until one accepts. A
-member that declines is passed over for that flow until all have declined; then
-they are asked again. Requests in progress end here, then the agent gives its
-claims away, lingers to pass late packets on, and leaves the list.
+Each held flow is offered to the other members until one accepts. Requests in
+progress end here, then the agent gives its claims away, lingers to pass late
+packets on, and leaves the list.
 
 References
 ==========
@@ -15,22 +14,15 @@
 """
 
 import abc
-import collections.abc
-import dataclasses
 import enum
 
-from figdrum.core import ids
+from figdrum.agent import offering
 from figdrum.membership import service_list
 from figdrum.messages import datagram
-from figdrum.ownership import actions
 from figdrum.telemetry import logs
 
 # Requests of flows that nobody has taken yet are served for this long.
 REQUESTS_STOP_MS = 3_000
-REPEAT_MS = 300
-DECLINED_MS = 1_000
-# Bounds the burst that a leave of an agent with 2,000 flows sends at once.
-OFFERS_PER_TICK = 200
 CLAIMS_PER_TICK = 500
 
 _log = logs.part('agent')
@@ -45,19 +37,9 @@
     DONE = 'done'
 
 
-class Leaver(abc.ABC):
+class Leaver(offering.Giver):
     """What a drain needs of its agent."""
 
-    @abc.abstractmethod
-    def offers(
-            self, declined: frozenset[str]
-    ) -> collections.abc.Iterable[actions.Offer]:
-        """Returns offers of all held flows to members not in `declined`."""
-
-    @abc.abstractmethod
-    def send_offer(self, offer: actions.Offer) -> None:
-        """Sends one offer."""
-
     @abc.abstractmethod
     def send_claim(self, to: service_list.Member,
                    claim: datagram.Claim) -> None:
@@ -85,12 +67,6 @@
         """Records flows that nobody took over in time."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Offered:
-    at_ms: int
-    declined: frozenset[str] = frozenset()
-
-
 class Drain:
     """The steps of a leave, driven by ticks.
 
@@ -106,7 +82,7 @@
         self._linger_ms = linger_ms
         self._started_ms = 0
         self._phase_ms = 0
-        self._offered: dict[ids.FlowKey, _Offered] = {}
+        self._offering = offering.Offering(leaver)
         self._claims: list[tuple[service_list.Member, datagram.Claim]] = []
         self.phase = Phase.SERVING
 
@@ -118,12 +94,7 @@
 
     def on_reply(self, now_ms: int, reply: datagram.HandoverReply) -> None:
         """Notes a member's answer to an offer."""
-        offered = self._offered.get(reply.flow)
-        if reply.accepted:
-            self._offered.pop(reply.flow, None)
-        elif offered is not None:
-            offered.declined |= {reply.name}
-            offered.at_ms = now_ms - REPEAT_MS
+        self._offering.on_reply(now_ms, reply)
 
     def tick(self, now_ms: int) -> None:
         """Goes on; to be called each 100 ms."""
@@ -134,7 +105,7 @@
             if not self._leaver.held() or late >= self._drain_ms:
                 self._end_handover(now_ms)
             else:
-                self._offer(now_ms)
+                self._offering.tick(now_ms)
         if self.phase is Phase.FINISHING:
             if not self._leaver.busy() or late >= 2 * self._drain_ms:
                 self._claims = list(self._leaver.claim_copies())
@@ -154,33 +125,6 @@
             self._leaver.broken(held)
         self._enter(now_ms, Phase.FINISHING)
 
-    def _offer(self, now_ms: int) -> None:
-        budget = OFFERS_PER_TICK
-        groups = {offered.declined for offered in self._offered.values()}
-        for declined in groups | {frozenset()}:
-            reachable = set()
-            for offer in self._leaver.offers(declined):
-                offered = self._offered.setdefault(offer.flow,
-                                                   _Offered(now_ms - REPEAT_MS))
-                if offered.declined != declined:
-                    continue
-                reachable.add(offer.flow)
-                if budget and now_ms - offered.at_ms >= REPEAT_MS:
-                    budget -= 1
-                    offered.at_ms = now_ms
-                    self._leaver.send_offer(offer)
-            self._ask_again(now_ms, declined, reachable)
-
-    def _ask_again(self, now_ms: int, declined: frozenset[str],
-                   reachable: set[ids.FlowKey]) -> None:
-        """Forgets the refusals of flows that every member declined."""
-        if not declined:
-            return
-        for flow, offered in self._offered.items():
-            if (offered.declined == declined and flow not in reachable and
-                    now_ms - offered.at_ms >= DECLINED_MS):
-                offered.declined = frozenset()
-
     def _enter(self, now_ms: int, phase: Phase) -> None:
         _log.info('drain: %s', phase.value)
         self.phase = phase
--- a/figdrum/agent/handover.py
+++ b/figdrum/agent/handover.py
@@ -8,6 +8,7 @@
 from figdrum.agent import requests as requests_lib
 from figdrum.agent import surroundings
 from figdrum.admission import controller
+from figdrum.coap import server
 from figdrum.core import ids
 from figdrum.membership import service_list
 from figdrum.messages import codec
@@ -78,8 +79,10 @@
         self.begin(now_ms, message.flow, customer)
         if message.balancer[0]:
             self._routes.set(message.flow, message.balancer)
-        self._requests.adopt(message.flow, customer, message.observations,
-                             message.sequence)
+        self._requests.adopt(
+            message.flow, customer,
+            server.FlowState(message.observations, message.sequence,
+                             message.refused))
 
     def offers(self, declined):
         return [
@@ -88,11 +91,11 @@
         ]
 
     def send_offer(self, offer: actions.Offer) -> None:
-        observations, sequence = self._requests.handover(offer.flow)
+        state = self._requests.handover(offer.flow)
         balancer = self._routes.choose(self._around.clock.now_ms(), offer.flow)
         message = datagram.Handover(self._name, offer.flow,
                                     self._held.get(offer.flow, ''), balancer or
-                                    ('', 0), observations, sequence)
+                                    ('', 0), *state)
         self._around.peers.send(offer.to.address, codec.encode(message))
 
     def send_claim(self, to: service_list.Member,
--- a/figdrum/agent/health.py
+++ b/figdrum/agent/health.py
@@ -8,6 +8,7 @@
 says adds load or removes it from the list.
 """
 
+import collections.abc
 import json
 import typing
 
@@ -27,13 +28,16 @@
       around: Ports of the agent.
       service: Service of the target.
       warmup: Hears what the target says.
+      reached: Called with the time when the target answered anything.
     """
 
     def __init__(self, around: surroundings.Surroundings,
-                 service: ids.ServiceName, warmup: warmup_lib.Warmup):
+                 service: ids.ServiceName, warmup: warmup_lib.Warmup,
+                 reached: collections.abc.Callable[[int], None]):
         self._around = around
         self._service = service
         self._warmup = warmup
+        self._reached = reached
         self._next_ms = 0
         self._busy = False
 
@@ -56,6 +60,8 @@
     def _on_health(self, answer: ports.TargetAnswer) -> None:
         doc = _read(answer)
         now_ms = self._around.clock.now_ms()
+        if answer.status != ports.NOT_CONNECTED:
+            self._reached(now_ms)
         if isinstance(doc.get('incarnation'), (str, int)):
             self._warmup.on_incarnation(now_ms, str(doc['incarnation']))
         if isinstance(doc.get('state'), str):
--- a/figdrum/agent/requests.py
+++ b/figdrum/agent/requests.py
@@ -125,18 +125,15 @@
         """Sends what is due; to be called each 100 ms."""
         self._take(self._coap.tick(self._clock.now_ms()))
 
-    def handover(self, flow: ids.FlowKey) -> tuple[tuple[bytes, ...], int]:
-        """Returns a flow's observations and sequence for another agent."""
-        requests, sequence = self._coap.handover(flow)
-        return tuple(req.raw for req in requests), sequence
+    def handover(self, flow: ids.FlowKey) -> server.FlowState:
+        """Returns a flow's state for another agent."""
+        return self._coap.handover(self._clock.now_ms(), flow)
 
     def adopt(self, flow: ids.FlowKey, customer: ids.CustomerId,
-              observations: tuple[bytes, ...], sequence: int) -> None:
+              state: server.FlowState) -> None:
         """Takes a flow over from another agent."""
         self._customers[flow] = customer
-        self._take(
-            self._coap.adopt(self._clock.now_ms(), flow, observations,
-                             sequence))
+        self._take(self._coap.adopt(self._clock.now_ms(), flow, state))
 
     def forget(self, flow: ids.FlowKey) -> None:
         """Drops a flow that ended or moved."""
@@ -176,6 +173,9 @@
         return request_context.UNKNOWN
 
     def _answer(self, number: int, response: codes.Response) -> None:
+        if (response == codes.refusal(states.Refusal.DID_NOT_RUN) and
+                not self._coap.may_refuse(self._clock.now_ms(), number)):
+            response = request_context.UNKNOWN
         self._claims.settle(number, response)
         self._metrics.incr('agent.answered')
         self._take(self._coap.answer(self._clock.now_ms(), number, response))
--- /dev/null
+++ b/figdrum/agent/target_care.py
@@ -0,0 +1,66 @@
+"""Keeps flows away from a target that does not answer.
+
+Explanation
+===========
+
+See `target_watch` for when a target counts as gone. While it does, the agent
+admits no flows and offers the held ones to other members.
+"""
+
+from figdrum.admission import controller
+from figdrum.agent import health
+from figdrum.agent import offering
+from figdrum.agent import surroundings
+from figdrum.agent import target_watch
+from figdrum.core import ids
+from figdrum.messages import datagram
+from figdrum.telemetry import logs
+
+_log = logs.part('agent')
+
+
+class TargetCare:
+    """The agent's judgement of its target and what follows from it.
+
+    Args:
+      around: Ports of the agent.
+      service: Service of the target.
+      admission: Takes no new flows while the target is gone.
+      giver: Gives the held flows away.
+    """
+
+    def __init__(self, around: surroundings.Surroundings,
+                 service: ids.ServiceName,
+                 admission: controller.AdmissionController,
+                 giver: offering.Giver):
+        self._around = around
+        self._admission = admission
+        self._watch = target_watch.TargetWatch()
+        self._health = health.HealthPoller(around, service, admission.warmup,
+                                           self._on_reached)
+        self._offering = offering.Offering(giver)
+
+    def on_result(self, answered: bool) -> None:
+        """Takes the end of a request."""
+        was_down = self._watch.down
+        self._watch.on_result(self._around.clock.now_ms(), answered)
+        if self._watch.down and not was_down:
+            _log.warning('the target does not answer')
+            self._around.metrics.incr('agent.target_down')
+            self._admission.target_down = True
+
+    def on_reply(self, now_ms: int, reply: datagram.HandoverReply) -> None:
+        """Notes a member's answer to an offer."""
+        self._offering.on_reply(now_ms, reply)
+
+    def tick(self, now_ms: int, leaving: bool) -> None:
+        """Polls the target and offers flows; to be called each 100 ms."""
+        self._health.tick(now_ms)
+        if self._watch.down and not leaving:
+            self._offering.tick(now_ms)
+
+    def _on_reached(self, now_ms: int) -> None:
+        if self._watch.on_reached(now_ms):
+            _log.info('the target answers again')
+            self._admission.target_down = False
+            self._admission.warmup.fall(now_ms)
--- a/figdrum/agent/tests/test_core.py
+++ b/figdrum/agent/tests/test_core.py
@@ -259,6 +259,30 @@
     assert world.holder(flow(gone[0])) == ['b']
 
 
+def test_flows_leave_a_target_that_is_gone(world):
+    """Guards against flows that stay with a target that never answers."""
+    for number in range(20):
+        world.call(flow(number), coap(uri_path=('roster',), observe=0))
+        world.run(20)
+    world.run(500)
+    name = world.holder(flow(0))[0]
+    world.targets[name].gone = True
+    for mid in range(2, 12):
+        world.call(flow(0), coap(mid=mid))
+        world.run(200)
+    world.run(3000)
+    assert not world.agents[name].flows.items()
+    for number in range(20):
+        assert len(world.holder(flow(number))) == 1
+    world.call(flow(0), coap(mid=20))
+    world.run(200)
+    assert world.answers(flow(0))[-1].code is aiocoap.CONTENT
+    world.targets[name].gone = False
+    world.run(7000)
+    assert world.agents[name].admission.can_admit(world.clock.now_ms(),
+                                                  world_lib.CUSTOMER)
+
+
 def test_withdrawn_contract_ends_requests_and_feeds(world):
     """Guards against work for a customer without a contract (P10)."""
     world.call(flow(1), coap(uri_path=('roster',), observe=0))
@@ -353,8 +377,8 @@
         strategies.builds(datagram.Heartbeat, texts, numbers, numbers),
         strategies.builds(
             datagram.Handover, texts, flows, texts, addresses,
-            strategies.lists(strategies.binary(max_size=9)).map(tuple),
-            numbers),
+            strategies.lists(strategies.binary(max_size=9)).map(tuple), numbers,
+            strategies.lists(strategies.binary(max_size=9)).map(tuple)),
         strategies.builds(datagram.HandoverReply, flows, strategies.booleans(),
                           texts, numbers),
         strategies.builds(datagram.Moved, flows, texts, numbers),
--- a/figdrum/agent/tests/world.py
+++ b/figdrum/agent/tests/world.py
@@ -52,9 +52,12 @@
         self.delay_ms = 5
         self.fails = 0
         self.did_not_run = False
+        self.gone = False
         self.health = b'{"state": "ready"}'
 
     def call(self, req):
+        if self.gone:
+            return defer.succeed(ports.TargetAnswer(0, b'', True))
         if req.path in ('/health', '/load'):
             return defer.succeed(ports.TargetAnswer(200, self.health))
         if self.did_not_run:
--- a/figdrum/coap/http_client.py
+++ b/figdrum/coap/http_client.py
@@ -34,7 +34,7 @@
 
 MAX_BODY_BYTES = 16_000_000
 CONNECT_TIMEOUT_S = 2
-DID_NOT_RUN = ports.TargetAnswer(503, b'', True)
+DID_NOT_RUN = ports.TargetAnswer(ports.NOT_CONNECTED, b'', True)
 
 
 # The methods below are those of IBodyProducer, where they are described.
--- a/figdrum/coap/server.py
+++ b/figdrum/coap/server.py
@@ -48,13 +48,18 @@
 from figdrum.coap import observation
 from figdrum.coap import request
 from figdrum.core import ids
+from figdrum.core import states
 
 # Half of the shortest repetition time of a caller (RFC 7252, 4.8).
 SEPARATE_AFTER_MS = 1000
 MAX_OPEN = 4096
 MAX_OBSERVATIONS = 16
+# Ten times the flows that an agent holds: refused flows leave a state too.
+MAX_FLOWS = 20_000
 SEQUENCE_RANGE = 1 << 24
 MID_RANGE = 1 << 16
+# Refusals that move with a flow, a few kilobytes in the message.
+MAX_REFUSED = 128
 # The agent that gives a flow away may still use numbers after it offered it.
 HANDOVER_GAP = 256
 
@@ -93,6 +98,19 @@
 Event = Requested | Observed | ObservationEnded | Dropped
 
 
+class FlowState(typing.NamedTuple):
+    """What moves with a flow to another agent.
+
+    Attributes:
+      observations: Registrations as they came.
+      sequence: Last number of the flow's sequence.
+      refused: Refusals that say did-not-run, as sent for their requests.
+    """
+    observations: tuple[bytes, ...]
+    sequence: int
+    refused: tuple[bytes, ...] = ()
+
+
 class Reaction(typing.NamedTuple):
     """What follows from an input."""
     datagrams: tuple[Datagram, ...] = ()
@@ -104,6 +122,7 @@
 
 
 _NOTHING = Reaction()
+_DID_NOT_RUN = states.Refusal.DID_NOT_RUN.value.encode()
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,6 +139,8 @@
 class _Flow:
     sequence: int
     observations: dict[bytes, observation.Observation]
+    # Message id of a refused request: time and refusal.
+    refused: dict[int, tuple[int, bytes]]
 
     def next(self) -> int:
         """Returns the next number of the flow's sequence."""
@@ -187,6 +208,10 @@
         elif item.request.observe is not None:
             reaction = self._end_observation(item.flow, item.token)
         stored = self._stored(now_ms, item, response)
+        if response.payload == _DID_NOT_RUN and not response.ok:
+            data = _encode(aiocoap.ACK, item.mid, item.token, stored,
+                           blocks.Piece(_DID_NOT_RUN, None, False), None)
+            self._flow(item.flow).refused[item.mid] = (now_ms, data)
         piece = blocks.cut(stored, item.request.block)
         if piece is None:
             stored = stored._replace(
@@ -221,20 +246,34 @@
             reaction += self._on_timer(now_ms, due_ms, subject)
         return reaction
 
-    def handover(self,
-                 flow: ids.FlowKey) -> tuple[tuple[request.Request, ...], int]:
-        """Returns a flow's observations and its sequence for another agent."""
-        item = self._flow(flow)
-        return (tuple(each.request for each in item.observations.values()),
-                item.sequence)
+    def may_refuse(self, now_ms: int, number: int) -> bool:
+        """Returns True if the request may be answered with did-not-run.
+
+        The refusals of a flow move with it, so that no copy of a refused
+        request runs at the next agent; there is room for a bounded number.
+        """
+        item = self._open.get(number)
+        return item is not None and len(self._refused(now_ms,
+                                                      item.flow)) < MAX_REFUSED
 
-    def adopt(self, now_ms: int, flow: ids.FlowKey, raw: tuple[bytes, ...],
-              sequence: int) -> Reaction:
-        """Takes over a flow's observations and its sequence."""
+    def handover(self, now_ms: int, flow: ids.FlowKey) -> FlowState:
+        """Returns a flow's state for another agent."""
         item = self._flow(flow)
-        item.sequence = (sequence + HANDOVER_GAP) % SEQUENCE_RANGE
+        observations = tuple(
+            each.request.raw for each in item.observations.values())
+        refused = tuple(
+            data for _, data in self._refused(now_ms, flow).values())
+        return FlowState(observations, item.sequence, refused)
+
+    def adopt(self, now_ms: int, flow: ids.FlowKey,
+              state: FlowState) -> Reaction:
+        """Takes a flow's state over."""
+        item = self._flow(flow)
+        item.sequence = (state.sequence + HANDOVER_GAP) % SEQUENCE_RANGE
+        for data in state.refused[:MAX_REFUSED]:
+            self._adopt_refusal(now_ms, flow, data)
         events = []
-        for data in raw[:MAX_OBSERVATIONS]:
+        for data in state.observations[:MAX_OBSERVATIONS]:
             message = request.decode(data)
             if message is None or not message.code.is_request():
                 continue
@@ -256,6 +295,25 @@
         self._flows.pop(flow, None)
         return reaction
 
+    def _adopt_refusal(self, now_ms: int, flow: ids.FlowKey,
+                       data: bytes) -> None:
+        message = request.decode(data)
+        if (message is not None and
+                self._seen.begin(now_ms, flow, message.mid) is None):
+            self._seen.finish(flow, message.mid, data)
+            self._flow(flow).refused[message.mid] = (now_ms, data)
+
+    def _refused(self, now_ms: int,
+                 flow: ids.FlowKey) -> dict[int, tuple[int, bytes]]:
+        """Returns the refusals of a flow whose copies may still come."""
+        item = self._flow(flow)
+        item.refused = {
+            mid: (at_ms, data)
+            for mid, (at_ms, data) in item.refused.items()
+            if now_ms - at_ms < exchange.EXCHANGE_LIFETIME_MS
+        }
+        return item.refused
+
     def _on_request(self, now_ms: int, flow: ids.FlowKey,
                     message: aiocoap.Message, data: bytes) -> Reaction:
         if message.mtype not in (aiocoap.CON, aiocoap.NON):
@@ -438,10 +496,18 @@
     def _flow(self, flow: ids.FlowKey) -> _Flow:
         item = self._flows.get(flow)
         if item is None:
-            item = _Flow(self._rng.randrange(MID_RANGE), {})
+            item = _Flow(self._rng.randrange(MID_RANGE), {}, {})
             self._flows[flow] = item
+            if len(self._flows) > MAX_FLOWS:
+                self._drop_idle_flow()
         return item
 
+    def _drop_idle_flow(self) -> None:
+        """Drops the state of the oldest flow without an observation."""
+        oldest = next((flow for flow, item in self._flows.items()
+                       if not item.observations), None)
+        self._flows.pop(oldest, None)
+
     def _next_mid(self, flow: ids.FlowKey) -> int:
         return self._flow(flow).next() % MID_RANGE
 
--- a/figdrum/coap/tests/test_http_client.py
+++ b/figdrum/coap/tests/test_http_client.py
@@ -111,4 +111,5 @@
         target = self._target(port)
         yield port.stopListening()
         answer = yield target.call(request('POST', key='k'))
-        self.assertTrue(answer.did_not_run)
+        self.assertEqual((answer.status, answer.did_not_run),
+                         (ports.NOT_CONNECTED, True))
--- a/figdrum/coap/tests/test_server.py
+++ b/figdrum/coap/tests/test_server.py
@@ -287,9 +287,7 @@
     giver, taker = make(1), make(2)
     observe(giver)
     last = only(giver.notify(1, FLOW, b't', codes.Response(CONTENT, b'1')))
-    requests, sequence = giver.handover(FLOW)
-    events = taker.adopt(5, FLOW, tuple(req.raw for req in requests),
-                         sequence).events
+    events = taker.adopt(5, FLOW, giver.handover(4, FLOW)).events
     assert [event.token for event in events] == [b't']
     sent = only(taker.notify(6, FLOW, b't', codes.Response(CONTENT, b'2')))
     assert 0 < sent.opt.observe - last.opt.observe < 2**23
@@ -297,6 +295,44 @@
     assert giver.forget(FLOW).events == (server.ObservationEnded(FLOW, b't'),)
 
 
+def test_refusal_moves_with_the_flow():
+    """Guards against a refused request whose copy the next agent runs (P6)."""
+    giver, taker = make(1), make(2)
+    data = encode(mid=7)
+    number = request(giver, 0, data)
+    giver.answer(0, number, codes.refusal(states.Refusal.DID_NOT_RUN))
+    taker.adopt(1, FLOW, giver.handover(1, FLOW))
+    copy = taker.on_datagram(2, FLOW, data)
+    assert only(copy).payload == b'did-not-run'
+    assert not any(isinstance(e, server.Requested) for e in copy.events)
+    # It moves on, and ends with the lifetime of copies.
+    assert len(taker.handover(3, FLOW).refused) == 1
+    assert not giver.handover(exchange.EXCHANGE_LIFETIME_MS, FLOW).refused
+
+
+def test_number_of_refusals_is_bounded():
+    """Guards against a handover that is too large for a datagram."""
+    coap = make()
+    for mid in range(server.MAX_REFUSED):
+        number = request(coap, 0, encode(mid=mid))
+        assert coap.may_refuse(0, number)
+        coap.answer(0, number, codes.refusal(states.Refusal.DID_NOT_RUN))
+    assert not coap.may_refuse(0, request(coap, 0, encode(mid=9999)))
+
+
+def test_states_of_refused_flows_are_bounded(monkeypatch):
+    """Guards against memory that grows with flows that are never held."""
+    monkeypatch.setattr(server, 'MAX_FLOWS', 10)
+    coap = make()
+    observe(coap)
+    for port in range(50):
+        flow = FLOW._replace(src_port=port)
+        number = request(coap, 0, encode(), flow)
+        coap.answer(0, number, codes.refusal(states.Refusal.DID_NOT_RUN))
+    assert coap.notify(1, FLOW, b't', codes.Response(CONTENT, b'1')).datagrams
+    assert len(coap._flows) <= 11  # pylint: disable=protected-access
+
+
 def test_ping_is_reset_and_stray_acknowledgements_are_counted():
     """Guards against stray messages that change any state."""
     coap = make()
--- a/figdrum/core/ports.py
+++ b/figdrum/core/ports.py
@@ -61,11 +61,15 @@
     deadline_ms: int
 
 
+NOT_CONNECTED = 0
+"""Status of an answer in place of a connection that was not made."""
+
+
 class TargetAnswer(typing.NamedTuple):
     """The target's answer.
 
     Attributes:
-      status: HTTP status.
+      status: HTTP status, or `NOT_CONNECTED` with `did_not_run` set.
       body: Whole body.
       did_not_run: True when the target states that it did not run the request.
     """
--- a/figdrum/filters/request_run.py
+++ b/figdrum/filters/request_run.py
@@ -1,6 +1,7 @@
 """Runs a request at the target and makes the response of its answer."""
 
 import abc
+import enum
 
 import aiocoap
 from twisted.internet import defer
@@ -12,6 +13,7 @@
 from figdrum.filters import filter  # pylint: disable=redefined-builtin
 from figdrum.filters import request_context
 
+FIRST_SERVER_ERROR = 500
 SERVICE_UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 # Statuses that leave open whether the request ran.
@@ -19,6 +21,14 @@
 _MISDIRECTED = 421
 
 
+class RunEnd(enum.Enum):
+    """How a run ended, as far as the target's state shows in it."""
+    OK = 'ok'
+    ERROR = 'error'
+    CUT = 'cut'
+    NOT_CONNECTED = 'not-connected'
+
+
 class RunGuard(abc.ABC):
     """Allows starts and hears of their ends."""
 
@@ -31,7 +41,7 @@
         """Records a retry if the budget and the target's rate allow one."""
 
     @abc.abstractmethod
-    def finished(self, ctx: request_context.RequestContext, ok: bool,
+    def finished(self, ctx: request_context.RequestContext, end: 'RunEnd',
                  latency_ms: int) -> None:
         """Takes the end of a request that held a slot."""
 
@@ -57,17 +67,18 @@
     @defer.inlineCallbacks
     def apply(self, ctx: request_context.RequestContext):
         started_ms = self._clock.now_ms()
-        ok = False
+        end = RunEnd.CUT
         try:
             if not self._guard.may_run():
+                end = RunEnd.ERROR
                 return filter.Answer(request_context.refuse(ctx))
             answer = yield self._call(ctx)
-            ok = answer.status < 500
+            end = _end(answer)
             return filter.Answer(to_response(ctx, answer))
         except errors.TargetError:
             return filter.Answer(request_context.UNKNOWN)
         finally:
-            self._guard.finished(ctx, ok, self._clock.now_ms() - started_ms)
+            self._guard.finished(ctx, end, self._clock.now_ms() - started_ms)
 
     @defer.inlineCallbacks
     def _call(self, ctx: request_context.RequestContext):
@@ -108,3 +119,9 @@
         return codes.error(aiocoap.BAD_GATEWAY, 'misdirected')
     return codes.Response(codes.from_http(ctx.request.method, answer.status),
                           answer.body)
+
+
+def _end(answer: ports.TargetAnswer) -> RunEnd:
+    if answer.status == ports.NOT_CONNECTED:
+        return RunEnd.NOT_CONNECTED
+    return RunEnd.OK if answer.status < FIRST_SERVER_ERROR else RunEnd.ERROR
--- a/figdrum/messages/datagram.py
+++ b/figdrum/messages/datagram.py
@@ -115,6 +115,7 @@
       balancer: Balancer that carried the flow's last packet.
       observations: Encoded CoAP requests that registered observations.
       sequence: The last Observe sequence number sent.
+      refused: Encoded CoAP refusals that say did-not-run, for late copies.
     """
     giver: str
     flow: ids.FlowKey
@@ -122,6 +123,7 @@
     balancer: ids.Address
     observations: tuple[bytes, ...]
     sequence: int
+    refused: tuple[bytes, ...] = ()
 
 
 class HandoverReply(typing.NamedTuple):
