--- a/figdrum/agent/tests/test_core.py
+++ b/figdrum/agent/tests/test_core.py
@@ -353,6 +353,56 @@
     assert len(keys) == len(set(keys))
 
 
+def test_dead_agent_is_published_and_its_flows_begin_again(world):
+    """Guards against flows that stay with an agent that is gone."""
+    world.call(flow(1), coap())
+    world.run(200)
+    dead = world.holder(flow(1))[0]
+    world.paused.add(dead)
+    world.run(5000)
+    assert world.members().find(dead).state is states.MemberState.LOST
+    del world.agents[dead]
+    world.call(flow(1), coap(mid=2))
+    world.run(500)
+    assert world.answers(flow(1))[-1].mid == 2
+    assert len(world.holder(flow(1))) == 1
+
+
+def test_agent_marked_lost_joins_again_before_it_serves(world):
+    """Guards against work of an agent whose lease lapsed (fencing)."""
+    world.call(flow(1), coap())
+    world.run(200)
+    sleeper = world.holder(flow(1))[0]
+    before = world.agents[sleeper].place.incarnation
+    world.paused.add(sleeper)
+    world.run(5000)
+    world.paused.clear()
+    world.run(3000)
+    own = world.members().find(sleeper)
+    assert own.state is states.MemberState.ACTIVE and own.rejoined
+    assert world.agents[sleeper].place.incarnation == own.incarnation > before
+    assert not world.agents[sleeper].flows.items()
+    world.call(flow(1), coap(mid=2))
+    world.run(500)
+    assert world.answers(flow(1))[-1].mid == 2
+
+
+def test_platform_outage_stops_no_traffic(world):
+    """Guards against service that depends on the platform."""
+    members = world.members()
+    world.members = lambda: members
+    world.db.down = True
+    for number in range(10):
+        world.call(flow(number), post(f'k{number}'))
+        world.run(300)
+    assert len(world.runs()) == 10
+    leaver = world.holder(flow(0))[0]
+    world.agents[leaver].start_drain()
+    world.run(20_000)
+    assert world.agents[leaver].leave.phase is drain.Phase.DONE
+    assert world.metrics.counters['agent.broken_flows'] == 0
+
+
 def test_unusable_input_never_ends_the_agent():
     """Guards against a datagram that ends the process."""
     world = world_lib.World()
--- /dev/null
+++ b/figdrum/agent/tests/test_offering.py
@@ -0,0 +1,107 @@
+"""Tests of the pace of offers and of the steps of a leave."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from figdrum.agent import drain
+from figdrum.agent import offering
+from figdrum.agent.tests import world
+from figdrum.messages import datagram
+from figdrum.ownership import actions
+
+NAMES = ('a', 'b', 'c')
+
+
+class _Leaver(drain.Leaver):
+    """Flows that members take with some probability."""
+
+    def __init__(self, count, accept, rng):
+        self.flows = {world.flow_of(n) for n in range(count)}
+        self.accept = accept
+        self.rng = rng
+        self.sent = []
+        self.counted = 0
+        self.in_progress = False
+        self.stopped = False
+
+    def offers(self, declined):
+        names = [name for name in NAMES if name not in declined]
+        return [actions.Offer(names[0], flow) for flow in sorted(self.flows)
+               ] if names else []
+
+    def send_offer(self, offer):
+        self.sent.append(offer)
+
+    def send_claim(self, to, claim):
+        pass
+
+    def held(self):
+        return len(self.flows)
+
+    def busy(self):
+        return self.in_progress
+
+    def claim_copies(self):
+        return ()
+
+    def stop_requests(self):
+        self.stopped = True
+
+    def broken(self, count):
+        self.counted += count
+
+    def reply(self, now_ms, target):
+        """Lets the members answer or lose the offers sent so far."""
+        sent, self.sent = self.sent, []
+        for offer in sent:
+            if self.rng.random() < 0.2:
+                continue
+            taken = self.rng.random() < self.accept
+            if taken:
+                self.flows.discard(offer.flow)
+            target.on_reply(
+                now_ms, datagram.HandoverReply(offer.flow, taken, offer.to, 1))
+        return len(sent)
+
+
+@hypothesis.settings(deadline=None)
+@hypothesis.given(strategies.integers(0, 2**32), strategies.integers(0, 300))
+def test_every_flow_is_taken_although_members_decline(seed, count):
+    """Guards against a flow that is never offered again."""
+    leaver = _Leaver(count, 0.5, random.Random(seed))
+    offers = offering.Offering(leaver)
+    for now_ms in range(0, 60_000, 100):
+        offers.tick(now_ms)
+        assert leaver.reply(now_ms, offers) <= offering.OFFERS_PER_TICK
+    assert not leaver.flows
+
+
+def test_drain_ends_in_time_and_counts_what_nobody_took():
+    """Guards against a leave that hangs, and against uncounted broken flows."""
+    leaver = _Leaver(5, 0, random.Random(1))
+    leave = drain.Drain(leaver, 10_000, 2_000)
+    leave.start(0)
+    phases = {}
+    for now_ms in range(0, 40_000, 100):
+        leave.tick(now_ms)
+        leaver.reply(now_ms, leave)
+        phases.setdefault(leave.phase, now_ms)
+    assert leaver.counted == 5 and leaver.stopped
+    assert phases[drain.Phase.LINGERING] == 10_000
+    assert phases[drain.Phase.DONE] == 12_000
+
+
+def test_drain_waits_for_requests_in_progress():
+    """Guards against a stop that cuts a request (P9)."""
+    leaver = _Leaver(0, 1, random.Random(1))
+    leaver.in_progress = True
+    leave = drain.Drain(leaver, 10_000, 2_000)
+    leave.start(0)
+    for now_ms in range(0, 5_000, 100):
+        leave.tick(now_ms)
+    assert leave.phase is drain.Phase.FINISHING
+    leaver.in_progress = False
+    leave.tick(5_000)
+    assert leave.phase is drain.Phase.LINGERING
