--- a/figdrum/agent/drain.py
+++ b/figdrum/agent/drain.py
@@ -3,10 +3,9 @@
 Explanation
 ===========
 
-Each held flow is offered to one member at a time until one accepts, see
-`figdrum.ownership.offers`.
-Requests in progress end here, then the agent gives its
-claims away, lingers to pass late packets on, and leaves the list.
+Each held flow is offered to one member at a time until one accepts. Requests in
+progress end here, then the agent gives its claims away, lingers to pass late
+packets on, and leaves the list.
 
 References
 ==========
@@ -15,21 +14,15 @@
 """
 
 import abc
-import collections.abc
 import enum
 
-from figdrum.core import ids
+from figdrum.agent import offering
 from figdrum.membership import service_list
 from figdrum.messages import datagram
-from figdrum.ownership import actions
 from figdrum.telemetry import logs
 
 # Requests of flows that nobody has taken yet are served for this long.
 REQUESTS_STOP_MS = 3_000
-REPEAT_MS = 300
-DECLINED_MS = 1_000
-# Bounds the burst that a leave of an agent with 2,000 flows sends at once.
-OFFERS_PER_TICK = 200
 CLAIMS_PER_TICK = 500
 
 _log = logs.part('agent')
@@ -44,17 +37,9 @@
     DONE = 'done'
 
 
-class Leaver(abc.ABC):
+class Leaver(offering.Giver):
     """What a drain needs of its agent."""
 
-    @abc.abstractmethod
-    def offers(self) -> collections.abc.Iterable[actions.Offer]:
-        """Returns the offer of each held flow."""
-
-    @abc.abstractmethod
-    def send_offer(self, offer: actions.Offer) -> None:
-        """Sends one offer."""
-
     @abc.abstractmethod
     def send_claim(self, to: service_list.Member,
                    claim: datagram.Claim) -> None:
@@ -97,7 +82,7 @@
         self._linger_ms = linger_ms
         self._started_ms = 0
         self._phase_ms = 0
-        self._sent_ms: dict[tuple[ids.FlowKey, str, int], int] = {}
+        self._offering = offering.Offering(leaver)
         self._claims: list[tuple[service_list.Member, datagram.Claim]] = []
         self.phase = Phase.SERVING
 
@@ -116,7 +101,7 @@
             if not self._leaver.held() or late >= self._drain_ms:
                 self._end_handover(now_ms)
             else:
-                self._offer(now_ms)
+                self._offering.tick(now_ms)
         if self.phase is Phase.FINISHING:
             if not self._leaver.busy() or late >= 2 * self._drain_ms:
                 self._claims = list(self._leaver.claim_copies())
@@ -136,27 +121,6 @@
             self._leaver.broken(held)
         self._enter(now_ms, Phase.FINISHING)
 
-    def _offer(self, now_ms: int) -> None:
-        budget = OFFERS_PER_TICK
-        sent_ms = {}
-        for offer in self._leaver.offers():
-            key = (offer.flow, offer.to.name, offer.attempt)
-            last_ms = self._sent_ms.get(key)
-            if budget and self._is_due(now_ms, offer, last_ms):
-                budget -= 1
-                last_ms = now_ms
-                self._leaver.send_offer(offer)
-            if last_ms is not None:
-                sent_ms[key] = last_ms
-        self._sent_ms = sent_ms
-
-    def _is_due(self, now_ms: int, offer: actions.Offer,
-                last_ms: int | None) -> bool:
-        if last_ms is not None:
-            return now_ms - last_ms >= REPEAT_MS
-        # Members that have just declined get time to free a place.
-        return now_ms - self._started_ms >= offer.attempt * DECLINED_MS
-
     def _enter(self, now_ms: int, phase: Phase) -> None:
         _log.info('drain: %s', phase.value)
         self.phase = phase
--- a/figdrum/agent/handover.py
+++ b/figdrum/agent/handover.py
@@ -8,6 +8,7 @@
 from figdrum.agent import requests as requests_lib
 from figdrum.agent import surroundings
 from figdrum.admission import controller
+from figdrum.coap import server
 from figdrum.core import ids
 from figdrum.membership import service_list
 from figdrum.messages import codec
@@ -78,19 +79,25 @@
         self.begin(now_ms, message.flow, customer)
         if message.balancer[0]:
             self._routes.set(message.flow, message.balancer)
-        self._requests.adopt(message.flow, customer, message.observations,
-                             message.sequence)
+        self._requests.adopt(
+            message.flow, customer,
+            server.FlowState(message.observations, message.sequence,
+                             message.refused))
 
     def offers(self):
         return self._owner.offers(self._around.clock.now_ms())
 
     def send_offer(self, offer: actions.Offer) -> None:
-        observations, sequence = self._requests.handover(offer.flow)
+        state = self._requests.handover(offer.flow)
         balancer = self._routes.choose(self._around.clock.now_ms(), offer.flow)
-        message = datagram.Handover(self._name, offer.flow,
-                                    self._held.get(offer.flow,
-                                                   ''), balancer or ('', 0),
-                                    observations, sequence, offer.attempt)
+        message = datagram.Handover(giver=self._name,
+                                    flow=offer.flow,
+                                    customer=self._held.get(offer.flow, ''),
+                                    balancer=balancer or ('', 0),
+                                    observations=state.observations,
+                                    sequence=state.sequence,
+                                    attempt=offer.attempt,
+                                    refused=state.refused)
         self._around.peers.send(offer.to.address, codec.encode(message))
 
     def send_claim(self, to: service_list.Member,
--- /dev/null
+++ b/figdrum/agent/offering.py
@@ -0,0 +1,58 @@
+"""Offers held flows to other members until each is taken.
+
+Explanation
+===========
+
+The owner chooses one member at a time for each flow, see
+`figdrum.ownership.offers`; the pace is kept here.
+"""
+
+import abc
+import collections.abc
+
+from figdrum.ownership import actions
+
+REPEAT_MS = 300
+DECLINED_MS = 1_000
+# Bounds the burst that a leave of an agent with 2,000 flows sends at once.
+OFFERS_PER_TICK = 200
+
+
+class Giver(abc.ABC):
+    """An agent that gives its flows away."""
+
+    @abc.abstractmethod
+    def offers(self) -> collections.abc.Iterable[actions.Offer]:
+        """Returns the offer of each held flow."""
+
+    @abc.abstractmethod
+    def send_offer(self, offer: actions.Offer) -> None:
+        """Sends one offer."""
+
+
+class Offering:
+    """Paces the offers of one agent.
+
+    Args:
+      giver: The agent.
+    """
+
+    def __init__(self, giver: Giver):
+        self._giver = giver
+        self._sent_ms: dict[actions.Offer, int] = {}
+
+    def tick(self, now_ms: int) -> None:
+        """Sends the offers that are due; to be called each 100 ms."""
+        budget = OFFERS_PER_TICK
+        sent_ms = {}
+        for offer in self._giver.offers():
+            # A member that declined gets time to free a place.
+            last_ms = self._sent_ms.get(
+                offer, now_ms - REPEAT_MS if not offer.attempt else now_ms +
+                DECLINED_MS - REPEAT_MS)
+            if budget and now_ms - last_ms >= REPEAT_MS:
+                budget -= 1
+                last_ms = now_ms
+                self._giver.send_offer(offer)
+            sent_ms[offer] = last_ms
+        self._sent_ms = sent_ms
--- a/figdrum/agent/tests/test_core.py
+++ b/figdrum/agent/tests/test_core.py
@@ -259,6 +259,30 @@
     assert world.holder(flow(gone[0])) == ['b']
 
 
+def test_flows_leave_a_target_that_is_gone(world):
+    """Guards against flows that stay with a target that never answers."""
+    for number in range(20):
+        world.call(flow(number), coap(uri_path=('roster',), observe=0))
+        world.run(20)
+    world.run(500)
+    name = world.holder(flow(0))[0]
+    world.targets[name].gone = True
+    for mid in range(2, 12):
+        world.call(flow(0), coap(mid=mid))
+        world.run(200)
+    world.run(3000)
+    assert not world.agents[name].flows.items()
+    for number in range(20):
+        assert len(world.holder(flow(number))) == 1
+    world.call(flow(0), coap(mid=20))
+    world.run(200)
+    assert world.answers(flow(0))[-1].code is aiocoap.CONTENT
+    world.targets[name].gone = False
+    world.run(7000)
+    assert world.agents[name].admission.can_admit(world.clock.now_ms(),
+                                                  world_lib.CUSTOMER)
+
+
 def test_withdrawn_contract_ends_requests_and_feeds(world):
     """Guards against work for a customer without a contract (P10)."""
     world.call(flow(1), coap(uri_path=('roster',), observe=0))
@@ -329,6 +353,56 @@
     assert len(keys) == len(set(keys))
 
 
+def test_dead_agent_is_published_and_its_flows_begin_again(world):
+    """Guards against flows that stay with an agent that is gone."""
+    world.call(flow(1), coap())
+    world.run(200)
+    dead = world.holder(flow(1))[0]
+    world.paused.add(dead)
+    world.run(5000)
+    assert world.members().find(dead).state is states.MemberState.LOST
+    del world.agents[dead]
+    world.call(flow(1), coap(mid=2))
+    world.run(500)
+    assert world.answers(flow(1))[-1].mid == 2
+    assert len(world.holder(flow(1))) == 1
+
+
+def test_agent_marked_lost_joins_again_before_it_serves(world):
+    """Guards against work of an agent whose lease lapsed (fencing)."""
+    world.call(flow(1), coap())
+    world.run(200)
+    sleeper = world.holder(flow(1))[0]
+    before = world.agents[sleeper].place.incarnation
+    world.paused.add(sleeper)
+    world.run(5000)
+    world.paused.clear()
+    world.run(3000)
+    own = world.members().find(sleeper)
+    assert own.state is states.MemberState.ACTIVE and own.rejoined
+    assert world.agents[sleeper].place.incarnation == own.incarnation > before
+    assert not world.agents[sleeper].flows.items()
+    world.call(flow(1), coap(mid=2))
+    world.run(500)
+    assert world.answers(flow(1))[-1].mid == 2
+
+
+def test_platform_outage_stops_no_traffic(world):
+    """Guards against service that depends on the platform."""
+    members = world.members()
+    world.members = lambda: members
+    world.db.down = True
+    for number in range(10):
+        world.call(flow(number), post(f'k{number}'))
+        world.run(300)
+    assert len(world.runs()) == 10
+    leaver = world.holder(flow(0))[0]
+    world.agents[leaver].start_drain()
+    world.run(20_000)
+    assert world.agents[leaver].leave.phase is drain.Phase.DONE
+    assert world.metrics.counters['agent.broken_flows'] == 0
+
+
 def test_unusable_input_never_ends_the_agent():
     """Guards against a datagram that ends the process."""
     world = world_lib.World()
@@ -355,7 +429,8 @@
         strategies.builds(
             datagram.Handover, texts, flows, texts, addresses,
             strategies.lists(strategies.binary(max_size=9)).map(tuple), numbers,
-            numbers),
+            numbers,
+            strategies.lists(strategies.binary(max_size=9)).map(tuple)),
         strategies.builds(datagram.HandoverReply, flows, strategies.booleans(),
                           texts, numbers, numbers),
         strategies.builds(datagram.Claim, numbers, texts, texts, texts, numbers,
--- a/figdrum/messages/datagram.py
+++ b/figdrum/messages/datagram.py
@@ -32,7 +32,7 @@
       asker_incarnation: The asker's incarnation, or 0.
       tries: Agents that could have admitted the flow but for their load.
       uncertain: True when an earlier copy may have run somewhere.
-      asker_epoch: How often the asker had been paused when it asked.
+      asker_epoch: Number of the asker's inquiry.
       must_ask: True when an agent may admit the flow only after asking all
         others, those that passed the packet on included.
       asker_holds: True when the asker held the flow before it was paused.
@@ -127,6 +127,7 @@
       sequence: The last Observe sequence number sent.
       attempt: Grows by one each time that all members have declined, so that
         the answer to an earlier offer is not taken for one to this.
+      refused: Encoded CoAP refusals that say did-not-run, for late copies.
     """
     giver: str
     flow: ids.FlowKey
@@ -135,6 +136,7 @@
     observations: tuple[bytes, ...]
     sequence: int
     attempt: int = 0
+    refused: tuple[bytes, ...] = ()
 
 
 class HandoverReply(typing.NamedTuple):
--- a/figdrum/ownership/decision.py
+++ b/figdrum/ownership/decision.py
@@ -22,7 +22,7 @@
 >>> packet = datagram.Packet(0, 1, 'al-sahil', 'fieldbook', flow, True,
 ...                          ('10.0.0.9', 7000), b'')
 >>> decide(view, None, packet).record
-Hold(tentative=False)
+Hold(tentative=False, epoch=0)
 
 References
 ==========
@@ -66,7 +66,7 @@
       departure_inquiry: R8.
       claim_at_asking: An asked member points to the asker.
       doubt: An agent that may have forgotten a flow says so in refusals.
-      epochs: An inquiry from before a pause is void.
+      epochs: An earlier inquiry than the open one is void.
       takeover_delay: A member that is marked lost but still heard is given
         time to find out before others take its flows over.
     """
@@ -94,7 +94,7 @@
       phase: What this agent may decide on its own.
       can_admit: Tells whether there is room for the flow here.
       suspects: Members that do not answer this agent.
-      epoch: How often this agent has been paused.
+      epoch: Number of this agent's next inquiry.
       amnesic: True when it restarted or was paused within the copy lifetime.
       departed_ahead: True when a member ahead of this agent left or was lost
         within the copy lifetime.
@@ -180,8 +180,7 @@
         target = view.find(record.to)
         if _is_alive(view, record, target):
             if _should_follow(packet, target.name):
-                packet = packet._replace(visited=packet.visited + (view.name,))
-                return _send(record, target, packet)
+                return _pass_along(view, record, target, packet)
             # The target passed the packet on without holding the flow, or
             # asks for it itself: a newer holder may be behind it.
             must_ask = True
@@ -255,7 +254,9 @@
     if isinstance(record, records.Fence):
         return True
     if isinstance(record, records.Pending):
-        return packet.asker == view.name and not _is_stale_asker(view, packet)
+        return (packet.asker == view.name and
+                packet.asker_incarnation == view.incarnation and
+                packet.asker_epoch == record.epoch)
     return record in (records.Pointer(refused.sender,
                                       refused.sender_incarnation),
                       records.Pointer(packet.asker, packet.asker_incarnation))
@@ -354,8 +355,7 @@
     if not packet.asker:
         return False
     if packet.asker == view.name:
-        return packet.asker_incarnation != view.incarnation or (
-            view.rules.epochs and packet.asker_epoch != view.epoch)
+        return packet.asker_incarnation != view.incarnation
     asker = view.find(packet.asker)
     return asker is None or asker.incarnation != packet.asker_incarnation
 
@@ -418,9 +418,11 @@
     return _send(record, rest[0], _visit(view, packet))
 
 
-def _resolve(view: View, record: records.Record,
+def _resolve(view: View, record: records.Pending | records.Hold,
              packet: datagram.Packet) -> Decision:
     """Decides on a packet that came back from the other members."""
+    if view.rules.epochs and packet.asker_epoch != record.epoch:
+        return _drop(record, packet, actions.DropReason.STALE_ASKER)
     rest = view.unvisited(packet)
     if rest:
         return _send(record, rest[0], packet)
@@ -479,7 +481,7 @@
     if view.phase in (Phase.INQUIRING, Phase.SETTLED):
         if view.can_admit():
             if packet.must_ask:
-                return _ask(view, records.Pending(), packet)
+                return _ask(view, records.Pending(view.epoch), packet)
             return Decision(records.Hold(),
                             (actions.Deliver(packet, started=True),))
         packet = packet._replace(tries=packet.tries + 1,
@@ -501,7 +503,7 @@
     packet = packet._replace(visited=(view.name,),
                              asker=view.name,
                              asker_incarnation=view.incarnation,
-                             asker_epoch=view.epoch,
+                             asker_epoch=record.epoch,
                              asker_holds=isinstance(record, records.Hold))
     rest = view.unvisited(packet)
     if not rest:
--- a/figdrum/ownership/flow_table.py
+++ b/figdrum/ownership/flow_table.py
@@ -94,12 +94,16 @@
                 for flow, entry in self._entries.items()
                 if isinstance(entry.record, records.Hold)]
 
-    def suspend(self) -> None:
-        """Makes every held flow tentative and ends every open inquiry."""
+    def suspend(self, epoch: int) -> None:
+        """Makes every held flow tentative and ends every open inquiry.
+
+        Args:
+          epoch: Number of the inquiries for the tentative flows.
+        """
         for flow, entry in list(self._entries.items()):
             if isinstance(entry.record, records.Hold):
-                self._entries[flow] = entry._replace(record=records.Hold(
-                    tentative=True))
+                self._entries[flow] = entry._replace(
+                    record=records.Hold(tentative=True, epoch=epoch))
             elif isinstance(entry.record, records.Pending):
                 del self._entries[flow]
 
--- a/figdrum/ownership/owner.py
+++ b/figdrum/ownership/owner.py
@@ -210,7 +210,7 @@
             self._standing = self._standing.woken(now_ms, self._list)
             self._heard_ms = dict.fromkeys(self._heard_ms, now_ms)
             self._pending_since.clear()
-            self._table.suspend()
+            self._table.suspend(self._standing.epoch)
 
     def _view(self, now_ms: int, flow: ids.FlowKey, customer: str,
               admission: admission_check.AdmissionCheck) -> decision.View:
@@ -257,6 +257,7 @@
                record: records.Record) -> None:
         if isinstance(record, records.Pending):
             self._pending_since.setdefault(packet.flow, now_ms)
+            self._standing = self._standing.asked(record.epoch)
         else:
             self._pending_since.pop(packet.flow, None)
         if isinstance(record, records.Fence):
--- a/figdrum/ownership/records.py
+++ b/figdrum/ownership/records.py
@@ -11,8 +11,10 @@
     Attributes:
       tentative: True after the agent was paused, until the other members
         have been asked whether one of them took the flow over.
+      epoch: Number of the inquiry of a tentative holder.
     """
     tentative: bool = False
+    epoch: int = 0
 
 
 class Pointer(typing.NamedTuple):
@@ -39,7 +41,12 @@
 
 
 class Pending(typing.NamedTuple):
-    """This agent asks the other members whether one holds the flow."""
+    """This agent asks the other members whether one holds the flow.
+
+    Attributes:
+      epoch: Number of the inquiry. Answers to an earlier one do not count.
+    """
+    epoch: int = 0
 
 
 Record = Hold | Pointer | Fence | Pending | None
--- a/figdrum/ownership/standing.py
+++ b/figdrum/ownership/standing.py
@@ -24,7 +24,7 @@
       draining: True once it is asked to stop.
       inquiring_until_ms: End of rules R2, R5 and R6, on the agent's clock.
       amnesic_until_ms: End of the time in which it may have forgotten a flow.
-      epoch: How often it was paused in this incarnation.
+      epoch: Number of its next inquiry in this incarnation.
       acknowledged: Members that have shown a list containing this agent.
       unheard: Members that have not been heard since this agent was paused.
       newest: Highest list version that another member has shown.
@@ -70,6 +70,10 @@
             unheard=frozenset(
                 m.name for m in members.routable() if m.name != self.name))
 
+    def asked(self, epoch: int) -> 'Standing':
+        """Returns the standing after inquiry number `epoch` was opened."""
+        return self._replace(epoch=max(self.epoch, epoch + 1))
+
     def hear(self, now_ms: int, member: str, list_version: int) -> 'Standing':
         """Returns the standing after a heartbeat of another member."""
         acknowledged = self.acknowledged
--- a/spec/ownership.py
+++ b/spec/ownership.py
@@ -221,6 +221,9 @@
             isinstance(a, actions.Refuse) and
             a.refusal is states.Refusal.DID_NOT_RUN for a in decided.actions)
         process = world.processes[index]._replace(record=decided.record)
+        if isinstance(decided.record, records.Pending):
+            process = process._replace(
+                place=process.place.asked(decided.record.epoch))
         if _declines(decided):
             process = process._replace(declined=True)
         return _put(world, index,
@@ -360,7 +363,7 @@
             inquiring_until_ms=_LIFETIME_MS, amnesic_until_ms=_LIFETIME_MS)
         record = process.record
         if isinstance(record, records.Hold):
-            record = records.Hold(tentative=True)
+            record = records.Hold(tentative=True, epoch=place.epoch)
         elif isinstance(record, records.Pending):
             record = None
         return _put(world, index, process._replace(place=place, record=record))
