Keep claims when several of their holders leave at once

A leaving member now gives each claim to all members up to the second active one in the key's order, repeats it until it is acknowledged, gives new claims away at once, and leaves only when none is open or 5 s have passed.

--- a/figdrum/agent/claim_service.py
+++ b/figdrum/agent/claim_service.py
@@ -40,6 +40,8 @@
 # An answer has to fit into one datagram with the rest of its message.
 MAX_ANSWER_BYTES = 60_000
 MAX_WAITERS = 64
+# A member that does not acknowledge a copy for so long is lost itself.
+GIVE_MS = 5_000
 
 _Key = tuple[str, str]
 _REFUSED = codes.refusal(states.Refusal.DID_NOT_RUN)
@@ -67,6 +69,8 @@
         self._registry = claim_registry.ClaimRegistry(own.name)
         self._results = result_table.ResultTable()
         self._claimed: dict[int, _Key] = {}
+        self._leaving = False
+        self._giving = 0
         self._waiters: dict[_Key,
                             list[collections.abc.Callable[[codes.Response],
                                                           None]]] = {}
@@ -94,9 +98,13 @@
         if not self._own.may_run():
             self._metrics.incr('agent.claim_while_fenced')
             return
+        self._registry.expire(self._clock.now_ms())
+        known = len(self._registry)
         reply = self._judge(claim)
-        if not claim.copy:
-            self._peers.send(address, codec.encode(reply))
+        self._peers.send(address, codec.encode(reply))
+        if self._leaving and len(self._registry) > known:
+            for to in self._keepers(claim.customer, claim.key):
+                self.give(to, claim)
 
     def on_execute(self, address: ids.Address, ask: datagram.Execute) -> None:
         """Answers with the stored answer now or when it comes."""
@@ -116,15 +124,53 @@
             self._metrics.incr('agent.late_reply')
 
     def copies(self) -> tuple[tuple[service_list.Member, datagram.Claim], ...]:
-        """Returns the claims that a leaving member gives to others."""
-        members = self._own.members
-        pairs = []
-        for claim in self._registry.copies(members.version):
-            order = members.order(
-                claim_registry.key_bytes(claim.customer, claim.key))
-            others = [m for m in order if m.name != self._own.name]
-            pairs += [(member, claim) for member in others[:claim_walk.COPIES]]
-        return tuple(pairs)
+        """Returns the claims that a leaving member gives to others.
+
+        From now on each new claim is given away at once.
+        """
+        self._leaving = True
+        return tuple(
+            (to, claim)
+            for claim in self._registry.copies(self._own.members.version)
+            for to in self._keepers(claim.customer, claim.key))
+
+    @property
+    def giving(self) -> int:
+        """Claims given away that were not acknowledged so far."""
+        return self._giving
+
+    def give(self, to: service_list.Member, claim: datagram.Claim) -> None:
+        """Gives one claim to a member and repeats it until it answers."""
+        self._giving += 1
+
+        def done(reply: typing.Any) -> None:
+            self._giving -= 1
+            if reply is None:
+                self._metrics.incr('agent.claim_not_given')
+
+        self._questions.ask(
+            to.address, lambda nonce: claim._replace(
+                nonce=nonce, list_version=self._own.members.version, copy=True),
+            GIVE_MS).addCallback(done)
+
+    def _keepers(self, customer: str,
+                 key: str) -> tuple[service_list.Member, ...]:
+        """Returns the members that have to know a key when this one left.
+
+        A member that is draining is asked by walks but may be gone soon, so it
+        does not count as one of the two.
+        """
+        keepers: list[service_list.Member] = []
+        active = 0
+        for member in self._own.members.order(
+                claim_registry.key_bytes(customer, key)):
+            if member.name == self._own.name:
+                continue
+            keepers.append(member)
+            active += member.state is states.MemberState.ACTIVE
+            if active == claim_walk.COPIES:
+                break
+        return tuple(keepers)
 
     def expire(self) -> None:
         """Forgets what is older than the key lifetime."""
--- a/figdrum/agent/drain.py
+++ b/figdrum/agent/drain.py
@@ -45,6 +45,10 @@
                    claim: datagram.Claim) -> None:
         """Sends one copy of a claim."""
 
+    @abc.abstractmethod
+    def giving(self) -> int:
+        """Returns the number of claims that were not acknowledged so far."""
+
     @abc.abstractmethod
     def held(self) -> int:
         """Returns the number of flows held."""
@@ -114,7 +118,8 @@
             for member, claim in self._claims[:CLAIMS_PER_TICK]:
                 self._leaver.send_claim(member, claim)
             del self._claims[:CLAIMS_PER_TICK]
-            if now_ms - self._phase_ms >= self._linger_ms and not self._claims:
+            if (now_ms - self._phase_ms >= self._linger_ms and
+                    not self._claims and not self._leaver.giving()):
                 self._enter(now_ms, Phase.DONE)
 
     def _end_handover(self, now_ms: int) -> None:
--- a/figdrum/agent/handover.py
+++ b/figdrum/agent/handover.py
@@ -100,7 +100,10 @@
 
     def send_claim(self, to: service_list.Member,
                    claim: datagram.Claim) -> None:
-        self._around.peers.send(to.address, codec.encode(claim))
+        self._claims.give(to, claim)
+
+    def giving(self) -> int:
+        return self._claims.giving
 
     def held(self) -> int:
         return len(self._held)
--- /dev/null
+++ b/figdrum/agent/tests/test_faults.py
@@ -0,0 +1,128 @@
+"""Random faults against the promises of the agents, over seeds."""
+
+import random
+
+import aiocoap
+import pytest
+
+from figdrum.agent import drain
+from figdrum.agent.tests import world as world_lib
+from figdrum.core import states
+
+# Seed 56 ran a key twice when two claim holders left at once and copies of
+# their claims were sent to each other or lost.
+SEEDS = (*range(10), 56)
+STEPS = 120
+# Copies of a request that its caller sends in all.
+COPIES = 4
+
+
+class Faults:
+    """Callers, losses, pauses, leaves and joins by one random source."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.world = world_lib.World(seed, drain_ms=5000, linger_ms=1000)
+        self.world.start('a', 'b', 'c')
+        self.names = ['a', 'b', 'c']
+        self.open = []
+        self.sent = 0
+        self.wakes = {}
+        carry = self.world.carry
+
+        def lossy(source, address, data):
+            if self.rng.random() < 0.95:
+                carry(source, address, data)
+            if self.rng.random() < 0.05:
+                delay_ms = self.rng.randrange(2000)
+                self.world.timers.call_later(
+                    delay_ms, lambda: carry(source, address, data))
+
+        self.world.carry = lossy
+
+    def step(self):
+        """Does one random thing and lets time pass."""
+        self.rng.choice((self._new, self._new, self._copy, self._copy,
+                         self._pause, self._leave, self._join))()
+        for name, until_ms in list(self.wakes.items()):
+            if self.world.clock.now_ms() >= until_ms:
+                del self.wakes[name]
+                self.world.paused.discard(name)
+        self._end_leavers()
+        self.world.run(self.rng.choice((20, 100, 300)))
+
+    def _new(self):
+        self.sent += 1
+        data = world_lib.coap(aiocoap.POST,
+                              self.sent,
+                              token=b'k%d' % self.sent,
+                              uri_path=('visits',),
+                              uri_query=(f'key=k{self.sent}',))
+        self.open += [(self.rng.randrange(20), data)] * COPIES
+        self._copy()
+
+    def _copy(self):
+        if not self.open:
+            return
+        number, data = self.open.pop(self.rng.randrange(len(self.open)))
+        # Another flow, as after a caller's restart, finds another agent.
+        if self.rng.random() < 0.3:
+            number += 1000
+        self.world.skipped = tuple(
+            self.world.paused) if self.rng.random() < 0.5 else ()
+        members = self.world.members().order(
+            world_lib.flow_of(number).to_bytes(), frozenset())
+        if any(m.name not in self.world.skipped for m in members):
+            self.world.call(world_lib.flow_of(number), data)
+
+    def _pause(self):
+        if not self.world.paused and self.rng.random() < 0.3:
+            name = self.rng.choice(sorted(self.world.agents))
+            self.world.paused.add(name)
+            self.wakes[name] = (self.world.clock.now_ms() + self.rng.choice(
+                (300, 1000, 2500, 6000)))
+
+    def _leave(self):
+        serving = [
+            name for name, agent in self.world.agents.items()
+            if agent.leave.phase is drain.Phase.SERVING
+        ]
+        if len(serving) > 2 and self.rng.random() < 0.2:
+            self.world.agents[self.rng.choice(serving)].start_drain()
+
+    def _join(self):
+        if len(self.world.agents) < 4 and self.rng.random() < 0.3:
+            name = f'n{self.sent}-{len(self.names)}'
+            self.names.append(name)
+            self.world.add(name)
+
+    def _end_leavers(self):
+        for name, agent in tuple(self.world.agents.items()):
+            if agent.leave.phase is drain.Phase.DONE:
+                agent.publish_leave()
+                agent.stop()
+                del self.world.agents[name]
+                self.wakes.pop(name, None)
+                self.world.paused.discard(name)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_requests_run_at_most_once_and_refusals_are_true(seed):
+    """Guards against P6 and P7 under losses, copies, pauses and leaves."""
+    faults = Faults(seed)
+    for _ in range(STEPS):
+        faults.step()
+    faults.world.paused.clear()
+    faults.world.run(40_000)
+    ran = [run.key for run in faults.world.runs()]
+    assert len(ran) == len(set(ran))
+    answered = set()
+    for _, _, message in faults.world.replies:
+        key = message.token.decode()
+        if message.code is aiocoap.CHANGED:
+            answered.add(key)
+        elif message.payload.decode() == states.Refusal.DID_NOT_RUN.value:
+            assert key not in ran
+    # Most walks are uncertain after pauses; without any answer the test would
+    # show nothing.
+    assert answered and answered <= set(ran)
--- a/figdrum/agent/tests/test_offering.py
+++ b/figdrum/agent/tests/test_offering.py
@@ -37,6 +37,9 @@
     def send_claim(self, to, claim):
         pass
 
+    def giving(self):
+        return 0
+
     def held(self):
         return len(self.flows)
 
--- a/figdrum/messages/datagram.py
+++ b/figdrum/messages/datagram.py
@@ -151,7 +151,7 @@
       executor: Agent that wants to run the request.
       incarnation: The executor's incarnation.
       list_version: List version by which the executor chose the members.
-      copy: True for a copy from a leaving member, recorded without a reply.
+      copy: True for a copy from a leaving member; any reply acknowledges it.
     """
     nonce: int
     customer: str
