--- a/figdrum/balancer/tests/fake_network.py
+++ b/figdrum/balancer/tests/fake_network.py
@@ -83,8 +83,12 @@
 class _Connector:
     """A connection that is being opened."""
 
+    def __init__(self):
+        self.stopped = False
+
     def disconnect(self):
-        """Does nothing; the network connects at once."""
+        """Stops it."""
+        self.stopped = True
 
 
 class FakeNetwork(task.Clock):
@@ -130,10 +134,16 @@
         """Connects from `source` to a TCP port after a short time."""
         del timeout
         assert ipaddress.IPv4Address(host) and 0 < port < 2**16
-        self.callLater(_DELAY_S, self._connect, source, (host, port), factory)
-        return _Connector()
-
-    def _connect(self, source, to, factory):
+        connector = _Connector()
+        self.callLater(_DELAY_S, self._connect, connector, source, (host, port),
+                       factory)
+        return connector
+
+    def _connect(self, connector, source, to, factory):
+        if connector.stopped:
+            factory.clientConnectionFailed(connector,
+                                           failure.Failure(error.UserError()))
+            return
         listener = self._tcp.get(to)
         accepted = None
         hosts = {source, to[0]}
@@ -141,7 +151,7 @@
             accepted = listener.buildProtocol(None)
         if accepted is None:
             factory.clientConnectionFailed(
-                None, failure.Failure(error.ConnectionRefusedError()))
+                connector, failure.Failure(error.ConnectionRefusedError()))
             return
         ends = [
             _Stream(self, protocol, hosts)
--- a/figdrum/balancer/tests/test_process.py
+++ b/figdrum/balancer/tests/test_process.py
@@ -26,6 +26,8 @@
 from figdrum.settings import schema
 from figdrum.sync import registry
 from figdrum.telemetry import metrics
+from figdrum.telemetry import replay
+from figdrum.telemetry import trace
 
 CALLER = ('10.1.0.9', 4000)
 SERVICE = ('10.9.0.1', 5683)
@@ -76,7 +78,7 @@
                                 states.MemberState.ACTIVE))
         self.store.put('lists/fieldbook', members.to_json(), 0)
 
-    def start(self, i, zone='a', peers=()):
+    def start(self, i, zone='a', peers=(), recorder=None):
         """Starts balancer lb-<i>."""
         cfg = schema.Settings(process=schema.Process(name=f'lb-{i}', zone=zone),
                               platform=schema.Platform(url='http://10.7.0.1:1'),
@@ -89,7 +91,8 @@
                                   peers=peers))
         balancer = process.Process(
             cfg, fake_network.Host(self.network, f'10.0.0.{i}'),
-            _Clock(self.network), self.store, self.metrics, random.Random(i))
+            _Clock(self.network), self.store, self.metrics, random.Random(i),
+            recorder)
         balancer.start()
         self.balancers.append(balancer)
         return balancer
@@ -335,6 +338,22 @@
                } <= set(system.registered())
 
 
+def test_a_recorded_run_replays(tmp_path):
+    """Guards against a decision that depends on what is not recorded."""
+    path = str(tmp_path / 'lb.trace')
+    recorder = trace.TraceWriter(path)
+    system = _System()
+    system.serve()
+    balancer = system.start(1, recorder=recorder)
+    for _ in range(4):
+        system.send_packet(balancer)
+        system.network.run(3)
+    recorder.close()
+    assert recorder.steps > 100
+    replayed = replay.replay(trace.TraceReader(path).steps())
+    assert replayed == replay.Replayed(recorder.steps, None)
+
+
 def test_a_port_in_use_is_a_typed_error():
     """Guards against a start that fails without naming the address."""
     system = _started()
--- a/figdrum/telemetry/replay.py
+++ b/figdrum/telemetry/replay.py
@@ -87,6 +87,7 @@
 
 # Kinds that the processes record.
 REGISTRY = Registry()
+REGISTRY.register('router', 'figdrum.routing.router:Router')
 
 
 class _Unasked(Exception):
