--- a/figdrum/agent/core.py
+++ b/figdrum/agent/core.py
@@ -19,6 +19,7 @@
 from twisted.internet import defer
 
 from figdrum.admission import controller
+from figdrum.admission import retry_budget
 from figdrum.agent import beat
 from figdrum.agent import claim_service
 from figdrum.agent import drain
@@ -62,7 +63,7 @@
 _log = logs.part('agent')
 
 _OWNER_MESSAGES = (datagram.Heartbeat, datagram.Held, datagram.Refused,
-                   datagram.Handover, datagram.HandoverReply, datagram.Moved)
+                   datagram.Handover, datagram.HandoverReply)
 _REFUSALS = frozenset(refusal.value for refusal in states.Refusal)
 
 
@@ -137,6 +138,8 @@
                                 self._cfg.queue, self._cfg.cold_rate,
                                 self._cfg.full_rate))
         self.admission.on_terms(self.place.terms)
+        self.admission.retries = retry_budget.RetryBudget(
+            self._cfg.retry_percent / 100, self._cfg.retry_window_ms)
         self._claims = claim_service.ClaimService(
             self.place, around,
             questions.Questions(around.timers, around.peers,
@@ -217,7 +220,6 @@
         self._notice_gap()
         now_ms = self._around.clock.now_ms()
         self._membership.tick(now_ms)
-        self._owner.set_suspects(self._membership.suspected(now_ms))
         self._act(now_ms, self._owner.on_tick(now_ms))
         for _ in range(self.place.waits.expire(now_ms)):
             self._around.metrics.incr('agent.dropped.list_not_fetched')
@@ -257,7 +259,8 @@
             contract, request_deadline.RequestDeadlineFilter(around.clock),
             request_claim.RequestClaimFilter(self._claims), slot, run)
         return requests.Requests(
-            server.CoapServer(around.rng), filters,
+            server.CoapServer(around.rng, self._cfg.notify_ms,
+                              self._cfg.deadline_ms), filters,
             chain.FilterChain(contract, slot, run), self._claims, around.clock,
             around.metrics,
             requests.Output(self._reply, self._on_observed,
@@ -301,7 +304,7 @@
         if own.out:
             self._around.metrics.incr('agent.given_up_flows', len(self.flows))
         if own.incarnation:
-            self._act(now_ms, self._owner.join(now_ms, own.incarnation))
+            self._act(now_ms, self._owner.forget(now_ms))
         self.admission.warmup.fall(now_ms)
 
     def _on_packet(self, now_ms: int, address: ids.Address,
@@ -331,8 +334,6 @@
         if isinstance(message, datagram.Handover):
             self.flows.adopt(now_ms, message, decided)
         self._act(now_ms, decided)
-        if isinstance(message, datagram.HandoverReply):
-            self.leave.on_reply(now_ms, message)
 
     def _act(self, now_ms: int,
              decided: collections.abc.Iterable[actions.Action]) -> None:
