Register the controllers that the processes record

Missing: `figdrum replay` knew no kind of controller, so every real trace ended with FD700.

Change: the kinds owner and router, which agents and balancers record, are in replay.REGISTRY.

Before: no trace of a process replayed.

--- a/figdrum/telemetry/replay.py
+++ b/figdrum/telemetry/replay.py
@@ -87,6 +87,8 @@
 
 # Kinds that the processes record.
 REGISTRY = Registry()
+REGISTRY.register('owner', 'figdrum.ownership.owner:Owner')
+REGISTRY.register('router', 'figdrum.routing.router:Router')
 
 
 class _Unasked(Exception):
