End a stand-in whose start is interrupted

A signal while a stand-in starts left it running, because the caller did not know the process yet. Found by reading; the start now ends it before the signal goes on.

--- a/standins/process.py
+++ b/standins/process.py
@@ -53,7 +53,12 @@
         """
         started = cls(name or module,
                       (sys.executable, '-m', f'standins.{module}', *flags), log)
-        line = started.read_line()
+        try:
+            line = started.read_line()
+        except BaseException:
+            # A signal may arrive here, before the caller knows the process.
+            started.stop()
+            raise
         if not line:
             code = started.stop()
             raise RuntimeError(f'{started.name} ended with {code}')
