--- a/figdrum/messages/datagram.py
+++ b/figdrum/messages/datagram.py
@@ -26,11 +26,16 @@
       balancer: Address of the balancer that takes the reply.
       payload: The datagram, unchanged.
       visited: Agents that passed the packet on, in order.
-      skipped: Agents passed over because they did not answer.
+      skipped: Agents that the balancer passed over because they did not answer
+        it. Agents go by their own suspicion; this is for metrics and traces.
       asker: Agent that asks the others whether one holds the flow, or ''.
       asker_incarnation: The asker's incarnation, or 0.
       tries: Agents that could have admitted the flow but for their load.
       uncertain: True when an earlier copy may have run somewhere.
+      asker_epoch: How often the asker had been paused when it asked.
+      must_ask: True when an agent may admit the flow only after asking all
+        others, those that passed the packet on included.
+      asker_holds: True when the asker held the flow before it was paused.
     """
     change: int
     list_version: int
@@ -44,8 +49,11 @@
     skipped: tuple[str, ...] = ()
     asker: str = ''
     asker_incarnation: int = 0
+    asker_epoch: int = 0
     tries: int = 0
     uncertain: bool = False
+    must_ask: bool = False
+    asker_holds: bool = False
 
 
 class Reply(typing.NamedTuple):
@@ -90,9 +98,13 @@
 
     Attributes:
       refusal: Value of `states.Refusal`.
+      sender: The member that sends it back.
+      sender_incarnation: The sender's incarnation.
       packet: The refused packet; its `visited` shrinks on the way back.
     """
     refusal: str
+    sender: str
+    sender_incarnation: int
     packet: Packet
 
 
@@ -107,12 +119,14 @@
     """Offers a held flow to another member.
 
     Attributes:
+      giver: Name of the leaving member.
       flow: The flow.
       customer: Its customer.
       balancer: Balancer that carried the flow's last packet.
       observations: Encoded CoAP requests that registered observations.
       sequence: The last Observe sequence number sent.
     """
+    giver: str
     flow: ids.FlowKey
     customer: str
     balancer: ids.Address
@@ -128,13 +142,6 @@
     incarnation: int
 
 
-class Moved(typing.NamedTuple):
-    """Tells a member that a flow is held by another one from now on."""
-    flow: ids.FlowKey
-    holder: str
-    incarnation: int
-
-
 class Claim(typing.NamedTuple):
     """Asks a member to record who runs the request with a key.
 
@@ -145,7 +152,6 @@
       executor: Agent that wants to run the request.
       incarnation: The executor's incarnation.
       list_version: List version by which the executor chose the members.
-      kind: Value of `idempotency.claim_registry.ClaimKind`.
       copy: True for a copy from a leaving member, recorded without a reply.
     """
     nonce: int
@@ -154,7 +160,6 @@
     executor: str
     incarnation: int
     list_version: int
-    kind: str
     copy: bool = False
 
 
@@ -167,7 +172,6 @@
       verdict: Value of `idempotency.claim_registry.Verdict`.
       executor: The recorded executor when the key is taken, else ''.
       incarnation: The recorded executor's incarnation, else 0.
-      kind: The recorded kind when the key is taken, else ''.
       list_version: List version that the member knows.
     """
     nonce: int
@@ -175,18 +179,9 @@
     verdict: str
     executor: str
     incarnation: int
-    kind: str
     list_version: int
 
 
-class Withdraw(typing.NamedTuple):
-    """Takes back the claim of an executor that lost the key to another."""
-    customer: str
-    key: str
-    executor: str
-    incarnation: int
-
-
 class Execute(typing.NamedTuple):
     """Asks the executor of a key for the stored or coming answer."""
     nonce: int
@@ -211,5 +206,5 @@
 
 
 Message = (Packet | Reply | Ping | Pong | Stale | Held | Refused | Heartbeat |
-           Handover | HandoverReply | Moved | Claim | ClaimReply | Withdraw |
-           Execute | ExecuteReply)
+           Handover | HandoverReply | Claim | ClaimReply | Execute |
+           ExecuteReply)
--- /dev/null
+++ b/figdrum/ownership/decision.py
@@ -0,0 +1,484 @@
+"""The decision of one agent on one packet or message of one flow.
+
+Explanation
+===========
+
+`decide` is a pure function of the agent's view, its record of the flow and the
+packet; the other functions here are the same for messages of other members.
+`Owner` keeps the records; the specification in `spec/ownership.py` calls the
+same functions. The rules R3, R4, R7 and R8 of docs/design.md are decided here,
+R1, R2, R5 and R6 by the view that the caller passes in.
+
+Examples
+========
+
+A settled agent that is first in the order admits a new flow:
+
+>>> from figdrum.core import ids
+>>> me = service_list.Member('a', ('10.0.0.1', 7000), 'muscat-a', 1,
+...                          states.MemberState.ACTIVE)
+>>> view = View('a', 1, 1, (me,), Phase.SETTLED, lambda: True)
+>>> flow = ids.FlowKey('10.1.0.1', 4000, '10.9.0.1', 5683)
+>>> packet = datagram.Packet(0, 1, 'al-sahil', 'fieldbook', flow, True,
+...                          ('10.0.0.9', 7000), b'')
+>>> decide(view, None, packet).record
+Hold(tentative=False)
+
+References
+==========
+
+Desmouceaux et al., "SRLB: The Power of Choices in Load Balancing with Segment
+Routing", ICDCS 2017, for agents that admit or pass on a new flow.
+"""
+
+import collections.abc
+import enum
+import typing
+
+from figdrum.core import states
+from figdrum.membership import service_list
+from figdrum.messages import datagram
+from figdrum.ownership import actions
+from figdrum.ownership import records
+
+# Power of two choices: a third candidate adds little balance and one more hop.
+MAX_TRIES = 2
+
+
+class Phase(enum.Enum):
+    """What an agent may decide on its own."""
+    JOINING = 'joining'
+    INQUIRING = 'inquiring'
+    SETTLED = 'settled'
+    DRAINING = 'draining'
+    FENCED = 'fenced'
+    BEHIND = 'behind'
+
+
+class Rules(typing.NamedTuple):
+    """Switches that let the specification leave a rule out.
+
+    Attributes:
+      pointer_at_passing: R3.
+      remembered_refusal: R4.
+      visited_order: R7.
+      departure_inquiry: R8.
+      claim_at_asking: An asked member points to the asker.
+      doubt: An agent that may have forgotten a flow says so in refusals.
+      epochs: An inquiry from before a pause is void.
+      takeover_delay: A member that is marked lost but still heard is given
+        time to find out before others take its flows over.
+    """
+    pointer_at_passing: bool = True
+    remembered_refusal: bool = True
+    visited_order: bool = True
+    departure_inquiry: bool = True
+    claim_at_asking: bool = True
+    doubt: bool = True
+    epochs: bool = True
+    takeover_delay: bool = True
+
+
+ALL_RULES = Rules()
+
+
+class View(typing.NamedTuple):
+    """What an agent knows when it decides on a packet.
+
+    Attributes:
+      name: This agent.
+      incarnation: Its incarnation.
+      list_version: Version of its list.
+      order: Routable members in the flow's rendezvous order.
+      phase: What this agent may decide on its own.
+      can_admit: Tells whether there is room for the flow here.
+      suspects: Members that do not answer this agent.
+      epoch: How often this agent has been paused.
+      amnesic: True when it restarted or was paused within the copy lifetime.
+      departed_ahead: True when a member ahead of this agent left or was lost
+        within the copy lifetime.
+      lost_ahead: True when such a member was lost.
+      ghosts: Members marked lost that were still heard a moment ago.
+      ghost_ahead: True when one of them is ahead of this agent.
+      rules: Rules in force.
+    """
+    name: str
+    incarnation: int
+    list_version: int
+    order: tuple[service_list.Member, ...]
+    phase: Phase
+    can_admit: collections.abc.Callable[[], bool]
+    suspects: frozenset[str] = frozenset()
+    epoch: int = 0
+    amnesic: bool = False
+    departed_ahead: bool = False
+    lost_ahead: bool = False
+    ghosts: frozenset[str] = frozenset()
+    ghost_ahead: bool = False
+    rules: Rules = ALL_RULES
+
+    def find(self, name: str) -> service_list.Member | None:
+        """Returns the routable member called `name`, or None."""
+        return next((m for m in self.order if m.name == name), None)
+
+    def is_ahead(self, name: str) -> bool:
+        """Returns whether member `name` comes before this agent."""
+        for member in self.order:
+            if member.name in (name, self.name):
+                return member.name == name
+        return False
+
+    def unvisited(self, packet: datagram.Packet) -> list[service_list.Member]:
+        """Returns the other members that can still be asked, in order."""
+        passed_over = self.suspects.union(packet.visited, (self.name,))
+        return [m for m in self.order if m.name not in passed_over]
+
+
+class Decision(typing.NamedTuple):
+    """The new record of the flow and what to do."""
+    record: records.Record
+    actions: tuple[actions.Action, ...]
+
+
+def decide(view: View, record: records.Record,
+           packet: datagram.Packet) -> Decision:
+    """Decides on a packet.
+
+    Args:
+      view: What the agent knows.
+      record: The agent's record of the packet's flow.
+      packet: The packet, as a balancer or another member sent it.
+
+    Returns:
+      The new record and the actions.
+    """
+    if view.phase is Phase.FENCED:
+        return _drop(record, packet, actions.DropReason.FENCED)
+    if view.phase is Phase.BEHIND:
+        return Decision(record, (actions.FetchList(packet),))
+    if isinstance(record, records.Fence) and packet.may_start:
+        return refuse(view, packet._replace(visited=record.visited),
+                      record.refusal)
+    if isinstance(record,
+                  records.Hold) and not (record.tentative and packet.may_start):
+        return _deliver_held(view, record, packet)
+    if packet.list_version > view.list_version:
+        return Decision(record, (actions.FetchList(packet),))
+    if _is_stale_asker(view, packet):
+        return _drop(record, packet, actions.DropReason.STALE_ASKER)
+    if view.rules.takeover_delay and _waits_for_ghost(view, record, packet):
+        return _drop(record, packet, actions.DropReason.TAKEOVER)
+    doubtful = view.amnesic or view.lost_ahead or _has_suspect_ahead(
+        view, packet)
+    packet = packet._replace(list_version=view.list_version,
+                             uncertain=packet.uncertain or
+                             (view.rules.doubt and doubtful))
+    must_ask = packet.must_ask or view.phase is Phase.INQUIRING or (
+        view.rules.departure_inquiry and view.departed_ahead)
+    if isinstance(record, records.Pointer):
+        target = view.find(record.to)
+        if _is_alive(view, record, target):
+            if target.name not in packet.visited:
+                return _send(record, target, _visit(view, packet))
+            # The target passed the packet on without holding the flow, or
+            # asks for it itself: a newer holder may be behind it.
+            must_ask = True
+        else:
+            must_ask = must_ask or view.rules.departure_inquiry
+            packet = packet._replace(
+                uncertain=packet.uncertain or view.rules.doubt)
+        record = None
+    packet = packet._replace(must_ask=must_ask)
+    return _decide_unrouted(view, record, packet)
+
+
+def _decide_unrouted(view: View, record: records.Record,
+                     packet: datagram.Packet) -> Decision:
+    """Decides on a packet of a flow without a pointer to follow."""
+    if not packet.may_start:
+        return _search(view, record, packet)
+    if packet.asker == view.name:
+        return _resolve(view, record, packet)
+    if isinstance(record, (records.Pending, records.Hold)):
+        return _while_asking(view, record, packet)
+    if packet.asker:
+        return _answer_inquiry(view, record, packet)
+    return _consider(view, packet)
+
+
+def refuse(view: View, packet: datagram.Packet,
+           refusal: states.Refusal) -> Decision:
+    """Refuses a packet and sends the refusal back the way the packet came.
+
+    Every member on the way fences the flow before the caller hears of it.
+    """
+    fence = None
+    if view.rules.remembered_refusal:
+        fence = records.Fence(refusal, packet.visited)
+    visited = list(packet.visited)
+    while visited:
+        back = view.find(visited.pop())
+        if back and back.name != view.name:
+            message = datagram.Refused(refusal.value, view.name,
+                                       view.incarnation,
+                                       packet._replace(visited=tuple(visited)))
+            return Decision(fence, (actions.Send(back, message),))
+    return Decision(fence, (actions.Refuse(packet, refusal),))
+
+
+def on_refused(view: View, record: records.Record,
+               refused: datagram.Refused) -> Decision:
+    """Fences a flow that this agent passed on and a later member refused."""
+    packet = refused.packet
+    if not _expects_refusal(view, record, refused):
+        return _drop(record, packet, actions.DropReason.STALE_REFUSAL)
+    refusal = states.Refusal(refused.refusal)
+    if isinstance(record, records.Fence):
+        refusal = _weaker(refusal, record.refusal)
+    return refuse(view, packet, refusal)
+
+
+def _expects_refusal(view: View, record: records.Record,
+                     refused: datagram.Refused) -> bool:
+    """Returns whether this agent still stands by having passed a packet on.
+
+    A refusal that was under way while its sender restarted, or while this
+    agent let another member have the flow, may no longer be true.
+    """
+    packet = refused.packet
+    if isinstance(record, records.Fence):
+        return True
+    if isinstance(record, records.Pending):
+        return packet.asker == view.name and not _is_stale_asker(view, packet)
+    return record in (records.Pointer(refused.sender,
+                                      refused.sender_incarnation),
+                      records.Pointer(packet.asker, packet.asker_incarnation))
+
+
+def on_held(view: View, record: records.Record,
+            held: datagram.Held) -> Decision:
+    """Points to the member that answered this agent's inquiry."""
+    holder = view.find(held.holder)
+    if (held.holder == view.name or holder is None or
+            holder.incarnation != held.incarnation or record == records.Hold()):
+        return Decision(record, ())
+    pointer = records.Pointer(holder.name, holder.incarnation)
+    if isinstance(record, records.Hold):
+        return Decision(pointer, (actions.Release(held.flow),))
+    return Decision(pointer, ())
+
+
+def on_handover(view: View,
+                record: records.Record,
+                handover: datagram.Handover,
+                declined: bool = False) -> Decision:
+    """Accepts a flow of a leaving member if there is room.
+
+    Args:
+      view: What the agent knows.
+      record: Its record of the flow.
+      handover: The offer.
+      declined: True when this agent has declined the flow before. It must not
+        accept a repeated offer then, since the giver may have gone on to
+        another member.
+    """
+    giver = view.find(handover.giver)
+    if giver is None:
+        return Decision(record, ())
+    has_room = view.phase in (Phase.INQUIRING,
+                              Phase.SETTLED) and view.can_admit()
+    accepted = not declined and (isinstance(record, records.Hold) or has_room)
+    if accepted:
+        record = records.Hold()
+    reply = datagram.HandoverReply(handover.flow, accepted, view.name,
+                                   view.incarnation)
+    return Decision(record, (actions.Send(giver, reply),))
+
+
+def on_handover_reply(view: View, record: records.Record,
+                      reply: datagram.HandoverReply) -> Decision:
+    """Points to the member that accepted a flow."""
+    holder = view.find(reply.name)
+    if (not reply.accepted or holder is None or
+            holder.incarnation != reply.incarnation or
+            not isinstance(record, records.Hold)):
+        return Decision(record, ())
+    return Decision(records.Pointer(holder.name, holder.incarnation),
+                    (actions.Release(reply.flow),))
+
+
+def _weaker(one: states.Refusal, other: states.Refusal) -> states.Refusal:
+    unknown = states.Refusal.OUTCOME_UNKNOWN
+    return unknown if unknown in (one, other) else one
+
+
+def _drop(record: records.Record, packet: datagram.Packet,
+          reason: actions.DropReason) -> Decision:
+    return Decision(record, (actions.Drop(packet, reason),))
+
+
+def _send(record: records.Record, to: service_list.Member,
+          packet: datagram.Packet) -> Decision:
+    return Decision(record, (actions.Send(to, packet),))
+
+
+def _visit(view: View, packet: datagram.Packet) -> datagram.Packet:
+    if view.name in packet.visited:
+        return packet
+    return packet._replace(visited=packet.visited + (view.name,))
+
+
+def _held_notice(view: View,
+                 packet: datagram.Packet) -> tuple[actions.Action, ...]:
+    asker = view.find(packet.asker) if packet.asker != view.name else None
+    if asker is None:
+        return ()
+    return (actions.Send(
+        asker, datagram.Held(packet.flow, view.name, view.incarnation)),)
+
+
+def _deliver_held(view: View, record: records.Hold,
+                  packet: datagram.Packet) -> Decision:
+    return Decision(record,
+                    (actions.Deliver(packet),) + _held_notice(view, packet))
+
+
+def _is_stale_asker(view: View, packet: datagram.Packet) -> bool:
+    """Returns whether a packet belongs to an inquiry that is void."""
+    if not packet.asker:
+        return False
+    if packet.asker == view.name:
+        return packet.asker_incarnation != view.incarnation or (
+            view.rules.epochs and packet.asker_epoch != view.epoch)
+    asker = view.find(packet.asker)
+    return asker is None or asker.incarnation != packet.asker_incarnation
+
+
+def _is_alive(view: View, pointer: records.Pointer,
+              target: service_list.Member | None) -> bool:
+    return (target is not None and target.name not in view.suspects and
+            target.incarnation == pointer.incarnation)
+
+
+def _waits_for_ghost(view: View, record: records.Record,
+                     packet: datagram.Packet) -> bool:
+    """Returns whether a member that is marked lost may still hold the flow.
+
+    It hears of the mark from the next heartbeat of any other member.
+    """
+    if isinstance(record, records.Pointer):
+        return record.to in view.ghosts
+    return packet.may_start and view.ghost_ahead
+
+
+def _has_suspect_ahead(view: View, packet: datagram.Packet) -> bool:
+    return any(
+        view.is_ahead(name)
+        for name in view.suspects.difference(packet.visited))
+
+
+def _search(view: View, record: records.Record,
+            packet: datagram.Packet) -> Decision:
+    """Looks for the holder of a packet that may not start a flow."""
+    rest = view.unvisited(packet)
+    if not rest:
+        return _drop(record, packet, actions.DropReason.NO_HOLDER)
+    return _send(record, rest[0], _visit(view, packet))
+
+
+def _resolve(view: View, record: records.Record,
+             packet: datagram.Packet) -> Decision:
+    """Decides on a packet that came back from the other members."""
+    rest = view.unvisited(packet)
+    if rest:
+        return _send(record, rest[0], packet)
+    if isinstance(record, records.Hold):
+        return Decision(records.Hold(), (actions.Deliver(packet),))
+    if view.phase in (Phase.INQUIRING, Phase.SETTLED) and view.can_admit():
+        return Decision(records.Hold(),
+                        (actions.Deliver(packet, started=True),))
+    return refuse(view, packet, _refusal(packet))
+
+
+def _while_asking(view: View, record: records.Pending | records.Hold,
+                  packet: datagram.Packet) -> Decision:
+    """Handles a copy or another inquiry while this agent's own is open."""
+    holds = isinstance(record, records.Hold)
+    if not packet.asker:
+        if holds:
+            return _ask(view, record, packet)
+        return _drop(record, packet, actions.DropReason.PENDING)
+    if _asker_goes_first(view, holds, packet):
+        return _answer_inquiry(view, record, packet)
+    notice = _held_notice(view, packet)
+    dropped = actions.Drop(packet, actions.DropReason.YIELDED)
+    return Decision(record, notice + (dropped,))
+
+
+def _asker_goes_first(view: View, holds: bool, packet: datagram.Packet) -> bool:
+    """Decides which of two inquiries that meet goes on.
+
+    A member that held the flow comes before one that did not, so that a flow
+    does not move without a handover; else the first in the order goes on.
+    """
+    if packet.asker_holds != holds:
+        return packet.asker_holds
+    return view.is_ahead(packet.asker)
+
+
+def _answer_inquiry(view: View, record: records.Record,
+                    packet: datagram.Packet) -> Decision:
+    """Points to the asker and lets the inquiry go on."""
+    released = ((actions.Release(packet.flow),) if isinstance(
+        record, records.Hold) else ())
+    if view.rules.claim_at_asking:
+        record = records.Pointer(packet.asker, packet.asker_incarnation)
+    packet = _visit(view, packet)
+    rest = [m for m in view.unvisited(packet) if m.name != packet.asker]
+    to = rest[0] if rest else view.find(packet.asker)
+    return Decision(record, released + (actions.Send(to, packet),))
+
+
+def _consider(view: View, packet: datagram.Packet) -> Decision:
+    """Admits a new flow, asks the others, passes it on or refuses it."""
+    rest = view.unvisited(packet)
+    if view.rules.visited_order and rest and view.is_ahead(rest[0].name):
+        return _send(None, rest[0], packet)
+    if view.phase in (Phase.INQUIRING, Phase.SETTLED):
+        if view.can_admit():
+            if packet.must_ask:
+                return _ask(view, records.Pending(), packet)
+            return Decision(records.Hold(),
+                            (actions.Deliver(packet, started=True),))
+        packet = packet._replace(tries=packet.tries + 1,
+                                 uncertain=packet.uncertain or
+                                 (view.rules.doubt and packet.must_ask))
+    if packet.tries >= MAX_TRIES or not rest:
+        return refuse(view, packet, _refusal(packet))
+    record = None
+    if view.rules.pointer_at_passing:
+        record = records.Pointer(rest[0].name, rest[0].incarnation)
+    return _send(record, rest[0], _visit(view, packet))
+
+
+def _ask(view: View, record: records.Pending | records.Hold,
+         packet: datagram.Packet) -> Decision:
+    """Asks the other members, or settles at once when there is none."""
+    # Members that passed the packet on are asked again: one that has meanwhile
+    # given this agent up may have admitted a later copy.
+    packet = packet._replace(visited=(view.name,),
+                             asker=view.name,
+                             asker_incarnation=view.incarnation,
+                             asker_epoch=view.epoch,
+                             asker_holds=isinstance(record, records.Hold))
+    rest = view.unvisited(packet)
+    if not rest:
+        return _resolve(view, record, packet)
+    return _send(record, rest[0], packet)
+
+
+def _refusal(packet: datagram.Packet) -> states.Refusal:
+    """Returns what a refusal may truthfully say of the request."""
+    if packet.uncertain:
+        return states.Refusal.OUTCOME_UNKNOWN
+    return states.Refusal.DID_NOT_RUN
--- /dev/null
+++ b/figdrum/ownership/owner.py
@@ -0,0 +1,356 @@
+"""The controller of an agent's flows.
+
+Explanation
+===========
+
+`Owner` keeps the flow table and the agent's standing, and turns packets and
+messages of other members into actions. It does no I/O and reads no clock.
+"""
+
+import collections.abc
+import typing
+
+from figdrum.core import ids
+from figdrum.core import states
+from figdrum.membership import service_list
+from figdrum.messages import datagram
+from figdrum.ownership import actions
+from figdrum.ownership import admission_check
+from figdrum.ownership import decision
+from figdrum.ownership import flow_table
+from figdrum.ownership import records
+from figdrum.ownership import standing
+from figdrum.routing import rendezvous
+
+# The inquiry is repeated by the caller's next copy after this time, in case
+# an asked member failed with the packet.
+PENDING_TIMEOUT_MS = 1_000
+
+# Three heartbeats lost in a row, and three times the gap that a paused member
+# notices itself.
+SUSPECT_AFTER_MS = 1_500
+
+Actions = tuple[actions.Action, ...]
+
+
+class _FlowOffer(typing.NamedTuple):
+    to: service_list.Member | None
+    declined: frozenset[str]
+
+
+_NO_OFFER = _FlowOffer(None, frozenset())
+
+
+class Owner:
+    """Decides which flows this agent holds."""
+
+    def __init__(self,
+                 name: ids.AgentName,
+                 service: ids.ServiceName,
+                 zone: ids.ZoneName,
+                 capacity: int = flow_table.DEFAULT_CAPACITY):
+        """Makes the controller of an agent that has not joined yet.
+
+        Args:
+          name: The agent's name.
+          service: The service of its target.
+          zone: Its availability zone.
+          capacity: Most records that it keeps.
+        """
+        self._name = name
+        self._service = service
+        self._zone = zone
+        self._table = flow_table.FlowTable(capacity)
+        self._standing: standing.Standing | None = None
+        self._list = service_list.ServiceList.empty(service)
+        self._zones_out: frozenset[str] = frozenset()
+        self._heard_ms: dict[str, int] = {}
+        self._pending_since: dict[ids.FlowKey, int] = {}
+        self._last_event_ms: int | None = None
+        self._departed_ms: dict[tuple[str, int], int] = {}
+        self._offered: dict[ids.FlowKey, _FlowOffer] = {}
+        self._declined_ms: dict[ids.FlowKey, int] = {}
+
+    @property
+    def list_version(self) -> int:
+        """Version of the service's list that this agent knows."""
+        return self._list.version
+
+    def held(self) -> list[tuple[ids.FlowKey, ids.CustomerId]]:
+        """Returns the flows that this agent holds, with their customers."""
+        return self._table.held()
+
+    def phase(self, now_ms: int) -> decision.Phase:
+        """Returns what this agent may decide now."""
+        if self._standing is None:
+            return decision.Phase.FENCED
+        return self._standing.phase(now_ms, self._list, self._zones_out,
+                                    self._silent(now_ms))
+
+    def join(self, now_ms: int, incarnation: ids.Incarnation) -> Actions:
+        """Starts a new incarnation; what an earlier one held is forgotten."""
+        draining = self._standing is not None and self._standing.draining
+        self._standing = standing.Standing(self._name, incarnation, draining)
+        self._pending_since.clear()
+        self._offered.clear()
+        self._last_event_ms = now_ms
+        return tuple(actions.Release(hold.flow) for hold in self._table.clear())
+
+    def on_list(self, now_ms: int, members: service_list.ServiceList,
+                zones_out: frozenset[str]) -> Actions:
+        """Takes a list that is not older than the known one."""
+        self._notice_gap(now_ms)
+        self._zones_out = zones_out
+        if members.version < self._list.version:
+            return ()
+        first = self._standing is not None and (
+            self._list.version < self._standing.incarnation <= members.version)
+        self._list = members
+        self._note_departures(now_ms)
+        self._heard_ms = {
+            m.name: self._heard_ms.get(m.name, now_ms) for m in members.members
+        }
+        if first:
+            self._standing = self._standing.joined(now_ms, members)
+        return ()
+
+    def on_packet(self, now_ms: int, packet: datagram.Packet,
+                  admission: admission_check.AdmissionCheck) -> Actions:
+        """Decides on a packet from a balancer or another member."""
+        self._notice_gap(now_ms)
+        if packet.service != self._service:
+            return (actions.Drop(packet, actions.DropReason.WRONG_SERVICE),)
+        if self._zone in self._zones_out:
+            return (actions.Refuse(packet, states.Refusal.OUTCOME_UNKNOWN),)
+        view = self._view(now_ms, packet.flow, packet.customer, admission)
+        fence = self._table.fence(packet.flow, packet.payload)
+        if fence:
+            return decision.decide(view, fence, packet).actions
+        record = self._live_record(now_ms, packet.flow)
+        if record is None and self._table.is_full():
+            return (actions.Drop(packet, actions.DropReason.TABLE_FULL),)
+        decided = decision.decide(view, record, packet)
+        self._store(now_ms, packet, decided.record)
+        return decided.actions
+
+    def on_message(self, now_ms: int, message: datagram.Message,
+                   admission: admission_check.AdmissionCheck) -> Actions:
+        """Handles a message of another member; ignores other kinds."""
+        self._notice_gap(now_ms)
+        if isinstance(message, datagram.Heartbeat):
+            return self._on_heartbeat(now_ms, message)
+        if isinstance(message, datagram.Refused):
+            return self._on_refused(now_ms, message, admission)
+        if isinstance(message, datagram.Held):
+            return self._on_flow_message(now_ms, message, decision.on_held, '',
+                                         admission)
+        if isinstance(message, datagram.Handover):
+            return self._on_handover(now_ms, message, admission)
+        if isinstance(message, datagram.HandoverReply):
+            return self._on_handover_reply(now_ms, message, admission)
+        return ()
+
+    def on_tick(self, now_ms: int) -> Actions:
+        """Expires records and repeats offers; to be called each 100 ms."""
+        self._notice_gap(now_ms)
+        released = tuple(
+            actions.Release(hold.flow) for hold in self._table.expire(now_ms))
+        limit_ms = now_ms - flow_table.COPY_LIFETIME_MS
+        for flow, declined_ms in list(self._declined_ms.items()):
+            if declined_ms > limit_ms:
+                break
+            del self._declined_ms[flow]
+        return released + self._offers(now_ms)
+
+    def start_drain(self, now_ms: int) -> Actions:
+        """Stops admitting and offers every held flow to another member.
+
+        Offers are repeated on each tick until a member accepts.
+        """
+        self._notice_gap(now_ms)
+        if self._standing is not None:
+            self._standing = self._standing._replace(draining=True)
+        return self._offers(now_ms)
+
+    def _offers(self, now_ms: int) -> Actions:
+        """Offers each held flow to one member until that one declines.
+
+        Two open offers of one flow could both be accepted.
+        """
+        if self._standing is None or not self._standing.draining:
+            return ()
+        offers = []
+        silent = self._silent(now_ms)
+        for flow, _ in self._table.held():
+            offer = self._offered.get(flow, _NO_OFFER)
+            if self._is_offer_over(offer, silent):
+                offer = _FlowOffer(
+                    self._successor(flow, offer.declined | silent),
+                    offer.declined)
+                self._offered[flow] = offer
+            if offer.to is not None:
+                offers.append(actions.Offer(offer.to, flow))
+        return tuple(offers)
+
+    def _is_offer_over(self, offer: '_FlowOffer',
+                       silent: frozenset[str]) -> bool:
+        if offer.to is None or offer.to.name in silent:
+            return True
+        listed = self._list.find(offer.to.name)
+        return listed is None or listed.incarnation != offer.to.incarnation or (
+            listed.state is not states.MemberState.ACTIVE)
+
+    def _note_departures(self, now_ms: int) -> None:
+        """Remembers when each lost or left member was first seen as such."""
+        gone = {(m.name, m.incarnation)
+                for m in self._list.members
+                if m.state in (states.MemberState.LOST, states.MemberState.LEFT)
+               }
+        self._departed_ms = {
+            pair: self._departed_ms.get(pair, now_ms) for pair in gone
+        }
+
+    def _departed(self, now_ms: int) -> frozenset[str]:
+        limit_ms = now_ms - flow_table.COPY_LIFETIME_MS
+        return frozenset(name for (name,
+                                   _), seen_ms in self._departed_ms.items()
+                         if seen_ms > limit_ms)
+
+    def _notice_gap(self, now_ms: int) -> None:
+        """Applies rule R6 when this process was paused."""
+        last_ms, self._last_event_ms = self._last_event_ms, now_ms
+        if self._standing is None or last_ms is None:
+            return
+        if now_ms - last_ms >= standing.WAKE_GAP_MS:
+            self._standing = self._standing.woken(now_ms, self._list)
+            self._heard_ms = dict.fromkeys(self._heard_ms, now_ms)
+            self._pending_since.clear()
+            self._table.suspend()
+
+    def _view(self, now_ms: int, flow: ids.FlowKey, customer: str,
+              admission: admission_check.AdmissionCheck) -> decision.View:
+        place = self._standing or standing.Standing(self._name, 0)
+        key = flow.to_bytes()
+        departed = [
+            name for name in self._departed(now_ms)
+            if rendezvous.precedes(key, name, self._name)
+        ]
+        lost = any(
+            self._list.find(name).state is states.MemberState.LOST
+            for name in departed)
+        silent = self._silent(now_ms)
+        ghosts = frozenset(
+            m.name
+            for m in self._list.members
+            if m.state is states.MemberState.LOST and m.name not in silent)
+        return decision.View(name=self._name,
+                             incarnation=place.incarnation,
+                             list_version=self._list.version,
+                             order=self._list.order(key, self._zones_out),
+                             phase=self.phase(now_ms),
+                             can_admit=lambda: admission.can_admit(
+                                 now_ms, ids.CustomerId(customer)),
+                             suspects=silent,
+                             epoch=place.epoch,
+                             amnesic=now_ms < place.amnesic_until_ms,
+                             departed_ahead=bool(departed),
+                             lost_ahead=lost,
+                             ghosts=ghosts,
+                             ghost_ahead=any(
+                                 name in ghosts for name in departed))
+
+    def _live_record(self, now_ms: int, flow: ids.FlowKey) -> records.Record:
+        record = self._table.get(flow)
+        if isinstance(record, records.Pending):
+            since_ms = self._pending_since.get(flow, now_ms)
+            if now_ms - since_ms >= PENDING_TIMEOUT_MS:
+                del self._pending_since[flow]
+                return None
+        return record
+
+    def _store(self, now_ms: int, packet: datagram.Packet,
+               record: records.Record) -> None:
+        if isinstance(record, records.Pending):
+            self._pending_since.setdefault(packet.flow, now_ms)
+        else:
+            self._pending_since.pop(packet.flow, None)
+        if isinstance(record, records.Fence):
+            self._table.put_fence(now_ms, packet.flow, packet.payload, record)
+            record = None
+        self._table.put(now_ms, packet.flow, record,
+                        ids.CustomerId(packet.customer))
+
+    def _on_heartbeat(self, now_ms: int,
+                      message: datagram.Heartbeat) -> Actions:
+        self._heard_ms[message.name] = now_ms
+        if self._standing is not None:
+            self._standing = self._standing.hear(message.name,
+                                                 message.list_version)
+        return ()
+
+    def _silent(self, now_ms: int) -> frozenset[str]:
+        """Returns the members that have not been heard for a while."""
+        limit_ms = now_ms - SUSPECT_AFTER_MS
+        return frozenset(name for name, heard_ms in self._heard_ms.items()
+                         if heard_ms <= limit_ms and name != self._name)
+
+    def _on_refused(self, now_ms: int, message: datagram.Refused,
+                    admission: admission_check.AdmissionCheck) -> Actions:
+        packet = message.packet
+        view = self._view(now_ms, packet.flow, packet.customer, admission)
+        record = self._table.fence(
+            packet.flow, packet.payload) or self._table.get(packet.flow)
+        decided = decision.on_refused(view, record, message)
+        self._store(now_ms, packet, decided.record)
+        return decided.actions
+
+    def _on_flow_message(self, now_ms: int, message: typing.Any,
+                         decide: collections.abc.Callable[...,
+                                                          decision.Decision],
+                         customer: str,
+                         admission: admission_check.AdmissionCheck) -> Actions:
+        view = self._view(now_ms, message.flow, customer, admission)
+        record = self._table.get(message.flow)
+        decided = decide(view, record, message)
+        if decided.record != record:
+            self._pending_since.pop(message.flow, None)
+            self._table.put(now_ms, message.flow, decided.record,
+                            ids.CustomerId(customer))
+        return decided.actions
+
+    def _on_handover(self, now_ms: int, message: datagram.Handover,
+                     admission: admission_check.AdmissionCheck) -> Actions:
+        declined = message.flow in self._declined_ms or self._table.is_full()
+        view = self._view(now_ms, message.flow, message.customer, admission)
+        decided = decision.on_handover(view, self._table.get(message.flow),
+                                       message, declined)
+        if isinstance(decided.record, records.Hold):
+            self._pending_since.pop(message.flow, None)
+            self._table.put(now_ms, message.flow, decided.record,
+                            ids.CustomerId(message.customer))
+        elif decided.actions:
+            self._declined_ms.setdefault(message.flow, now_ms)
+        return decided.actions
+
+    def _on_handover_reply(
+            self, now_ms: int, message: datagram.HandoverReply,
+            admission: admission_check.AdmissionCheck) -> Actions:
+        offer = self._offered.get(message.flow, _NO_OFFER)
+        if offer.to is None or offer.to.name != message.name:
+            return ()
+        if not message.accepted:
+            self._offered[message.flow] = _FlowOffer(
+                None, offer.declined | {message.name})
+            return ()
+        del self._offered[message.flow]
+        return self._on_flow_message(now_ms, message,
+                                     decision.on_handover_reply, '', admission)
+
+    def _successor(self, flow: ids.FlowKey,
+                   passed_over: frozenset[str]) -> service_list.Member | None:
+        for member in self._list.order(flow.to_bytes(), self._zones_out):
+            if (member.name != self._name and
+                    member.state is states.MemberState.ACTIVE and
+                    member.name not in passed_over):
+                return member
+        return None
