--- a/standins/process.py
+++ b/standins/process.py
@@ -53,15 +53,16 @@
         """
         started = cls(name or module,
                       (sys.executable, '-m', f'standins.{module}', *flags), log)
+        line = ''
         try:
             line = started.read_line()
-        except BaseException:
-            # A signal may arrive here, before the caller knows the process.
-            started.stop()
-            raise
+        finally:
+            # A signal may arrive before the caller knows the process.
+            if not line:
+                started.stop()
         if not line:
-            code = started.stop()
-            raise RuntimeError(f'{started.name} ended with {code}')
+            raise RuntimeError(
+                f'{started.name} ended with {started.exit_code()}')
         started.announced = json.loads(line)
         return started
 
