Send a target's last answer before it ends; check when a flow moved

test_termination_finishes_what_runs failed once in the whole suite: the caller of a request that ran at SIGTERM got a closed connection without an answer. The target ended in the same turn of the reactor in which it wrote the answer, so that it was never sent. It now closes its connections, which sends what is written, and ends when none is left. The test is unchanged.

A flow may leave a target only from the time at which that target was told to leave; before, the demo allowed it at any time.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -73,6 +73,7 @@
     def __init__(self, site: demo_site.DemoSite, seed: int, started_s: float):
         self.faults: list[str] = []
         self._site = site
+        self._left_ms: dict[str, int] = {}
         self._started_s = started_s
         self._fleets = [
             self._fleet([('fieldbook', 1), ('booking', 1)], FLOWS, REQUESTS,
@@ -93,8 +94,8 @@
 
     def result(self) -> tally.Tally:
         """Returns the counts, and prints what is wrong."""
-        end_ms = round(reactor.seconds() * clock.MS_PER_S)
-        rules = flow_verdict.VerdictRules(frozenset((_LEAVING,)),
+        end_ms = _now_ms()
+        rules = flow_verdict.VerdictRules(self._left_ms,
                                           demo_plan.LONGEST_GAP_MS, end_ms)
         broken = {}
         records = []
@@ -168,6 +169,7 @@
         yield task.deferLater(reactor, _FAILURES_AT_S)
         leaver = self._site.running[_LEAVING]
         killed = self._site.running.pop(_KILLED)
+        self._left_ms[_LEAVING] = _now_ms()
         killed.kill()
         leaver.terminate()
         self.say(f'balancer {_KILLED} killed, agent {_LEAVING} told to leave')
@@ -191,6 +193,10 @@
         self.say(f'{done} requests done, attempts {dict(endings)}')
 
 
+def _now_ms() -> int:
+    return round(reactor.seconds() * clock.MS_PER_S)
+
+
 def _failed(
     records: list[request_record.RequestRecord]
 ) -> list[request_record.RequestRecord]:
--- a/standins/flow_verdict.py
+++ b/standins/flow_verdict.py
@@ -1,5 +1,7 @@
 """Decides whether a caller would call a flow broken."""
 
+import collections.abc
+import math
 import typing
 
 from standins import request_record
@@ -9,11 +11,11 @@
     """What a flow may go through without being broken.
 
     Attributes:
-      left_targets: Targets whose flows had to move.
+      left_ms: Targets whose flows had to move, with the times from which.
       longest_gap_ms: Longest time that a feed may be silent.
       end_ms: End of the run.
     """
-    left_targets: frozenset[str]
+    left_ms: collections.abc.Mapping[str, int]
     longest_gap_ms: int
     end_ms: int
 
@@ -24,8 +26,8 @@
 
     A flow without an answered request was never established and is not broken.
     An established one is broken when a request on it got no right answer, when
-    a feed ended or fell silent, or when it moved away from a target that did
-    not leave.
+    a feed ended or fell silent, or when it moved away from a target that had
+    not left.
     """
     ending = request_record.Ending
     answered = [r for r in records if r.ending is ending.ANSWERED]
@@ -66,6 +68,6 @@
     gets.sort(key=lambda r: r.ended_ms)
     for before, after in zip(gets, gets[1:]):
         if before.target != after.target and \
-                before.target not in rules.left_targets:
+                after.ended_ms < rules.left_ms.get(before.target, math.inf):
             return f'moved from {before.target} to {after.target}'
     return ''
--- a/standins/limited_factory.py
+++ b/standins/limited_factory.py
@@ -17,6 +17,11 @@
         """Connections that are open now."""
         return len(self.protocols)
 
+    def close_all(self) -> None:
+        """Closes every connection after what was written to it is sent."""
+        for conn in list(self.protocols):
+            conn.loseConnection()
+
     def buildProtocol(self, addr):
         if self.open_connections >= self._limit:
             return None
--- a/standins/target.py
+++ b/standins/target.py
@@ -84,12 +84,17 @@
             http_service.reply(req, 405, {'error': 'GET or POST only'})
 
     def drained(self) -> defer.Deferred:
-        """Refuses new requests; the Deferred fires when none runs."""
+        """Refuses new requests; the Deferred fires when none runs and every
+        answer was sent."""
         self._work.state = self._work.state._replace(draining=True)
         done: defer.Deferred = defer.Deferred()
 
         def check() -> None:
-            if self._work.running + self._work.queued == 0:
+            if self._work.running + self._work.queued > 0:
+                return
+            # An answer that is written may still wait to be sent.
+            self.connections.close_all()
+            if not self.connections.open_connections:
                 waiting.stop()
                 done.callback(None)
 
--- a/standins/tests/test_tally.py
+++ b/standins/tests/test_tally.py
@@ -10,7 +10,7 @@
 
 _ENDING = request_record.Ending
 _KIND = request_record.Kind
-_RULES = flow_verdict.VerdictRules(frozenset({'t2'}), 1000, 10_000)
+_RULES = flow_verdict.VerdictRules({'t2': 2}, 1000, 10_000)
 
 
 def _record(nonce='n1', kind=_KIND.GET, **fields):
@@ -84,6 +84,8 @@
     ([_record()], [_feed(longest_gap_ms=1001)], 'silent for 1001'),
     ([_record(target='t1'),
       _record(target='t3', ended_ms=2)], [], 'moved from t1 to t3'),
+    ([_record(target='t2', ended_ms=0),
+      _record(target='t1')], [], 'moved from t2 to t1'),
 ])
 def test_broken_flows_are_found(records, feeds, why):
     """Guards against a broken flow that the demo reports as whole."""
