--- /dev/null
+++ b/spec/claims.py
@@ -0,0 +1,320 @@
+"""Specification of at-most-once execution by claims.
+
+Explanation
+===========
+
+One idempotency key, several executors that walk for it at once, and members
+that join, crash, restart, pause, wake and leave while they do. The transitions
+call the real decision functions `claim_registry.judge`, `claim_walk.count` and
+`claim_walk.advance`. All of it happens within the key lifetime, so that no
+member matures and no claim expires. A question can be lost, its answer can be
+lost, and it can arrive after the executor has given it up.
+
+Property: at most one executor wins the key.
+"""
+
+import itertools
+import typing
+
+import minicheck
+
+from figdrum.idempotency import claim_registry
+from figdrum.idempotency import claim_walk
+from figdrum.messages import datagram
+from spec import checker
+
+# Rendezvous order of the key; 'n' joins.
+NAMES = ('n', 'a', 'b', 'c')
+_FIRST = 1
+_Standing = claim_registry.MemberStanding
+_Verdict = claim_registry.Verdict
+
+
+class Switches(typing.NamedTuple):
+    """Switches for the rules that are not part of `claim_walk.WalkRules`."""
+    stale_list: bool = True
+    copies_on_leave: bool = True
+
+
+class Budget(typing.NamedTuple):
+    """How often each event may happen."""
+    joins: int = 0
+    crashes: int = 0
+    pauses: int = 0
+    leaves: int = 0
+
+
+class Member(typing.NamedTuple):
+    """One member of the service.
+
+    Attributes:
+      up: False while it is paused or down.
+      standing: What a missing record here proves.
+      claim: The executor that it has on record.
+      list_version: Version of the list that it knows.
+    """
+    up: bool
+    standing: claim_registry.MemberStanding
+    claim: claim_registry.Executor | None
+    list_version: int
+
+
+class Walk(typing.NamedTuple):
+    """One executor's walk.
+
+    Attributes:
+      list_version: Version of the list that it uses.
+      progress: How far it has come.
+      asking: The member being asked, or ''.
+      won: True once the executor may run the request.
+    """
+    list_version: int
+    progress: claim_walk.Progress
+    asking: str
+    won: bool
+
+
+class World(typing.NamedTuple):
+    """The state of the model.
+
+    Attributes:
+      lists: Versions of the list: (names, lost names).
+      members: Members by position in `NAMES`; None when not running.
+      walks: Walks by executor; None before the start.
+      late: Questions under way after they were given up.
+      budget: Events that may still happen.
+    """
+    lists: tuple[tuple[frozenset[str], frozenset[str]], ...]
+    members: tuple[Member | None, ...]
+    walks: tuple[Walk | None, ...]
+    late: frozenset
+    budget: Budget
+
+
+def _executor(index: int) -> claim_registry.Executor:
+    return claim_registry.Executor(f'x{index}', 1)
+
+
+def _claim(index: int, list_version: int) -> datagram.Claim:
+    return datagram.Claim(0, 'c', 'k', *_executor(index), list_version)
+
+
+class Model:
+    """Transitions of the model under given rules."""
+
+    def __init__(self, budget: Budget, executors: int,
+                 rules: claim_walk.WalkRules, switches: Switches):
+        """Makes the model with `executors` walks and the events of `budget`."""
+        self._rules = rules
+        self._switches = switches
+        mature = Member(True, _Standing.MATURE, None, _FIRST)
+        names = frozenset(NAMES[1:])
+        self.initial = World(((names, frozenset()),),
+                             (None, mature, mature, mature),
+                             (None,) * executors, frozenset(), budget)
+
+    def transitions(self, state: tuple) -> list[tuple[str, tuple]]:
+        """Returns the labelled successors of a state."""
+        world = World(*state)
+        steps = itertools.chain(self._walks(world), self._late(world),
+                                self._member_events(world), self._joins(world))
+        return [(label, tuple(after)) for label, after in steps]
+
+    def _walks(self, world: World):
+        for index, walk in enumerate(world.walks):
+            if walk is None:
+                # The executor may know any list, old or new.
+                for version in range(1, len(world.lists) + 1):
+                    yield f'x{index} starts with list {version}', self._go(
+                        world, index, version, claim_walk.Progress())
+            elif walk.asking:
+                yield from self._ask(world, index, walk)
+
+    def _go(self, world: World, index: int, version: int,
+            progress: claim_walk.Progress) -> World:
+        """Moves a walk to its next question or its end."""
+        names, lost = world.lists[version - 1]
+        order = tuple(n for n in NAMES if n in names | lost)
+        progress, step = claim_walk.advance(progress, order, lost, self._rules)
+        asking = step.member if isinstance(step, claim_walk.Ask) else ''
+        won = isinstance(step, claim_walk.Won)
+        return _put_walk(world, index, Walk(version, progress, asking, won))
+
+    def _ask(self, world: World, index: int, walk: Walk):
+        """The question is answered, or given up with or without effect."""
+        position = NAMES.index(walk.asking)
+        label = f'x{index} asks {walk.asking}:'
+        member = world.members[position]
+        gone_on = self._go(world, index, walk.list_version,
+                           claim_walk.count(walk.progress, None, self._rules))
+        yield f'{label} nothing', gone_on._replace(
+            late=world.late | {(index, walk.asking, walk.list_version)})
+        if member is None or not member.up:
+            return
+        after, verdict = self._judge(world, index, position, walk.list_version)
+        if after != world:
+            yield f'{label} answer lost', self._go(
+                after, index, walk.list_version,
+                claim_walk.count(walk.progress, None, self._rules))
+        if verdict is _Verdict.TAKEN:
+            yield f'{label} taken', _put_walk(after, index,
+                                              walk._replace(asking=''))
+        elif verdict is _Verdict.STALE_LIST:
+            yield f'{label} stale', self._go(after, index, len(world.lists),
+                                             claim_walk.Progress())
+        else:
+            yield f'{label} {verdict.value}', self._go(
+                after, index, walk.list_version,
+                claim_walk.count(walk.progress, verdict, self._rules))
+
+    def _judge(self, world: World, index: int, position: int,
+               list_version: int) -> tuple[World, claim_registry.Verdict]:
+        member = world.members[position]
+        claim = _claim(index, list_version)
+        known = member.list_version if self._switches.stale_list else 0
+        verdict = claim_registry.judge(member.claim, claim, known,
+                                       member.standing)
+        if verdict not in (_Verdict.TAKEN, _Verdict.STALE_LIST):
+            world = _put_member(world, position,
+                                member._replace(claim=_executor(index)))
+        return world, verdict
+
+    def _late(self, world: World):
+        for question in world.late:
+            index, name, list_version = question
+            position = NAMES.index(name)
+            member = world.members[position]
+            if member and member.up:
+                after, _ = self._judge(world, index, position, list_version)
+                if after != world:
+                    yield f'late question of x{index} reaches {name}', (
+                        after._replace(late=world.late - {question}))
+
+    def _joins(self, world: World):
+        if not world.budget.joins:
+            return
+        names, lost = world.lists[-1]
+        version = len(world.lists) + 1
+        joined = world._replace(lists=world.lists + ((names | {'n'}, lost),),
+                                budget=world.budget._replace(joins=0))
+        yield 'n joins', _put_member(joined, 0,
+                                     Member(True, _Standing.NEW, None, version))
+
+    def _member_events(self, world: World):
+        budget, latest = world.budget, len(world.lists)
+        names, lost = world.lists[-1]
+        for position, member in enumerate(world.members):
+            name = NAMES[position]
+            if member is None:
+                if name in names or name in lost:
+                    yield from self._down_events(world, position)
+                continue
+            if not member.up:
+                yield f'{name} wakes', _put_member(
+                    world, position,
+                    member._replace(up=True, standing=_Standing.AMNESIC))
+                yield from self._lose(world, name)
+                continue
+            if member.list_version < latest:
+                yield f'{name} learns the list', _put_member(
+                    world, position, member._replace(list_version=latest))
+            if budget.crashes:
+                spent = budget._replace(crashes=budget.crashes - 1)
+                yield f'{name} crashes', _put_member(
+                    world._replace(budget=spent), position, None)
+            if budget.pauses:
+                spent = budget._replace(pauses=budget.pauses - 1)
+                yield f'{name} pauses', _put_member(
+                    world._replace(budget=spent), position,
+                    member._replace(up=False))
+            if budget.leaves and name in names:
+                spent = budget._replace(leaves=budget.leaves - 1)
+                yield f'{name} leaves', self._leave(
+                    world._replace(budget=spent), position)
+
+    def _down_events(self, world: World, position: int):
+        """A crashed member is marked lost or restarts under its name."""
+        name = NAMES[position]
+        names, lost = world.lists[-1]
+        yield from self._lose(world, name)
+        if name in names or name in lost:
+            version = len(world.lists) + 1
+            lists = world.lists + ((names | {name}, lost - {name}),)
+            yield f'{name} restarts', _put_member(
+                world._replace(lists=lists), position,
+                Member(True, _Standing.AMNESIC, None, version))
+
+    def _lose(self, world: World, name: str):
+        names, lost = world.lists[-1]
+        if name in names:
+            lists = world.lists + ((names - {name}, lost | {name}),)
+            yield f'{name} is marked lost', world._replace(lists=lists)
+
+    def _leave(self, world: World, position: int) -> World:
+        """A member gives its claim to two others and leaves the list."""
+        name, member = NAMES[position], world.members[position]
+        names, lost = world.lists[-1]
+        if member.claim and self._switches.copies_on_leave:
+            kept = 0
+            for other, keeper in enumerate(world.members):
+                if (other == position or NAMES[other] not in names or
+                        kept == claim_walk.COPIES):
+                    continue
+                kept += 1
+                if keeper and keeper.up and keeper.claim is None:
+                    world = _put_member(world, other,
+                                        keeper._replace(claim=member.claim))
+        lists = world.lists + ((names - {name}, lost),)
+        return _put_member(world._replace(lists=lists), position, None)
+
+
+def _put_member(world: World, position: int, member: Member | None) -> World:
+    members = list(world.members)
+    members[position] = member
+    return world._replace(members=tuple(members))
+
+
+def _put_walk(world: World, index: int, walk: Walk) -> World:
+    walks = list(world.walks)
+    walks[index] = walk
+    return world._replace(walks=tuple(walks))
+
+
+def _runs_at_most_once(fields: dict) -> bool:
+    return sum(1 for walk in fields['walks'] if walk and walk.won) <= 1
+
+
+def case(
+    name: str,
+    budget: Budget,
+    executors: int = 2,
+    removed: str = '',
+    rules: claim_walk.WalkRules = claim_walk.ALL_RULES,
+    switches: Switches = Switches()
+) -> checker.Case:
+    """Returns the specification under a budget of events."""
+    model = Model(budget, executors, rules, switches)
+    return checker.Case(
+        f'at most once: {name}', removed,
+        minicheck.Protocol(name=name,
+                           candidate=False,
+                           fields=World._fields,
+                           initial=tuple(model.initial),
+                           transitions=model.transitions,
+                           invariants={'one run': _runs_at_most_once}))
+
+
+BUDGETS = {
+    'three executors': (Budget(), 3),
+    'join, crash': (Budget(joins=1, crashes=1), 2),
+    'two crashes': (Budget(crashes=2), 2),
+    'crash, pause': (Budget(crashes=1, pauses=1), 2),
+    'join, leave': (Budget(joins=1, leaves=1), 2),
+    'crash, leave': (Budget(crashes=1, leaves=1), 2),
+    'two leaves': (Budget(leaves=2), 2),
+}
+
+
+def cases() -> list[checker.Case]:
+    """Returns the full specifications and their variants."""
+    return [case(name, *spec) for name, spec in BUDGETS.items()]
