--- a/figdrum/agent/claim_service.py
+++ b/figdrum/agent/claim_service.py
@@ -71,6 +71,7 @@
         self._claimed: dict[int, _Key] = {}
         self._leaving = False
         self._giving = 0
+        self._misplaced = 0
         self._waiters: dict[_Key,
                             list[collections.abc.Callable[[codes.Response],
                                                           None]]] = {}
@@ -103,7 +104,7 @@
         reply = self._judge(claim)
         self._peers.send(address, codec.encode(reply))
         if self._leaving and len(self._registry) > known:
-            for to in self._keepers(claim.customer, claim.key):
+            for to in self._keepers():
                 self.give(to, claim)
 
     def on_execute(self, address: ids.Address, ask: datagram.Execute) -> None:
@@ -132,7 +133,7 @@
         return tuple(
             (to, claim)
             for claim in self._registry.copies(self._own.members.version)
-            for to in self._keepers(claim.customer, claim.key))
+            for to in self._keepers())
 
     @property
     def giving(self) -> int:
@@ -145,7 +146,8 @@
 
         def done(reply: typing.Any) -> None:
             self._giving -= 1
-            if reply is None:
+            if not _is_grant(reply):
+                self._misplaced += 1
                 self._metrics.incr('agent.claim_not_given')
 
         self._questions.ask(
@@ -153,24 +155,19 @@
                 nonce=nonce, list_version=self._own.members.version, copy=True),
             GIVE_MS).addCallback(done)
 
-    def _keepers(self, customer: str,
-                 key: str) -> tuple[service_list.Member, ...]:
-        """Returns the members that have to know a key when this one left.
+    @property
+    def misplaced(self) -> int:
+        """Claims that some member did not take over from this leaving one.
 
-        A member that is draining is asked by walks but may be gone soon, so it
-        does not count as one of the two.
+        The leaver then counts as lost: with a failure of the other holder, a
+        walk could else miss both copies.
         """
-        keepers: list[service_list.Member] = []
-        active = 0
-        for member in self._own.members.order(
-                claim_registry.key_bytes(customer, key)):
-            if member.name == self._own.name:
-                continue
-            keepers.append(member)
-            active += member.state is states.MemberState.ACTIVE
-            if active == claim_walk.COPIES:
-                break
-        return tuple(keepers)
+        return self._misplaced
+
+    def _keepers(self) -> tuple[service_list.Member, ...]:
+        """Returns the members that take over the claims of a leaving one."""
+        return tuple(
+            m for m in self._own.members.routable() if m.name != self._own.name)
 
     def expire(self) -> None:
         """Forgets what is older than the key lifetime."""
@@ -286,6 +283,12 @@
         self._peers.send(address, codec.encode(reply))
 
 
+def _is_grant(reply: typing.Any) -> bool:
+    return isinstance(
+        reply,
+        datagram.ClaimReply) and reply.verdict in claim_registry.GRANTED_VALUES
+
+
 def _advance(walk: claim_walk.ClaimWalk, member: str,
              reply: typing.Any) -> claim_walk.WalkStep:
     """Returns the next step; a reply that makes no sense is none."""
--- a/figdrum/agent/core.py
+++ b/figdrum/agent/core.py
@@ -183,8 +183,13 @@
         self.leave.start(now_ms)
 
     def publish_leave(self) -> defer.Deferred:
-        """Publishes that the agent has left."""
-        return self._membership.leave()
+        """Publishes that the agent has left, with its claims or without."""
+        state = states.MemberState.LEFT
+        if self._claims.misplaced:
+            state = states.MemberState.LOST
+            _log.warning('left as lost: %d claims not taken over',
+                         self._claims.misplaced)
+        return self._membership.leave(state)
 
     def stop(self) -> None:
         """Ends all repetitions."""
--- a/figdrum/agent/membership.py
+++ b/figdrum/agent/membership.py
@@ -138,9 +138,9 @@
         self._leaving = True
         self._lister.publish_draining().addErrback(self._on_failure)
 
-    def leave(self) -> typing.Any:
-        """Marks the own member as left; returns a Deferred."""
-        return self._lister.leave().addErrback(self._on_failure)
+    def leave(self, state: states.MemberState) -> typing.Any:
+        """Marks the own member as left or lost; returns a Deferred."""
+        return self._lister.leave(state).addErrback(self._on_failure)
 
     def stop(self) -> None:
         """Ends all repetitions."""
--- a/figdrum/contracts/change_log.py
+++ b/figdrum/contracts/change_log.py
@@ -401,12 +401,18 @@
         if not proposal.has_intent:
             return
         key = change_lib.key(proposal.change)
-        if (yield self._store.get(key)) is None:
+        item = yield self._store.get(key)
+        if item is None:
             raise errors.ApprovalError(
                 'reject', proposal.id,
                 f'{proposal.decider} is approving it as {key}; it can be '
                 'approved again, or rejected once another change has that '
                 'number')
+        # The append may have come after the proposal was last repaired.
+        if change_lib.Change.from_json(item.value).id == change_lib.id_of(
+                proposal.id):
+            raise errors.ApprovalError('reject', proposal.id,
+                                       f'it was approved as {key}')
 
     @defer.inlineCallbacks
     def _read_proposal(self, proposal_id: str):
--- a/figdrum/idempotency/claim_registry.py
+++ b/figdrum/idempotency/claim_registry.py
@@ -64,6 +64,8 @@
     MemberStanding.AMNESIC: Verdict.GRANTED_AMNESIC,
 }
 
+GRANTED_VALUES = frozenset(verdict.value for verdict in _GRANTED.values())
+
 
 class Executor(typing.NamedTuple):
     """An agent that may run a request, in one incarnation."""
--- a/figdrum/membership/lister.py
+++ b/figdrum/membership/lister.py
@@ -113,14 +113,22 @@
         return self._updater.until_done(
             lambda: self._update(self._with_draining))
 
-    def leave(self) -> defer.Deferred:
+    def leave(
+            self,
+            state: states.MemberState = states.MemberState.LEFT
+    ) -> defer.Deferred:
         """Marks the own member as left; retried until it is done or `stop`.
 
         A join that is under way ends. A member without an answer from the
         platform is marked as lost by the others later.
+
+        Args:
+          state: LEFT, or LOST for a member that could not give away what it
+            knew.
         """
         self._leaving = True
-        return self._updater.until_done(lambda: self._update(self._with_left))
+        return self._updater.until_done(lambda: self._update(
+            lambda members: self._with_left(members, state)))
 
     def stop(self) -> None:
         """Ends all repetitions."""
@@ -233,13 +241,12 @@
         return members.with_member(
             own._replace(state=states.MemberState.DRAINING))
 
-    def _with_left(
-            self,
-            members: service_list.ServiceList) -> service_list.ServiceList:
+    def _with_left(self, members: service_list.ServiceList,
+                   state: states.MemberState) -> service_list.ServiceList:
         own = members.find(self._name)
         if own is None or not self._is_own(own) or own.state in _TOMBSTONES:
             return members
-        return members.with_member(own._replace(state=states.MemberState.LEFT))
+        return members.with_member(own._replace(state=state))
 
     def _with_lost(
             self, now_ms: int, members: service_list.ServiceList,
--- a/figdrum/ownership/decision.py
+++ b/figdrum/ownership/decision.py
@@ -431,7 +431,7 @@
     if view.phase in (Phase.INQUIRING, Phase.SETTLED) and view.can_admit():
         return Decision(records.Hold(),
                         (actions.Deliver(packet, started=True),))
-    return refuse(view, packet, _refusal(packet))
+    return refuse(view, packet, _refusal(view, packet))
 
 
 def _while_asking(view: View, record: records.Pending | records.Hold,
@@ -488,7 +488,7 @@
                                  uncertain=packet.uncertain or
                                  (view.rules.doubt and packet.must_ask))
     if packet.tries >= MAX_TRIES or not rest:
-        return refuse(view, packet, _refusal(packet))
+        return refuse(view, packet, _refusal(view, packet))
     record = None
     if view.rules.pointer_at_passing:
         record = records.Pointer(rest[0].name, rest[0].incarnation)
@@ -511,8 +511,13 @@
     return _send(record, rest[0], packet)
 
 
-def _refusal(packet: datagram.Packet) -> states.Refusal:
-    """Returns what a refusal may truthfully say of the request."""
-    if packet.uncertain:
+def _refusal(view: View, packet: datagram.Packet) -> states.Refusal:
+    """Returns what a refusal may truthfully say of the request.
+
+    It says did-not-run only when another member has a fence as well, since a
+    fence is lost with its agent.
+    """
+    is_alone = all(name == view.name for name in packet.visited)
+    if packet.uncertain or (is_alone and view.rules.doubt):
         return states.Refusal.OUTCOME_UNKNOWN
     return states.Refusal.DID_NOT_RUN
--- /dev/null
+++ b/spec/versions.py
@@ -0,0 +1,325 @@
+"""Specification of the order of contract changes.
+
+Explanation
+===========
+
+Operators approve and reject proposals at the same time. Each runs the real
+`ChangeLog` over a store whose answers the model chooses: a call succeeds, is
+lost, takes effect without an answer, or takes effect late. An operator's code
+is deterministic, so its state is the sequence of answers that it has had; the
+model runs it again from the start to find its next call.
+
+Properties: the log has no gap and no proposal twice, no entry is ever
+overwritten, an approval that was reported is in the log, and a rejection that
+was reported keeps the proposal out of it.
+"""
+
+import functools
+import itertools
+import logging
+import typing
+
+import minicheck
+from twisted.internet import defer
+
+from figdrum.contracts import change as change_lib
+from figdrum.contracts import change_log
+from figdrum.core import clock
+from figdrum.core import errors
+from figdrum.platform import memory_store
+from figdrum.platform import store as store_lib
+from spec import checker
+
+
+class Call(typing.NamedTuple):
+    """A call of the store.
+
+    Attributes:
+      kind: 'get', 'list', 'put' or 'watch'.
+      key: Key or prefix.
+      value: Value to write.
+      if_version: Expected version; for a watch the revision after which
+        changes are asked for.
+    """
+    kind: str
+    key: str
+    value: str = ''
+    if_version: int = 0
+
+
+class Answer(typing.NamedTuple):
+    """What a call returned; `error` is '' or an error's class name."""
+    error: str
+    result: typing.Any
+
+
+class Operation(typing.NamedTuple):
+    """What an operator does: 'approve' or 'reject' a proposal."""
+    verb: str
+    proposal: str
+    operator: str
+
+
+class Ended(typing.NamedTuple):
+    """How an operation ended; `error` is '' when it succeeded."""
+    error: str
+
+
+class Switches(typing.NamedTuple):
+    """Switches that let the specification leave a rule out.
+
+    Attributes:
+      conditional: The store checks versions.
+      intent: A rejection waits for an approval that is under way.
+    """
+    conditional: bool = True
+    intent: bool = True
+
+
+class World(typing.NamedTuple):
+    """The state of the model.
+
+    Attributes:
+      items: The store's objects, sorted by key.
+      revision: The store's revision.
+      answers: Answers that each operator has had.
+      late: Writes that take effect later.
+      faults: Calls that may still fail.
+      overwritten: True once an entry of the log was replaced.
+    """
+    items: tuple[store_lib.Item, ...]
+    revision: int
+    answers: tuple[tuple[Answer, ...], ...]
+    late: frozenset
+    faults: int
+    overwritten: bool
+
+
+class _ScriptedStore(store_lib.Store):
+    """Gives the recorded answers, then keeps the next call open."""
+
+    def __init__(self, answers: tuple[Answer, ...]):
+        self._answers = iter(answers)
+        self.open: Call | None = None
+
+    def get(self, key):
+        return self._call(Call('get', key))
+
+    def list(self, prefix):
+        return self._call(Call('list', prefix))
+
+    def put(self, key, value, if_version):
+        return self._call(Call('put', key, value, if_version))
+
+    def watch(self, prefix, since_revision, timeout_ms):
+        return self._call(Call('watch', prefix, '', since_revision))
+
+    def _call(self, call: Call) -> defer.Deferred:
+        answer = next(self._answers, None)
+        if answer is None:
+            self.open = call
+            return defer.Deferred()
+        if answer.error:
+            exc = getattr(errors, answer.error)
+            return defer.fail(exc(call.kind, call.key, 'scripted'))
+        return defer.succeed(answer.result)
+
+
+class _HastyLog(change_log.ChangeLog):
+    """Rejects without regard to an approval that is under way."""
+
+    def _check_intent_failed(self, proposal):
+        return defer.succeed(None)
+
+
+@functools.lru_cache(maxsize=1 << 18)
+def _run(operation: Operation, answers: tuple[Answer, ...],
+         switches: Switches) -> Call | Ended:
+    """Runs an operation again; returns its next call or its end."""
+    scripted = _ScriptedStore(answers)
+    cls = change_log.ChangeLog if switches.intent else _HastyLog
+    log = cls(scripted, clock.ManualClock(1), lambda: 'unused')
+    outcome: list[Ended] = []
+    started = getattr(log, operation.verb)(operation.proposal,
+                                           operation.operator)
+    started.addCallbacks(lambda _: outcome.append(Ended('')),
+                         lambda f: outcome.append(Ended(f.type.__name__)))
+    return outcome[0] if outcome else scripted.open
+
+
+def _apply(world: World, call: Call, conditional: bool) -> tuple[World, Answer]:
+    """Carries a call out."""
+    held = {item.key: item for item in world.items}
+    if call.kind == 'get':
+        return world, Answer('', held.get(call.key))
+    if call.kind == 'list':
+        found = [i for i in world.items if i.key.startswith(call.key)]
+        return world, Answer('', (found, world.revision))
+    if call.kind == 'watch':
+        found = [
+            i for i in world.items
+            if i.key.startswith(call.key) and i.revision > call.if_version
+        ]
+        found.sort(key=lambda item: item.revision)
+        return world, Answer('', (found, world.revision))
+    old = held.get(call.key)
+    version = old.version if old else 0
+    if conditional and version != call.if_version:
+        return world, Answer('ConflictError', None)
+    item = store_lib.Item(call.key, call.value, version + 1, world.revision + 1)
+    held[call.key] = item
+    replaced = old is not None and call.key.startswith(change_lib.PREFIX)
+    after = world._replace(items=tuple(sorted(held.values())),
+                           revision=item.revision,
+                           overwritten=world.overwritten or replaced)
+    return after, Answer('', item)
+
+
+def _hashable(answer: Answer) -> Answer:
+    if isinstance(answer.result, tuple) and isinstance(answer.result[0], list):
+        items, revision = answer.result
+        return Answer('', (tuple(items), revision))
+    return answer
+
+
+class Model:
+    """Transitions of the model under given rules."""
+
+    def __init__(self, operations: tuple[Operation, ...], zones: dict[str, str],
+                 faults: int, switches: Switches):
+        """Makes the model.
+
+        Args:
+          operations: What the operators do at the same time.
+          zones: Zone that each proposal takes out.
+          faults: Calls that may fail.
+          switches: Rules in force.
+        """
+        self._operations = operations
+        self._switches = switches
+        store = memory_store.MemoryStore()
+        log = change_log.ChangeLog(store, clock.ManualClock(1),
+                                   lambda: 'unused')
+        for proposal, zone in zones.items():
+            log.propose(change_lib.ZoneOut(zone), 'alice', proposal)
+        items: list[store_lib.Item] = []
+        store.list('').addCallback(lambda found: items.extend(found[0]))
+        self.initial = World(tuple(items), store.revision,
+                             ((),) * len(operations), frozenset(), faults,
+                             False)
+
+    def transitions(self, state: tuple) -> list[tuple[str, tuple]]:
+        """Returns the labelled successors of a state."""
+        world = World(*state)
+        steps = itertools.chain(self._calls(world), self._late(world))
+        return [(label, tuple(after)) for label, after in steps]
+
+    def _calls(self, world: World):
+        for index, operation in enumerate(self._operations):
+            call = _run(operation, world.answers[index], self._switches)
+            if isinstance(call, Ended):
+                continue
+            label = f'{operation.operator} {call.kind} {call.key}'
+            after, answer = _apply(world, call, self._switches.conditional)
+            yield label, _answered(after, index, answer)
+            if not world.faults:
+                continue
+            failed = Answer('StoreError', None)
+            spent = _answered(world._replace(faults=world.faults - 1), index,
+                              failed)
+            yield f'{label}: no answer', spent
+            if call.kind == 'put':
+                yield f'{label}: answer lost', spent._replace(
+                    items=after.items,
+                    revision=after.revision,
+                    overwritten=after.overwritten)
+                yield f'{label}: late', spent._replace(late=world.late | {call})
+
+    def _late(self, world: World):
+        for call in world.late:
+            after, _ = _apply(world, call, self._switches.conditional)
+            yield f'late write of {call.key}', after._replace(late=world.late -
+                                                              {call})
+
+    def is_sound(self, fields: dict) -> bool:
+        """Returns whether the log and the operators' reports agree."""
+        world = World(**fields)
+        changes = [
+            change_lib.Change.from_json(item.value)
+            for item in world.items
+            if item.key.startswith(change_lib.PREFIX)
+        ]
+        proposals = [change.proposal for change in changes]
+        if (world.overwritten or len(set(proposals)) < len(proposals) or
+            [change.n for change in changes] != list(range(1,
+                                                           len(changes) + 1))):
+            return False
+        return all(
+            _agrees(operation, _run(operation, answers, self._switches),
+                    operation.proposal in proposals)
+            for operation, answers in zip(self._operations, world.answers))
+
+
+def _agrees(operation: Operation, end: Call | Ended, is_in_log: bool) -> bool:
+    """Returns whether what an operator was told fits the log."""
+    if end == Ended(''):
+        return is_in_log == (operation.verb == 'approve')
+    if end in (Ended('ChangeRaceError'), Ended('ConflictError')):
+        return not is_in_log
+    return True
+
+
+def _answered(world: World, index: int, answer: Answer) -> World:
+    answers = list(world.answers)
+    answers[index] += (_hashable(answer),)
+    return world._replace(answers=tuple(answers))
+
+
+_BOB = Operation('approve', 'p1', 'bob')
+RACES = {
+    'one proposal approved twice': ((_BOB, Operation('approve', 'p1',
+                                                     'carol')), {
+                                                         'p1': 'muscat-a'
+                                                     }),
+    'approval against rejection': ((_BOB, Operation('reject', 'p1', 'carol')), {
+        'p1': 'muscat-a'
+    }),
+    'two proposals': ((_BOB, Operation('approve', 'p2', 'carol')), {
+        'p1': 'muscat-a',
+        'p2': 'sohar-a'
+    }),
+    'two proposals on one zone': ((_BOB, Operation('approve', 'p2', 'carol')), {
+        'p1': 'muscat-a',
+        'p2': 'muscat-a'
+    }),
+}
+
+
+def case(name: str,
+         faults: int,
+         removed: str = '',
+         switches: Switches = Switches()) -> checker.Case:
+    """Returns the specification of one race."""
+    operations, zones = RACES[name]
+    model = Model(operations, zones, faults, switches)
+    return checker.Case(
+        f'version order: {name}', removed,
+        minicheck.Protocol(name=name,
+                           candidate=False,
+                           fields=World._fields,
+                           initial=tuple(model.initial),
+                           transitions=model.transitions,
+                           invariants={'sound log': model.is_sound}))
+
+
+def cases() -> list[checker.Case]:
+    """Returns the full specifications and their variants."""
+    # The checker runs in a process without operators to read the log.
+    logging.getLogger('figdrum').setLevel(logging.CRITICAL)
+    full = [case(name, 2) for name in RACES]
+    variants = [
+        case('two proposals', 0, 'conditional writes',
+             Switches(conditional=False)),
+        case('approval against rejection', 1, 'intent', Switches(intent=False)),
+    ]
+    return full + variants
