Measure a balancer's speed and the cost of decisions

Missing: the share of a core that the data path needs, and how the cost of a decision grows with services, back ends and held flows.

Change: bench.speed sends packets through real balancer and agent processes on loopback and through a bare twisted forwarder in the same run; bench.costs measures single decisions and prints a profile of a balancer's packet.

--- /dev/null
+++ b/bench/speed.py
@@ -0,0 +1,315 @@
+"""Measures a balancer's speed on loopback against a bare forwarder.
+
+Explanation
+===========
+
+Run it with `python -m bench.speed [SECONDS]`. Three ways are measured in the
+same run, each through processes of `bench.speed_child`:
+
+* `one way`: this process sends callers' packets and receives them behind the
+  balancer. The floor is a twisted process that forwards datagrams unchanged.
+* `reply`: this process sends agents' replies and receives them at the fabric's
+  port, against the same floor.
+* `round trip`: caller, balancer, agent with a target that answers at once, and
+  back. The floor is an echo.
+
+The speed is that of a window of `WINDOW` packets in flight. The CPU time is the
+processes' own, so other work on the machine changes it less than the speed. The
+latency is measured at `PACED` packets a second; the added latency is that above
+the floor. Packets that do not arrive within 0.5 s count as lost.
+
+References
+==========
+
+HdrHistogram: https://hdrhistogram.org
+"""
+
+import collections.abc
+import contextlib
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+import aiocoap
+from hdrh import histogram
+
+from bench import measure
+from bench import speed_child
+from figdrum.balancer import proxy_header
+from figdrum.core import ids
+from figdrum.messages import codec
+from figdrum.messages import datagram
+
+SEED = 1
+SECONDS = 3.0
+FLOWS = 200
+WINDOW = 32
+PACED = 500
+ALIVE_EACH = 64
+WAIT_S = 0.5
+_MAX_US = 1_000_000
+_READ_BYTES = 65_536
+_BUFFER_BYTES = 4 << 20
+_PONG = codec.encode(datagram.Pong(1, speed_child.AGENT_NAME))
+_CALLER = '192.0.2.1'
+
+
+class Way(typing.NamedTuple):
+    """How packets go.
+
+    Attributes:
+      name: What passes the packets.
+      to: Where they are sent.
+      sender: Socket that sends them.
+      receiver: Socket at which they arrive.
+      pids: Processes whose CPU time counts.
+      of: Makes the datagram of a number.
+      alive: Where the receiver shows that it is alive, as an agent does, so
+        that the balancer does not suspect it; or None.
+    """
+    name: str
+    to: ids.Address
+    sender: socket.socket
+    receiver: socket.socket
+    pids: tuple[int, ...]
+    of: collections.abc.Callable[[int], bytes]
+    alive: ids.Address | None = None
+
+
+class Row(typing.NamedTuple):
+    """Figures of one way.
+
+    Attributes:
+      way: The way.
+      per_s: Packets a second through it.
+      cpu_us: CPU time of the processes on it for a packet, in us.
+      p50_us: Median latency.
+      p99_us: 99th percentile of the latency.
+      lost: Packets that did not arrive.
+      of_floor: Packets a second as a share of the floor's.
+      added_p50_us: Median above the floor's.
+      added_p99_us: 99th percentile above the floor's.
+    """
+    way: str
+    per_s: float
+    cpu_us: float
+    p50_us: int
+    p99_us: int
+    lost: int
+    of_floor: float = 1.0
+    added_p50_us: int = 0
+    added_p99_us: int = 0
+
+
+class Children(contextlib.AbstractContextManager):
+    """Starts processes of `bench.speed_child` and ends them."""
+
+    def __init__(self):
+        self._running: list[subprocess.Popen] = []
+
+    def start(self, role: str, argument: str = '-') -> tuple[int, dict]:
+        """Starts a process; returns its id and its ports."""
+        child = subprocess.Popen(  # pylint: disable=consider-using-with
+            [sys.executable, '-m', 'bench.speed_child', role, argument],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True)
+        self._running.append(child)
+        return child.pid, json.loads(child.stdout.readline())
+
+    def __exit__(self, *exc):
+        for child in self._running:
+            child.stdin.close()
+        for child in self._running:
+            child.wait(30)
+            child.stdout.close()
+
+
+def udp_socket() -> socket.socket:
+    """Returns a bound loopback socket with large buffers."""
+    made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    made.bind((speed_child.HOST, 0))
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES)
+    made.settimeout(WAIT_S)
+    return made
+
+
+def cpu_s(pids: tuple[int, ...]) -> float:
+    """Returns the CPU time that these processes have used."""
+    ticks = 0
+    for pid in pids:
+        with open(f'/proc/{pid}/stat', encoding='ascii') as stat:
+            fields = stat.read().rpartition(')')[2].split()
+        ticks += int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf('SC_CLK_TCK')
+
+
+def request(number: int) -> bytes:
+    """Returns a caller's GET with the PROXY header, by one of `FLOWS` flows."""
+    coap = aiocoap.Message(code=aiocoap.GET,
+                           _mtype=aiocoap.CON,
+                           _mid=number // FLOWS & 0xffff,
+                           _token=b'%04x' % (number & 0xffff),
+                           uri_path=('visits',)).encode()
+    return proxy_header.pack((_CALLER, 10_000 + number % FLOWS),
+                             speed_child.SERVICE_ADDRESS, coap)
+
+
+def reply(number: int) -> bytes:
+    """Returns an agent's reply."""
+    flow = ids.FlowKey(_CALLER, 10_000 + number % FLOWS,
+                       *speed_child.SERVICE_ADDRESS)
+    return codec.encode(datagram.Reply(flow, b'x' * 24))
+
+
+def throughput(way: Way, seconds: float,
+               first: int) -> tuple[float, float, int]:
+    """Returns packets a second, CPU time for each in us, and lost packets."""
+    packets = [way.of(first + i) for i in range(int(seconds * 60_000))]
+    sent = received = lost = 0
+    cpu_before, began = cpu_s(way.pids), time.perf_counter()
+    end = began + seconds
+    while sent < len(packets) and time.perf_counter() < end:
+        while sent - received - lost < WINDOW and sent < len(packets):
+            way.sender.sendto(packets[sent], way.to)
+            sent += 1
+        try:
+            way.receiver.recv(_READ_BYTES)
+            received += 1
+            _show_alive(way, received)
+        except TimeoutError:
+            lost = sent - received
+    elapsed = time.perf_counter() - began
+    used = cpu_s(way.pids) - cpu_before
+    _drain(way)
+    return received / elapsed, used / max(1, received) * 1e6, lost
+
+
+def latency(way: Way, seconds: float, first: int) -> histogram.HdrHistogram:
+    """Returns the latency of packets sent one by one, in us."""
+    hist = histogram.HdrHistogram(1, _MAX_US, 3)
+    start = time.perf_counter()
+    for i in range(int(seconds * PACED)):
+        packet = way.of(first + i)
+        pause = start + i / PACED - time.perf_counter()
+        if pause > 0:
+            time.sleep(pause)
+        began = time.perf_counter()
+        way.sender.sendto(packet, way.to)
+        try:
+            way.receiver.recv(_READ_BYTES)
+            _show_alive(way, i)
+            hist.record_value(int((time.perf_counter() - began) * 1e6))
+        except TimeoutError:
+            hist.record_value(_MAX_US)
+    return hist
+
+
+def _show_alive(way: Way, received: int) -> None:
+    if way.alive is not None and received % ALIVE_EACH == 0:
+        way.receiver.sendto(_PONG, way.alive)
+
+
+def _drain(way: Way) -> None:
+    """Reads what is still on its way."""
+    with contextlib.suppress(TimeoutError):
+        while True:
+            way.receiver.recv(_READ_BYTES)
+
+
+def run_way(way: Way, seconds: float) -> Row:
+    """Measures one way, after a warm-up that starts every flow."""
+    throughput(way, seconds / 4, 0)
+    first = 1_000_000
+    per_s, used, lost = throughput(way, seconds, first)
+    hist = latency(way, seconds / 2, 2 * first)
+    return Row(way.name, per_s, used, hist.get_value_at_percentile(50),
+               hist.get_value_at_percentile(99), lost)
+
+
+def against(floor: Row, row: Row) -> Row:
+    """Returns `row` with its figures against those of `floor`."""
+    return row._replace(of_floor=row.per_s / floor.per_s,
+                        added_p50_us=row.p50_us - floor.p50_us,
+                        added_p99_us=row.p99_us - floor.p99_us)
+
+
+def one_way(children: Children, seconds: float) -> list[Row]:
+    """Measures the forwarder, the balancer and its reply path."""
+    with udp_socket() as out, udp_socket() as back:
+        port = back.getsockname()[1]
+        floor_pid, floor = children.start('forwarder',
+                                          f'{speed_child.HOST}:{port}')
+        pid, found = children.start(
+            'balancer', json.dumps({
+                'fabric': port,
+                'agents': [port] * 3
+            }))
+        host = speed_child.HOST
+        low = run_way(
+            Way('one way, floor', (host, floor['port']), out, back,
+                (floor_pid,), request), seconds)
+        frames = (host, found['frames'])
+        ways = (Way('one way, balancer', (host, found['port']), out, back,
+                    (pid,), request, frames),
+                Way('reply, balancer', frames, out, back, (pid,), reply))
+        return [low] + [against(low, run_way(way, seconds)) for way in ways]
+
+
+def round_trip(children: Children, seconds: float) -> list[Row]:
+    """Measures an echo, and balancer and agent."""
+    host = speed_child.HOST
+    with udp_socket() as own:
+        echo_pid, echo = children.start('echo')
+        agent_pid, agent = children.start('agent')
+        pid, found = children.start(
+            'balancer',
+            json.dumps({
+                'fabric': own.getsockname()[1],
+                'agents': [agent['port']]
+            }))
+        floor = run_way(
+            Way('round trip, floor', (host, echo['port']), own, own,
+                (echo_pid,), request), seconds)
+        row = run_way(
+            Way('round trip, balancer + agent', (host, found['port']), own, own,
+                (pid, agent_pid), request), seconds)
+        return [floor, against(floor, row)]
+
+
+class Speed(measure.Measure):
+    """The three ways."""
+    name = 'speed'
+
+    def __init__(self, seconds: float = SECONDS):
+        """Measures each way for about `seconds`."""
+        self._seconds = seconds
+
+    def run(self, seed):
+        with Children() as children:
+            rows = one_way(children, self._seconds)
+        with Children() as children:
+            rows += round_trip(children, self._seconds)
+        return measure.Table(
+            self.name,
+            self.command,
+            seed,
+            tuple(rows),
+            notes=(f'{FLOWS} flows, window {WINDOW}, latency at {PACED}/s',))
+
+
+MEASURE = Speed
+
+
+def main() -> None:
+    """Prints the table."""
+    seconds = float(sys.argv[1]) if len(sys.argv) > 1 else SECONDS
+    print(Speed(seconds).run(SEED).to_text())
+
+
+if __name__ == '__main__':
+    main()
--- a/bench/tests/test_capacity.py
+++ b/bench/tests/test_capacity.py
@@ -1,7 +1,9 @@
 """Tests of the benches of capacity at tiny sizes."""
 
 from bench import change_in_force
+from bench import costs
 from bench import slopes
+from bench import speed
 
 
 def test_change_reaches_all_nodes_and_bounds_hold():
@@ -26,3 +28,27 @@
     assert len(memory) == 8
     assert all(row.per_one > 0 for row in memory)
     assert any('resident' in note for note in table.notes)
+
+
+def test_packets_pass_all_ways():
+    """Guards against children that do not start and packets that are lost or
+    dropped on their way, which would be measured as speed."""
+    table = speed.Speed(seconds=0.2).run(1)
+    assert [row.lost for row in table.rows] == [0] * 5
+    assert all(row.per_s > 0 and row.p99_us > 0 for row in table.rows)
+
+
+def test_costs_are_measured_at_every_size():
+    """Guards against packets that are dropped and flows that are not held."""
+    table = costs.Costs((1, 2), (3, 4), (5, 6), count=50).run(1)
+    assert len(table.rows) == 11
+    assert all(row.us > 0 for row in table.rows)
+
+
+def test_every_packet_of_the_cost_bench_is_forwarded():
+    """Guards against a cost that is that of a drop."""
+    sent = []
+    receive = costs.balancer_path(2, 3, sent.append)
+    for packet in costs.packets(2, 10):
+        receive(packet)
+    assert len(sent) == 10
