--- a/figdrum/filters/chain.py
+++ b/figdrum/filters/chain.py
@@ -44,6 +44,10 @@
             if isinstance(verdict, filter.Answer):
                 return verdict
             verdict = self._filters[i].apply(verdict.ctx)
+            # A check against Deferred, an abstract class, takes 0.2 us; a
+            # packet passes four filters, which do not wait.
+            if type(verdict) is filter.Pass:  # pylint: disable=unidiomatic-typecheck
+                continue
             if isinstance(verdict, defer.Deferred):
                 return verdict.addCallback(
                     lambda value, after=i + 1: self._run_from(after, value))
