Decode messages whose fields have the expected types at once

Change: the exact types that msgpack returns for a valid message are computed once per class and compared at once; nested fields are checked as before, and any other message takes the way that finds the fault and raises the same error.

--- a/figdrum/messages/codec.py
+++ b/figdrum/messages/codec.py
@@ -46,6 +46,33 @@
     for cls in _TYPES + (ids.FlowKey,)
 }
 
+
+class _Shape(typing.NamedTuple):
+    """What a valid message's fields look like before they are converted.
+
+    Attributes:
+      types: Exact type of each field as msgpack returns it.
+      nested: Position and annotation of the fields that are tuples.
+    """
+    types: tuple[type, ...]
+    nested: tuple[tuple[int, typing.Any], ...]
+
+
+def _is_plain(hint: typing.Any) -> bool:
+    return (isinstance(hint, type) and
+            not isinstance(hint, types.GenericAlias) and hint not in _HINTS)
+
+
+_SHAPES = {
+    cls:
+        _Shape(
+            tuple(hint if _is_plain(hint) else tuple
+                  for hint in hints),
+            tuple((i, hint)
+                  for i, hint in enumerate(hints)
+                  if not _is_plain(hint))) for cls, hints in _HINTS.items()
+}
+
 Message = datagram.Message | control.Message
 
 
@@ -88,6 +115,14 @@
 
 
 def _build(cls: type, fields: tuple, peer: str) -> typing.Any:
+    shape = _SHAPES[cls]
+    if tuple(map(type, fields)) == shape.types:
+        if not shape.nested:
+            return cls(*fields)
+        values = list(fields)
+        for i, hint in shape.nested:
+            values[i] = _check(hint, values[i], peer)
+        return cls(*values)
     hints = _HINTS[cls]
     if len(fields) != len(hints):
         raise errors.MessageError(
