Measure the control path in its worst hours

Missing: how long a returning zone, joined regions and fresh balancers without the platform take, and how that grows with the service lists.

Change: bench.worst_hours runs the three in virtual time at four numbers of lists; `make bench` runs all measures of capacity.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,7 +20,8 @@
 DEFAULT_SEED = 1
 
 # Modules of measures; each has a class `MEASURE`.
-MODULES = ('broken_flows', 'imbalance', 'zone_service')
+MODULES = ('broken_flows', 'imbalance', 'zone_service', 'change_in_force',
+           'worst_hours', 'speed', 'costs', 'slopes')
 
 
 def load(names: list[str]) -> list[measure.Measure]:
--- a/bench/tests/test_capacity.py
+++ b/bench/tests/test_capacity.py
@@ -4,6 +4,7 @@
 from bench import costs
 from bench import slopes
 from bench import speed
+from bench import worst_hours
 
 
 def test_change_reaches_all_nodes_and_bounds_hold():
@@ -52,3 +53,12 @@
     for packet in costs.packets(2, 10):
         receive(packet)
     assert len(sent) == 10
+
+
+def test_worst_hours_end_in_step():
+    """Guards against hours in which nothing fails or no node recovers."""
+    table = worst_hours.WorstHours((4,), nodes=16).run(1)
+    assert [row.hour for row in table.rows
+           ] == ['zone back', 'regions apart', 'platform down']
+    assert all(bound.kept for bound in table.bounds)
+    assert all(row.caught_up_ms >= 0 for row in table.rows)
