Split the CoAP server's flow states and encoding off

coap/server.py had 573 lines and three jobs: reactions, the states of flows, and the encoding of messages. Found by reading.

The states of flows move to coap/flow_memory.py, encoding to coap/wire.py.

--- /dev/null
+++ b/figdrum/coap/flow_memory.py
@@ -0,0 +1,121 @@
+"""What the CoAP server remembers of each flow.
+
+Explanation
+===========
+
+Message ids and Observe values of a flow come from one sequence, which starts
+at a random number. Observations and refusals that may still be repeated stand
+beside it. The number of flows is bounded: the oldest flow without an
+observation is dropped first.
+
+Examples
+========
+
+>>> memory = FlowMemory(random.Random(1))
+>>> flow = ids.FlowKey('10.0.0.1', 4000, '10.9.0.1', 5683)
+>>> first = memory.next_mid(flow)
+>>> memory.next_mid(flow) == (first + 1) % MID_RANGE
+True
+>>> memory.observed(flow, b't') is None
+True
+"""
+
+import dataclasses
+import random
+
+from figdrum.coap import exchange
+from figdrum.coap import observation
+from figdrum.core import ids
+
+# Ten times the flows that an agent holds: refused flows leave a state too.
+MAX_FLOWS = 20_000
+SEQUENCE_RANGE = 1 << 24
+MID_RANGE = 1 << 16
+
+
+@dataclasses.dataclass(slots=True)
+class CallerFlow:
+    """State of one flow.
+
+    Attributes:
+      sequence: Last number of the flow's sequence.
+      observations: Observations by token.
+      refused: Time and refusal by the message id of the refused request.
+    """
+    sequence: int
+    observations: dict[bytes, observation.Observation]
+    refused: dict[int, tuple[int, bytes]]
+
+    def next(self) -> int:
+        """Returns the next number of the flow's sequence."""
+        self.sequence = (self.sequence + 1) % SEQUENCE_RANGE
+        return self.sequence
+
+
+class FlowMemory:
+    """The states of a bounded number of flows.
+
+    Args:
+      rng: Source of first sequence numbers.
+    """
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._flows: dict[ids.FlowKey, CallerFlow] = {}
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def get(self, flow: ids.FlowKey) -> CallerFlow:
+        """Returns the state of a flow, new if there is none."""
+        item = self._flows.get(flow)
+        if item is None:
+            item = CallerFlow(self._rng.randrange(MID_RANGE), {}, {})
+            self._flows[flow] = item
+            if len(self._flows) > MAX_FLOWS:
+                self._drop_idle()
+        return item
+
+    def find(self, flow: ids.FlowKey) -> CallerFlow | None:
+        """Returns the state of a flow, or None."""
+        return self._flows.get(flow)
+
+    def drop(self, flow: ids.FlowKey) -> None:
+        """Drops the state of a flow, if there is one."""
+        self._flows.pop(flow, None)
+
+    def next_mid(self, flow: ids.FlowKey) -> int:
+        """Returns the next message id of a flow."""
+        return self.get(flow).next() % MID_RANGE
+
+    def observed(self, flow: ids.FlowKey,
+                 token: bytes) -> observation.Observation | None:
+        """Returns the observation with `token`, or None."""
+        item = self._flows.get(flow)
+        return item.observations.get(token) if item else None
+
+    def awaiting(self, flow: ids.FlowKey,
+                 mid: int) -> observation.Observation | None:
+        """Returns the observation whose notification `mid` is not yet
+        acknowledged, or None."""
+        item = self._flows.get(flow)
+        for each in item.observations.values() if item else ():
+            if each.outstanding is not None and each.outstanding.mid == mid:
+                return each
+        return None
+
+    def refused(self, now_ms: int,
+                flow: ids.FlowKey) -> dict[int, tuple[int, bytes]]:
+        """Returns the refusals of a flow whose copies may still come."""
+        item = self.get(flow)
+        item.refused = {
+            mid: (at_ms, data)
+            for mid, (at_ms, data) in item.refused.items()
+            if now_ms - at_ms < exchange.EXCHANGE_LIFETIME_MS
+        }
+        return item.refused
+
+    def _drop_idle(self) -> None:
+        oldest = next((flow for flow, item in self._flows.items()
+                       if not item.observations), None)
+        self._flows.pop(oldest, None)
--- a/figdrum/coap/server.py
+++ b/figdrum/coap/server.py
@@ -40,13 +40,14 @@
 import typing
 
 import aiocoap
-from aiocoap import optiontypes
 
 from figdrum.coap import blocks
 from figdrum.coap import codes
 from figdrum.coap import exchange
+from figdrum.coap import flow_memory
 from figdrum.coap import observation
 from figdrum.coap import request
+from figdrum.coap import wire
 from figdrum.core import ids
 from figdrum.core import states
 
@@ -54,10 +55,6 @@
 SEPARATE_AFTER_MS = 1000
 MAX_OPEN = 4096
 MAX_OBSERVATIONS = 16
-# Ten times the flows that an agent holds: refused flows leave a state too.
-MAX_FLOWS = 20_000
-SEQUENCE_RANGE = 1 << 24
-MID_RANGE = 1 << 16
 # Refusals that move with a flow, a few kilobytes in the message.
 MAX_REFUSED = 128
 # The agent that gives a flow away may still use numbers after it offered it.
@@ -135,19 +132,6 @@
     acknowledged: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class _Flow:
-    sequence: int
-    observations: dict[bytes, observation.Observation]
-    # Message id of a refused request: time and refusal.
-    refused: dict[int, tuple[int, bytes]]
-
-    def next(self) -> int:
-        """Returns the next number of the flow's sequence."""
-        self.sequence = (self.sequence + 1) % SEQUENCE_RANGE
-        return self.sequence
-
-
 class CoapServer:
     """Exchanges, observations and downloads of all flows of an agent.
 
@@ -166,7 +150,7 @@
         self._deadline_ms = deadline_ms
         self._seen = exchange.DuplicateCache()
         self._store = blocks.ResponseStore()
-        self._flows: dict[ids.FlowKey, _Flow] = {}
+        self._flows = flow_memory.FlowMemory(rng)
         self._open: dict[int, _Exchange] = {}
         self._separate: dict[tuple[ids.FlowKey, int],
                              exchange.Retransmission] = {}
@@ -191,7 +175,8 @@
         if message.mtype is aiocoap.RST:
             return self._on_reset(flow, message.mid)
         if message.mtype is aiocoap.CON:
-            return Reaction((Datagram(flow, _empty(aiocoap.RST, message.mid)),))
+            return Reaction((Datagram(flow, wire.empty(aiocoap.RST,
+                                                       message.mid)),))
         return _drop('coap.unexpected')
 
     def answer(self, now_ms: int, number: int,
@@ -204,14 +189,14 @@
         observe = None
         if item.request.observe == request.OBSERVE_REGISTER and response.ok:
             reaction = self._observe(now_ms, item, response)
-            observe = self._flow(item.flow).next()
+            observe = self._flows.get(item.flow).next()
         elif item.request.observe is not None:
             reaction = self._end_observation(item.flow, item.token)
         stored = self._stored(now_ms, item, response)
         if response.payload == _DID_NOT_RUN and not response.ok:
-            data = _encode(aiocoap.ACK, item.mid, item.token, stored,
-                           blocks.Piece(_DID_NOT_RUN, None, False), None)
-            self._flow(item.flow).refused[item.mid] = (now_ms, data)
+            data = wire.encode(aiocoap.ACK, item.mid, item.token, stored,
+                               blocks.Piece(_DID_NOT_RUN, None, False), None)
+            self._flows.get(item.flow).refused[item.mid] = (now_ms, data)
         piece = blocks.cut(stored, item.request.block)
         if piece is None:
             stored = stored._replace(
@@ -226,7 +211,7 @@
         A response that is not of class 2 ends the observation (RFC 7641,
         section 4.2).
         """
-        item = self._observation(flow, token)
+        item = self._flows.observed(flow, token)
         if item is None or item.response == response:
             return _NOTHING
         item.response = response
@@ -253,23 +238,24 @@
         request runs at the next agent; there is room for a bounded number.
         """
         item = self._open.get(number)
-        return item is not None and len(self._refused(now_ms,
-                                                      item.flow)) < MAX_REFUSED
+        return item is not None and len(self._flows.refused(
+            now_ms, item.flow)) < MAX_REFUSED
 
     def handover(self, now_ms: int, flow: ids.FlowKey) -> FlowState:
         """Returns a flow's state for another agent."""
-        item = self._flow(flow)
+        item = self._flows.get(flow)
         observations = tuple(
             each.request.raw for each in item.observations.values())
         refused = tuple(
-            data for _, data in self._refused(now_ms, flow).values())
+            data for _, data in self._flows.refused(now_ms, flow).values())
         return FlowState(observations, item.sequence, refused)
 
     def adopt(self, now_ms: int, flow: ids.FlowKey,
               state: FlowState) -> Reaction:
         """Takes a flow's state over."""
-        item = self._flow(flow)
-        item.sequence = (state.sequence + HANDOVER_GAP) % SEQUENCE_RANGE
+        item = self._flows.get(flow)
+        item.sequence = (state.sequence +
+                         HANDOVER_GAP) % flow_memory.SEQUENCE_RANGE
         for data in state.refused[:MAX_REFUSED]:
             self._adopt_refusal(now_ms, flow, data)
         events = []
@@ -289,10 +275,10 @@
     def forget(self, flow: ids.FlowKey) -> Reaction:
         """Drops the state of a flow that ended or moved."""
         reaction = _NOTHING
-        item = self._flows.get(flow)
+        item = self._flows.find(flow)
         for token in tuple(item.observations) if item else ():
             reaction += self._end_observation(flow, token)
-        self._flows.pop(flow, None)
+        self._flows.drop(flow)
         return reaction
 
     def _adopt_refusal(self, now_ms: int, flow: ids.FlowKey,
@@ -301,18 +287,7 @@
         if (message is not None and
                 self._seen.begin(now_ms, flow, message.mid) is None):
             self._seen.finish(flow, message.mid, data)
-            self._flow(flow).refused[message.mid] = (now_ms, data)
-
-    def _refused(self, now_ms: int,
-                 flow: ids.FlowKey) -> dict[int, tuple[int, bytes]]:
-        """Returns the refusals of a flow whose copies may still come."""
-        item = self._flow(flow)
-        item.refused = {
-            mid: (at_ms, data)
-            for mid, (at_ms, data) in item.refused.items()
-            if now_ms - at_ms < exchange.EXCHANGE_LIFETIME_MS
-        }
-        return item.refused
+            self._flows.get(flow).refused[message.mid] = (now_ms, data)
 
     def _on_request(self, now_ms: int, flow: ids.FlowKey,
                     message: aiocoap.Message, data: bytes) -> Reaction:
@@ -368,8 +343,8 @@
             mtype, mid = aiocoap.ACK, item.mid
         else:
             mtype = aiocoap.CON if item.confirmable else aiocoap.NON
-            mid = self._next_mid(item.flow)
-        data = _encode(mtype, mid, item.token, stored, piece, observe)
+            mid = self._flows.next_mid(item.flow)
+        data = wire.encode(mtype, mid, item.token, stored, piece, observe)
         if mtype is aiocoap.CON:
             waiting = exchange.Retransmission(now_ms, mid, data, self._rng)
             self._separate[(item.flow, mid)] = waiting
@@ -381,7 +356,7 @@
     def _on_ack(self, now_ms: int, flow: ids.FlowKey, mid: int) -> Reaction:
         if self._separate.pop((flow, mid), None) is not None:
             return _NOTHING
-        item = self._by_mid(flow, mid)
+        item = self._flows.awaiting(flow, mid)
         if item is None:
             return _drop('coap.unexpected')
         item.outstanding = None
@@ -392,14 +367,14 @@
     def _on_reset(self, flow: ids.FlowKey, mid: int) -> Reaction:
         if self._separate.pop((flow, mid), None) is not None:
             return _NOTHING
-        item = self._by_mid(flow, mid)
+        item = self._flows.awaiting(flow, mid)
         if item is None:
             return _drop('coap.unexpected')
         return self._end_observation(flow, item.token)
 
     def _observe(self, now_ms: int, item: _Exchange,
                  response: codes.Response) -> Reaction:
-        known = self._flow(item.flow).observations
+        known = self._flows.get(item.flow).observations
         if item.token not in known and len(known) >= MAX_OBSERVATIONS:
             return self._end_observation(item.flow, next(iter(known)))
         new = observation.Observation(item.flow, item.token, item.request,
@@ -409,7 +384,7 @@
         return Reaction((), (Observed(item.flow, item.token, item.request),))
 
     def _end_observation(self, flow: ids.FlowKey, token: bytes) -> Reaction:
-        item = self._flows.get(flow)
+        item = self._flows.find(flow)
         if item is None or item.observations.pop(token, None) is None:
             return _NOTHING
         return Reaction((), (ObservationEnded(flow, token),))
@@ -421,13 +396,14 @@
         item.dirty = False
         item.outstanding = exchange.Retransmission(
             now_ms,
-            self._flow(item.flow).sequence % MID_RANGE, data, self._rng)
+            self._flows.get(item.flow).sequence % flow_memory.MID_RANGE, data,
+            self._rng)
         self._set_observation_timer(item, item.outstanding.due_ms)
         return Reaction((Datagram(item.flow, data),))
 
     def _notification(self, now_ms: int,
                       item: observation.Observation) -> bytes:
-        number = self._flow(item.flow).next()
+        number = self._flows.get(item.flow).next()
         response = item.response
         stored = blocks.Stored(response, blocks.etag(response.payload), now_ms)
         block = item.request.block
@@ -435,8 +411,9 @@
         if piece.more:
             self._store.put(now_ms, item.flow, _cache_key(item.request),
                             response)
-        return _encode(aiocoap.CON, number % MID_RANGE, item.token, stored,
-                       piece, number if response.ok else None)
+        return wire.encode(aiocoap.CON, number % flow_memory.MID_RANGE,
+                           item.token, stored, piece,
+                           number if response.ok else None)
 
     def _on_timer(self, now_ms: int, due_ms: int,
                   subject: typing.Any) -> Reaction:
@@ -444,7 +421,7 @@
             return self._acknowledge(subject)
         if isinstance(subject[1], int):
             return self._repeat_separate(now_ms, subject)
-        item = self._observation(*subject)
+        item = self._flows.observed(*subject)
         if item is None or item.timer_ms != due_ms:
             return _NOTHING
         item.timer_ms = None
@@ -461,7 +438,7 @@
         if item is None:
             return _NOTHING
         item.acknowledged = True
-        data = _empty(aiocoap.ACK, item.mid)
+        data = wire.empty(aiocoap.ACK, item.mid)
         self._seen.finish(item.flow, item.mid, data)
         return Reaction((Datagram(item.flow, data),))
 
@@ -487,43 +464,14 @@
                 item.flow, item.token) + _drop('coap.observer_gone')
         if item.dirty:
             data = self._notification(now_ms, item)
-            waiting.replace(self._flow(item.flow).sequence % MID_RANGE, data)
+            waiting.replace(
+                self._flows.get(item.flow).sequence % flow_memory.MID_RANGE,
+                data)
             item.dirty = False
             item.sent_ms = now_ms
         self._set_observation_timer(item, waiting.due_ms)
         return Reaction((Datagram(item.flow, waiting.datagram),))
 
-    def _flow(self, flow: ids.FlowKey) -> _Flow:
-        item = self._flows.get(flow)
-        if item is None:
-            item = _Flow(self._rng.randrange(MID_RANGE), {}, {})
-            self._flows[flow] = item
-            if len(self._flows) > MAX_FLOWS:
-                self._drop_idle_flow()
-        return item
-
-    def _drop_idle_flow(self) -> None:
-        """Drops the state of the oldest flow without an observation."""
-        oldest = next((flow for flow, item in self._flows.items()
-                       if not item.observations), None)
-        self._flows.pop(oldest, None)
-
-    def _next_mid(self, flow: ids.FlowKey) -> int:
-        return self._flow(flow).next() % MID_RANGE
-
-    def _observation(self, flow: ids.FlowKey,
-                     token: bytes) -> observation.Observation | None:
-        item = self._flows.get(flow)
-        return item.observations.get(token) if item else None
-
-    def _by_mid(self, flow: ids.FlowKey,
-                mid: int) -> observation.Observation | None:
-        item = self._flows.get(flow)
-        for each in item.observations.values() if item else ():
-            if each.outstanding is not None and each.outstanding.mid == mid:
-                return each
-        return None
-
     def _set_observation_timer(self, item: observation.Observation,
                                due_ms: int) -> None:
         """Sets the observation's timer unless an earlier one is set.
@@ -544,30 +492,5 @@
     return Reaction((), (Dropped(counter),))
 
 
-def _empty(mtype: aiocoap.Type, mid: int) -> bytes:
-    return aiocoap.Message(code=aiocoap.EMPTY,
-                           _mtype=mtype,
-                           _mid=mid,
-                           _token=b'').encode()
-
-
 def _cache_key(req: request.Request) -> str:
     return f'{req.method} {req.path} {req.key}'
-
-
-def _encode(mtype: aiocoap.Type, mid: int, token: bytes, stored: blocks.Stored,
-            piece: blocks.Piece, observe: int | None) -> bytes:
-    message = aiocoap.Message(code=aiocoap.Code(stored.response.code),
-                              _mtype=mtype,
-                              _mid=mid,
-                              _token=token,
-                              payload=piece.payload)
-    if piece.block is not None:
-        message.opt.block2 = optiontypes.BlockOption.BlockwiseTuple(
-            piece.block.number, piece.more, piece.block.exponent)
-        message.opt.etag = stored.etag
-    if observe is not None:
-        message.opt.observe = observe
-    if stored.response.max_age_s is not None:
-        message.opt.max_age = stored.response.max_age_s
-    return message.encode()
--- a/figdrum/coap/tests/test_server.py
+++ b/figdrum/coap/tests/test_server.py
@@ -9,6 +9,7 @@
 
 from figdrum.coap import codes
 from figdrum.coap import exchange
+from figdrum.coap import flow_memory
 from figdrum.coap import server
 from figdrum.core import ids
 from figdrum.core import states
@@ -322,7 +323,7 @@
 
 def test_states_of_refused_flows_are_bounded(monkeypatch):
     """Guards against memory that grows with flows that are never held."""
-    monkeypatch.setattr(server, 'MAX_FLOWS', 10)
+    monkeypatch.setattr(flow_memory, 'MAX_FLOWS', 10)
     coap = make()
     observe(coap)
     for port in range(50):
