State shared times once, in core/limits.py

The copy lifetime (247 s) stood in coap, ownership and settings, the key lifetime (300 s) in idempotency, membership and settings, the limit for being behind (7 s) in sync and ownership, and the 10 min of a silent balancer twice in sync. Found by a search for the figures.

They now stand in core/limits.py with source, and settings' defaults refer to them. ownership and idempotency keep their names and take the value from there. standins/caller_flow.py keeps its own 247 s: a stand-in checks the product and must not take its figures from it.

--- a/figdrum/admission/retry_budget.py
+++ b/figdrum/admission/retry_budget.py
@@ -18,7 +18,8 @@
 
 import collections
 
-WINDOW_MS = 10_000
+from figdrum.core import limits
+
 SHARE = 0.1
 
 
@@ -30,7 +31,9 @@
       window_ms: Time for which requests and retries count.
     """
 
-    def __init__(self, share: float = SHARE, window_ms: int = WINDOW_MS):
+    def __init__(self,
+                 share: float = SHARE,
+                 window_ms: int = limits.RETRY_WINDOW_MS):
         self._share = share
         self._window_ms = window_ms
         self._requests: collections.deque[int] = collections.deque()
--- a/figdrum/coap/blocks.py
+++ b/figdrum/coap/blocks.py
@@ -31,8 +31,8 @@
 import xxhash
 
 from figdrum.coap import codes
-from figdrum.coap import exchange
 from figdrum.coap import request
+from figdrum.core import limits
 
 DEFAULT_BLOCK = request.Block(0, 6)
 MAX_STORED_BYTES = 64_000_000
@@ -100,7 +100,7 @@
         while self._stored:
             name, first = next(iter(self._stored.items()))
             if (self._bytes <= self._max_bytes and
-                    first.at_ms > now_ms - exchange.EXCHANGE_LIFETIME_MS):
+                    first.at_ms > now_ms - limits.COPY_LIFETIME_MS):
                 return
             self._drop(name)
 
--- a/figdrum/coap/exchange.py
+++ b/figdrum/coap/exchange.py
@@ -29,8 +29,8 @@
 import typing
 
 from figdrum.core import ids
+from figdrum.core import limits
 
-EXCHANGE_LIFETIME_MS = 247_000
 ACK_TIMEOUT_MS = 2000
 ACK_RANDOM_FACTOR = 1.5
 MAX_RETRANSMIT = 4
@@ -89,7 +89,7 @@
     def _expire(self, now_ms: int) -> None:
         while self._entries:
             first = next(iter(self._entries.values()))
-            if (first.at_ms > now_ms - EXCHANGE_LIFETIME_MS and
+            if (first.at_ms > now_ms - limits.COPY_LIFETIME_MS and
                     len(self._entries) < self._max_entries and
                     self._bytes <= self._max_bytes):
                 return
--- a/figdrum/coap/flow_memory.py
+++ b/figdrum/coap/flow_memory.py
@@ -26,6 +26,7 @@
 from figdrum.coap import exchange
 from figdrum.coap import observation
 from figdrum.core import ids
+from figdrum.core import limits
 
 # Ten times the flows that an agent holds: refused flows leave a state too.
 MAX_FLOWS = 20_000
@@ -111,7 +112,7 @@
         item.refused = {
             mid: (at_ms, data)
             for mid, (at_ms, data) in item.refused.items()
-            if now_ms - at_ms < exchange.EXCHANGE_LIFETIME_MS
+            if now_ms - at_ms < limits.COPY_LIFETIME_MS
         }
         return item.refused
 
--- a/figdrum/coap/observation.py
+++ b/figdrum/coap/observation.py
@@ -22,8 +22,7 @@
 from figdrum.coap import exchange
 from figdrum.coap import request
 from figdrum.core import ids
-
-CONFIRM_MS = 60_000
+from figdrum.core import limits
 
 
 @dataclasses.dataclass(slots=True)
--- a/figdrum/coap/request.py
+++ b/figdrum/coap/request.py
@@ -31,8 +31,8 @@
 from aiocoap import optiontypes
 
 from figdrum.core import ids
+from figdrum.core import limits
 
-DEFAULT_DEADLINE_MS = 30_000
 # An answer later than this could reach a caller that reused its message id.
 MAX_DEADLINE_MS = 120_000
 MAX_KEY_LENGTH = 128
@@ -104,7 +104,7 @@
 
 def read(message: aiocoap.Message,
          raw: bytes = b'',
-         default_deadline_ms: int = DEFAULT_DEADLINE_MS) -> Request:
+         default_deadline_ms: int = limits.DEADLINE_MS) -> Request:
     """Returns the request in `message`.
 
     Args:
--- a/figdrum/coap/server.py
+++ b/figdrum/coap/server.py
@@ -49,6 +49,7 @@
 from figdrum.coap import request
 from figdrum.coap import wire
 from figdrum.core import ids
+from figdrum.core import limits
 from figdrum.core import states
 
 # Half of the shortest repetition time of a caller (RFC 7252, 4.8).
@@ -143,8 +144,8 @@
 
     def __init__(self,
                  rng: random.Random,
-                 confirm_ms: int = observation.CONFIRM_MS,
-                 deadline_ms: int = request.DEFAULT_DEADLINE_MS):
+                 confirm_ms: int = limits.NOTIFY_MS,
+                 deadline_ms: int = limits.DEADLINE_MS):
         self._rng = rng
         self._confirm_ms = confirm_ms
         self._deadline_ms = deadline_ms
--- a/figdrum/idempotency/claim_registry.py
+++ b/figdrum/idempotency/claim_registry.py
@@ -28,11 +28,12 @@
 import typing
 
 from figdrum.core import ids
+from figdrum.core import limits
 from figdrum.messages import datagram
 
 # Longer than EXCHANGE_LIFETIME (247 s, RFC 7252 section 4.8.2) plus the
 # longest walk, on clocks whose rates differ by 1 %.
-KEY_LIFETIME_MS = 300_000
+KEY_LIFETIME_MS = limits.KEY_LIFETIME_MS
 DEFAULT_CAPACITY = 100_000
 
 
--- a/figdrum/membership/leases.py
+++ b/figdrum/membership/leases.py
@@ -41,6 +41,7 @@
 import typing
 
 from figdrum.core import ids
+from figdrum.core import limits as limits_lib
 from figdrum.membership import service_list
 from figdrum.messages import datagram
 
@@ -54,10 +55,10 @@
         lost_after_ms: Silence after which it is due to be published as lost.
         own_gap_ms: Gap between ticks after which this process counts as woken.
     """
-    heartbeat_ms: int = 500
-    suspect_after_ms: int = 1500
-    lost_after_ms: int = 3000
-    own_gap_ms: int = 500
+    heartbeat_ms: int = limits_lib.HEARTBEAT_MS
+    suspect_after_ms: int = limits_lib.SUSPECT_AFTER_MS
+    lost_after_ms: int = limits_lib.LOST_AFTER_MS
+    own_gap_ms: int = limits_lib.WAKE_GAP_MS
 
 
 class LostMember(typing.NamedTuple):
--- a/figdrum/membership/lister.py
+++ b/figdrum/membership/lister.py
@@ -28,6 +28,7 @@
 from twisted.internet import defer
 
 from figdrum.core import ids
+from figdrum.core import limits as limits_lib
 from figdrum.core import ports
 from figdrum.core import states
 from figdrum.membership import leases
@@ -50,8 +51,8 @@
         lost_window_ms: Time in which a third of a list is marked at most.
         tombstone_ms: Time that lost and left members stay in the list.
     """
-    lost_window_ms: int = 10_000
-    tombstone_ms: int = 300_000
+    lost_window_ms: int = limits_lib.LOST_WINDOW_MS
+    tombstone_ms: int = limits_lib.KEY_LIFETIME_MS
 
 
 class _Tombstone(typing.NamedTuple):
--- a/figdrum/ownership/flow_table.py
+++ b/figdrum/ownership/flow_table.py
@@ -13,11 +13,12 @@
 import typing
 
 from figdrum.core import ids
+from figdrum.core import limits
 from figdrum.ownership import records
 
 # EXCHANGE_LIFETIME of RFC 7252 section 4.8.2: no copy of a confirmable
 # message is sent or delivered later than this after the first.
-COPY_LIFETIME_MS = 247_000
+COPY_LIFETIME_MS = limits.COPY_LIFETIME_MS
 DEFAULT_CAPACITY = 20_000
 _DIGEST_BYTES = 8
 
--- a/figdrum/ownership/standing.py
+++ b/figdrum/ownership/standing.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from figdrum.core import limits
 from figdrum.core import states
 from figdrum.membership import service_list
 from figdrum.ownership import decision
@@ -9,10 +10,10 @@
 
 # An agent ticks each 100 ms. Others pass it over after 1,500 ms, so one that
 # was paused long enough to be passed over always sees a gap this large.
-WAKE_GAP_MS = 500
+WAKE_GAP_MS = limits.WAKE_GAP_MS
 # Every change of a list is in force everywhere within this time; a version
 # that has not arrived by then was not a true one.
-BEHIND_LIMIT_MS = 7_000
+BEHIND_LIMIT_MS = limits.BEHIND_LIMIT_MS
 
 
 class Standing(typing.NamedTuple):
--- a/figdrum/routing/suspicion.py
+++ b/figdrum/routing/suspicion.py
@@ -36,9 +36,9 @@
 import typing
 
 from figdrum.core import ids
+from figdrum.core import limits as limits_lib
 
 TICK_MS = 100
-OWN_GAP_MS = 500
 
 _WINDOW_MS = 1000
 
@@ -53,7 +53,7 @@
         pings_per_s: Most pings in any 1,000 ms.
     """
     ping_after_ms: int = 500
-    suspect_after_ms: int = 1500
+    suspect_after_ms: int = limits_lib.SUSPECT_AFTER_MS
     suspect_ping_ms: int = 1000
     pings_per_s: int = 10
 
@@ -118,7 +118,7 @@
             1,000 ms see more than `pings_per_s` pings.
         """
         if (self._last_tick_ms is not None and
-                now_ms - self._last_tick_ms >= OWN_GAP_MS):
+                now_ms - self._last_tick_ms >= limits_lib.WAKE_GAP_MS):
             self._restart(now_ms)
         self._last_tick_ms = now_ms
         self._suspect_silent(now_ms)
--- a/figdrum/settings/schema.py
+++ b/figdrum/settings/schema.py
@@ -14,11 +14,9 @@
 import pydantic
 
 from figdrum.core import ids
+from figdrum.core import limits
 from figdrum.settings import values
 
-# RFC 7252, section 4.8.2: a copy of a request may arrive for EXCHANGE_LIFETIME.
-COPY_LIFETIME_MS = 247_000
-
 
 def _parsed(base: typing.Any, parser: typing.Callable) -> typing.Any:
 
@@ -41,8 +39,9 @@
                               pydantic.Field(ge=1, le=values.MAX_PORT)]
 Ms = typing.Annotated[_parsed(int, values.parse_int),
                       pydantic.Field(ge=1, le=86_400_000)]
-KeyMs = typing.Annotated[_parsed(int, values.parse_int),
-                         pydantic.Field(gt=COPY_LIFETIME_MS, le=86_400_000)]
+KeyMs = typing.Annotated[
+    _parsed(int, values.parse_int),
+    pydantic.Field(gt=limits.COPY_LIFETIME_MS, le=86_400_000)]
 Count = typing.Annotated[_parsed(int, values.parse_int),
                          pydantic.Field(ge=1, le=1_000_000_000)]
 Percent = typing.Annotated[_parsed(int, values.parse_int),
@@ -92,7 +91,8 @@
     ping_after_ms: Ms = _key('Silence of an agent after which it is pinged.',
                              default=500)
     suspect_after_ms: Ms = _key(
-        'Silence of an agent after which it is suspected.', default=1_500)
+        'Silence of an agent after which it is suspected.',
+        default=limits.SUSPECT_AFTER_MS)
     suspect_ping_ms: Ms = _key('Time between pings of a suspected agent.',
                                default=1_000)
     pings_per_s: Count = _key('Most pings a second.', default=10)
@@ -126,21 +126,22 @@
                          default=10_000)
     tick_ms: Ms = _key('Time between ticks.', default=100)
     wake_gap_ms: Ms = _key(
-        'Gap between ticks after which the agent counts as woken.', default=500)
+        'Gap between ticks after which the agent counts as woken.',
+        default=limits.WAKE_GAP_MS)
     skip_after_ms: Ms = _key('Silence after which a member is skipped.',
-                             default=1_500)
+                             default=limits.SUSPECT_AFTER_MS)
     heartbeat_ms: Ms = _key('Time between leases to the other members.',
-                            default=500)
+                            default=limits.HEARTBEAT_MS)
     lost_after_ms: Ms = _key('Silence after which a member is marked lost.',
-                             default=3_000)
+                             default=limits.LOST_AFTER_MS)
     lost_window_ms: Ms = _key(
         'Window in which one observer marks a third of a list at most.',
-        default=10_000)
+        default=limits.LOST_WINDOW_MS)
     tombstone_ms: Ms = _key('Time a lost mark stays in the list.',
-                            default=300_000)
+                            default=limits.KEY_LIFETIME_MS)
     key_ms: KeyMs = _key(
         'Lifetime of an idempotency key, above that of copies of a request.',
-        default=300_000)
+        default=limits.KEY_LIFETIME_MS)
     claim_answer_ms: Ms = _key('Time in which a claim is answered.',
                                default=300)
     repeat_ms: Ms = _key('Time between repeats of an unanswered question.',
@@ -150,11 +151,12 @@
                         default=1_000)
     notify_ms: Ms = _key(
         'Longest time between confirmable notifications of a feed.',
-        default=60_000)
+        default=limits.NOTIFY_MS)
     retry_percent: Percent = _key('Most retries in 100 requests.', default=10)
-    retry_window_ms: Ms = _key('Window of the retry budget.', default=10_000)
+    retry_window_ms: Ms = _key('Window of the retry budget.',
+                               default=limits.RETRY_WINDOW_MS)
     deadline_ms: Ms = _key('Deadline of a request that names none.',
-                           default=30_000)
+                           default=limits.DEADLINE_MS)
 
 
 class Platform(Section):
--- a/figdrum/sync/freshness.py
+++ b/figdrum/sync/freshness.py
@@ -11,6 +11,7 @@
 
 import typing
 
+from figdrum.core import limits
 from figdrum.messages import control
 
 NEVER = -1
@@ -21,9 +22,6 @@
 
 ENOUGH_PEERS = 2
 
-BEHIND_LIMIT_MS = 7_000
-"""Every change is in force everywhere after this time."""
-
 
 class Confirmation:
     """When the platform last confirmed what this node holds.
@@ -150,4 +148,4 @@
     def is_behind(self, now_ms: int) -> bool:
         """Returns whether a change has been missing for too long."""
         return bool(self._missing) and (now_ms - self._missing[0][1]
-                                        > BEHIND_LIMIT_MS)
+                                        > limits.BEHIND_LIMIT_MS)
--- a/figdrum/sync/peers.py
+++ b/figdrum/sync/peers.py
@@ -13,6 +13,7 @@
 import typing
 
 from figdrum.core import ids
+from figdrum.core import limits
 from figdrum.messages import control
 from figdrum.sync import readers
 from figdrum.sync import registry as registry_lib
@@ -20,9 +21,6 @@
 LEARNED_LIMIT = 2_000
 """Bound on the peers that are known from digests only."""
 
-LEARNED_MS = 600_000
-"""Time for which a peer is kept after its last digest."""
-
 
 class _Learned(typing.NamedTuple):
     """A peer known from a digest, received at `at_ms`."""
@@ -74,7 +72,7 @@
         self._learned = {
             name: learned
             for name, learned in self._learned.items()
-            if now_ms - learned.at_ms <= LEARNED_MS
+            if now_ms - learned.at_ms <= limits.BALANCER_SILENCE_MS
         }
 
     def all(self) -> tuple[registry_lib.Balancer, ...]:
--- a/figdrum/sync/silence.py
+++ b/figdrum/sync/silence.py
@@ -13,8 +13,7 @@
 
 import collections.abc
 
-SILENCE_MS = 600_000
-"""Silence after which a balancer's entry is pruned."""
+from figdrum.core import limits
 
 GAP_MS = 10_000
 """A longer time without a tick means that this process was paused."""
@@ -47,9 +46,10 @@
 
     def silent(self, now_ms: int) -> tuple[str, ...]:
         """Returns the balancers to prune, sorted by name."""
-        if 2 * len(self._quiet(now_ms, SILENCE_MS // 2)) > len(self._heard_ms):
+        if 2 * len(self._quiet(now_ms, limits.BALANCER_SILENCE_MS // 2)) > len(
+                self._heard_ms):
             return ()
-        return tuple(sorted(self._quiet(now_ms, SILENCE_MS)))
+        return tuple(sorted(self._quiet(now_ms, limits.BALANCER_SILENCE_MS)))
 
     def _quiet(self, now_ms: int, silence_ms: int) -> list[str]:
         return [
--- a/figdrum/sync/tests/test_rules.py
+++ b/figdrum/sync/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 import random
 
+from figdrum.core import limits
 from figdrum.messages import control
 from figdrum.sync import actions
 from figdrum.sync import freshness
@@ -143,7 +144,7 @@
     cut-off reader that prunes its whole zone."""
     watch = silence.SilenceWatch(0)
     watch.on_names(0, ['a', 'b', 'c'])
-    for now_ms in range(0, silence.SILENCE_MS + 2_000, 1_000):
+    for now_ms in range(0, limits.BALANCER_SILENCE_MS + 2_000, 1_000):
         watch.on_tick(now_ms)
         watch.on_heard(now_ms, 'a')
         watch.on_heard(now_ms, 'b')
@@ -152,4 +153,4 @@
     assert not watch.silent(now_ms + 100_000)
     cut_off = silence.SilenceWatch(0)
     cut_off.on_names(0, ['a', 'b', 'c'])
-    assert not cut_off.silent(silence.SILENCE_MS + 1)
+    assert not cut_off.silent(limits.BALANCER_SILENCE_MS + 1)
