Keep balancers serving when one change object is damaged

A damaged changes/<n> counted as a missing change on every balancer that held it, because its key names n: all of them stopped serving after 7 s. They also kept the damaged object, so that writing it again did not help until a restart. Log lines named "entry" or a subject, not the object. Found by reading, and by a test that fails on the code before.

Ruled out: errors of other types.

A newer version of the object replaces one that is not applied; an applied one is never replaced. Log lines and commands' errors name the object and the code.

--- a/figdrum/contracts/change_log.py
+++ b/figdrum/contracts/change_log.py
@@ -115,8 +115,7 @@
         for item in sorted(items, key=lambda item: item.key):
             if change_lib.number(item.key) <= state.change:
                 continue
-            state = state_lib.fold(state,
-                                   change_lib.Change.from_json(item.value))
+            state = _folded_with(state, item)
             revision = item.revision
         return loaded._replace(state=state, revision=revision)
 
@@ -201,7 +200,7 @@
         """Returns a Deferred of all changes in order, or of those of
         `subject` (see `change.contract_subject`)."""
         items, _ = yield self._store.list(change_lib.PREFIX)
-        changes = [change_lib.Change.from_json(item.value) for item in items]
+        changes = [_read_change(item) for item in items]
         return tuple(c for c in sorted(changes, key=lambda c: c.n)
                      if subject in ('', c.body.subject))
 
@@ -296,7 +295,7 @@
         if item is None:
             raise errors.StoreError('read change', change_lib.key(n),
                                     'it is in the log but was not found')
-        return change_lib.Change.from_json(item.value)
+        return _read_change(item)
 
     @defer.inlineCallbacks
     def _own_change(self, proposal: proposals.Proposal):
@@ -306,7 +305,7 @@
         item = yield self._store.get(change_lib.key(proposal.change))
         if item is None:
             return None
-        change = change_lib.Change.from_json(item.value)
+        change = _read_change(item)
         return change if change.id == change_lib.id_of(proposal.id) else None
 
     @defer.inlineCallbacks
@@ -446,6 +445,24 @@
         raise last
 
 
+def _read_change(item: store_lib.Item) -> change_lib.Change:
+    """Returns the change; an error names its object."""
+    try:
+        return change_lib.Change.from_json(item.value)
+    except errors.ContractError as exc:
+        raise errors.ContractError(exc.step, item.key, exc.reason) from exc
+
+
+def _folded_with(state: state_lib.ContractState,
+                 item: store_lib.Item) -> state_lib.ContractState:
+    """Returns the state after the change; an error names its object."""
+    change = _read_change(item)
+    try:
+        return state_lib.fold(state, change)
+    except errors.ContractError as exc:
+        raise errors.ContractError(exc.step, item.key, exc.reason) from exc
+
+
 def _is_write(item: store_lib.Item | None, value: str, if_version: int) -> bool:
     return (item is not None and item.version == if_version + 1 and
             item.value == value)
--- a/figdrum/contracts/tests/test_change_log.py
+++ b/figdrum/contracts/tests/test_change_log.py
@@ -320,3 +320,16 @@
     for _ in range(60):
         act()
     assert assert_log_sound(store)
+
+
+@pytest.mark.parametrize('value', ['{', '[]', '{"n": 1}'])
+def test_damaged_change_is_named_in_the_error(value):
+    """Guards against a refusal that hides which object has to be mended."""
+    store = memory_store.MemoryStore()
+    store.put(change_lib.key(1), value, 0)
+    log = make_log(store)
+    for call in (log.load, log.history,
+                 lambda: log.propose_zone_out('z', 'ana')):
+        with pytest.raises(errors.ContractError) as caught:
+            result(call())
+        assert caught.value.peer == change_lib.key(1)
--- a/figdrum/sync/replica.py
+++ b/figdrum/sync/replica.py
@@ -95,8 +95,17 @@
         self._base_entry: control.Entry | None = None
         self._lists: dict[str, service_list_lib.ServiceList] = {}
         self._registries: dict[str, registry_lib.Registry] = {}
+        self._unreadable = 0
         self.fault = ''
 
+    @property
+    def is_blocked(self) -> bool:
+        """Whether the next change is held but cannot be read or does not fit.
+
+        A newer version of its object ends this.
+        """
+        return self._unreadable == self._state.change + 1
+
     @property
     def revision(self) -> int:
         """Revision up to which this replica is complete."""
@@ -230,7 +239,7 @@
             return self._apply_snapshot(entry)
         if entry.key.startswith(change_lib.PREFIX):
             n = change_lib.number(entry.key)
-            if n <= self._base.state.change or entry.key in self._entries:
+            if n <= self._base.state.change or not self._replaces(n, entry):
                 return False
             self._entries[entry.key] = entry
             return True
@@ -241,6 +250,12 @@
         self._read_list(entry)
         return True
 
+    def _replaces(self, n: int, entry: control.Entry) -> bool:
+        """Returns whether `entry` is new or mends a change not folded yet."""
+        held = self._entries.get(entry.key)
+        return held is None or (n > self._state.change and
+                                entry.revision > held.revision)
+
     def _read_list(self, entry: control.Entry) -> None:
         try:
             if entry.key.startswith(LISTS_PREFIX):
@@ -252,7 +267,7 @@
                 self._registries[zone] = registry_lib.Registry.from_json(
                     zone, entry.version, entry.value)
         except errors.MessageError as exc:
-            self._report(exc)
+            self._report(entry.key, exc)
 
     def _apply_snapshot(self, entry: control.Entry) -> bool:
         if entry.key != state_lib.SNAPSHOT_KEY:
@@ -260,7 +275,7 @@
         try:
             snapshot = state_lib.Snapshot.from_json(entry.value)
         except errors.ContractError as exc:
-            self._report(exc)
+            self._report(entry.key, exc)
             return False
         if snapshot.state.change <= self._state.change:
             return False
@@ -278,7 +293,8 @@
                 change = change_lib.Change.from_json(entry.value)
                 self._state = state_lib.fold(self._state, change)
             except errors.ContractError as exc:
-                self._report(exc)
+                self._unreadable = self._state.change + 1
+                self._report(entry.key, exc)
                 return
         if self._state.change - self._base.state.change >= 2 * KEPT_CHANGES:
             self._move_base(self._snapshot_at(self._state.change -
@@ -304,10 +320,11 @@
             if 0 < change_lib.number(key) <= snapshot.state.change:
                 del self._entries[key]
 
-    def _report(self, exc: errors.FigdrumError) -> None:
-        if self.fault != str(exc):
-            self.fault = str(exc)
-            _log.error('sync: %s', exc)
+    def _report(self, key: str, exc: errors.FigdrumError) -> None:
+        fault = f'{key}: {exc}'
+        if self.fault != fault:
+            self.fault = fault
+            _log.error('sync: %s', fault)
 
 
 def _size(entry: control.Entry) -> int:
--- a/figdrum/sync/tests/test_replica.py
+++ b/figdrum/sync/tests/test_replica.py
@@ -142,8 +142,9 @@
 
 
 @pytest.mark.parametrize('bad', ['', '[]', '{"n": 2}', make_change(3)])
-def test_unreadable_change_stops_the_fold_and_is_reported(bad):
-    """Guards against a bad entry that ends the process or is passed over."""
+def test_unreadable_change_stops_the_fold_and_is_reported(bad, caplog):
+    """Guards against a bad entry that ends the process or is passed over, and
+    against a log line that does not name the object and the code."""
     platform = Platform()
     platform.append()
     platform.write(change_lib.key(2), bad)
@@ -153,6 +154,38 @@
     node.apply(platform.delta(0))
     assert node.contracts.change == 1
     assert node.fault
+    assert node.is_blocked
+    assert any('changes/0000000002: FD400' in line for line in caplog.messages)
+
+
+def test_mended_change_is_taken_also_by_agents():
+    """Guards against nodes that keep a damaged object until a restart."""
+    platform = Platform()
+    platform.append()
+    platform.write(change_lib.key(2), '{')
+    node = replica_lib.Replica()
+    agent = replica_lib.Replica(replica_lib.agent_scope('a'))
+    node.apply(platform.delta(0))
+    agent.apply(node.delta_since(0))
+    assert agent.is_blocked
+    platform.write(change_lib.key(2), make_change(2))
+    node.apply(platform.delta(node.revision))
+    agent.apply(node.delta_since(agent.revision))
+    for replica in (node, agent):
+        assert replica.contracts.change == 2
+        assert not replica.is_blocked
+
+
+def test_applied_change_is_never_replaced():
+    """Guards against a change that reverts when its object is overwritten."""
+    platform = Platform()
+    platform.append()
+    node = replica_lib.Replica()
+    node.apply(platform.delta(0))
+    before = node.delta_since(0).entries
+    platform.write(change_lib.key(1), '{')
+    assert not node.apply(platform.delta(node.revision))
+    assert node.delta_since(0).entries == before
 
 
 def test_subscriber_receives_changes_and_its_own_list_only():
--- a/figdrum/sync/tests/test_rules.py
+++ b/figdrum/sync/tests/test_rules.py
@@ -2,6 +2,9 @@
 
 import random
 
+import pytest
+
+from figdrum.contracts import change as change_lib
 from figdrum.core import limits
 from figdrum.messages import control
 from figdrum.sync import actions
@@ -154,3 +157,46 @@
     cut_off = silence.SilenceWatch(0)
     cut_off.on_names(0, ['a', 'b', 'c'])
     assert not cut_off.silent(limits.BALANCER_SILENCE_MS + 1)
+
+
+def make_entry(n: int, value: str, revision: int) -> control.Entry:
+    """Returns the object of change `n` at `revision`."""
+    return control.Entry(change_lib.key(n), value, 1, revision)
+
+
+@pytest.mark.parametrize('from_platform', [True, False])
+def test_damaged_change_stops_nobody_unless_others_could_read_it(from_platform):
+    """Guards against one damaged object that stops every balancer for good,
+    and against a balancer of an old release that serves without a change that
+    others apply."""
+    controller = gossip.GossipController(gossip.GossipConfig('n', 'z', ADDRESS),
+                                         replica_lib.Replica(),
+                                         random.Random(1), 0)
+    good = change_lib.Change(1, 'i', 'p', 'ana', 'bo', 1, 0, 1,
+                             change_lib.ZoneOut('z')).to_json()
+
+    def take(now_ms, delta):
+        if from_platform:
+            controller.on_store_result(now_ms,
+                                       actions.StoreResult(now_ms, delta))
+        else:
+            controller.on_delta(now_ms, delta)
+
+    take(0, control.Delta(0, 5, (make_entry(1, '{', 5),), -1))
+    assert not controller.is_behind(60_000)
+    controller.on_digest(60_000, make_digest('a', 5, change=1))
+    assert controller.is_behind(67_001)
+    take(70_000, control.Delta(5, 6, (make_entry(1, good, 6),), -1))
+    assert controller.replica.contracts.zones_out == {'z'}
+    assert not controller.is_behind(200_000)
+
+
+def test_change_after_a_gap_counts_while_nothing_is_damaged():
+    """Guards against a balancer that serves although a change between is
+    missing."""
+    controller = gossip.GossipController(gossip.GossipConfig('n', 'z', ADDRESS),
+                                         replica_lib.Replica(),
+                                         random.Random(1), 0)
+    controller.on_delta(0, control.Delta(0, 5, (make_entry(2, '{', 5),), -1))
+    assert not controller.is_behind(7_000)
+    assert controller.is_behind(7_001)
