Stop again at a change that cannot be read, until it is mended

The rule stands again: gossip.py and freshness.py are as before. The damaged object still does not stop balancers for good: a newer version of it replaces one that is not applied, and they serve again without a restart. The case added to test_rules.py now demands the stop after 7 s and its end. Log lines and errors name the object and the code as before.

--- a/figdrum/balancer/tests/test_process.py
+++ b/figdrum/balancer/tests/test_process.py
@@ -406,6 +406,20 @@
     assert system.metrics.gauges['balancer.revision'] == system.store.revision
 
 
+def test_a_mended_change_starts_it_again():
+    """Guards against one damaged object that stops all balancers until they
+    are restarted."""
+    system = _started()
+    system.overwrite(change.key(2), '{')
+    system.network.run(9)
+    assert not system.send_packet(system.balancers[0])
+    mended = change.Change(2, 'i', 'p', 'ana', 'bo', 1, 0, 2,
+                           change.ZoneOut(ids.ZoneName('unused')))
+    system.overwrite(change.key(2), mended.to_json())
+    system.network.run(7)
+    assert system.send_packet(system.balancers[0])
+
+
 _OBJECTS = strategies.recursive(
     strategies.none() | strategies.booleans() |
     strategies.integers(-2**63, 2**64 - 1) | strategies.floats() |
--- a/figdrum/sync/freshness.py
+++ b/figdrum/sync/freshness.py
@@ -149,39 +149,3 @@
         """Returns whether a change has been missing for too long."""
         return bool(self._missing) and (now_ms - self._missing[0][1]
                                         > limits.BEHIND_LIMIT_MS)
-
-
-class ChangeLag:
-    """Whether a balancer knows that it is behind.
-
-    Explanation: a change that another node has applied counts always. One that
-    is only known as an object does not count while the next change cannot be
-    read; otherwise one damaged object would stop every balancer.
-    """
-
-    def __init__(self):
-        self._applied_elsewhere = BehindWatch()
-        self._known = BehindWatch()
-
-    def on_applied_elsewhere(self, now_ms: int, change: int, own: int) -> None:
-        """Notes that another node has applied `change`."""
-        self._applied_elsewhere.on_named(now_ms, change, own)
-
-    def on_known(self, now_ms: int, change: int, own: int) -> None:
-        """Notes that the object of `change` exists."""
-        self._known.on_named(now_ms, change, own)
-
-    def on_applied(self, own: int) -> None:
-        """Notes that this node has applied change `own`."""
-        self._applied_elsewhere.on_applied(own)
-        self._known.on_applied(own)
-
-    def is_behind(self, now_ms: int, is_blocked: bool) -> bool:
-        """Returns whether a change has been missing for too long.
-
-        Args:
-          now_ms: Time.
-          is_blocked: Whether the next change cannot be read.
-        """
-        return (self._applied_elsewhere.is_behind(now_ms) or
-                not is_blocked and self._known.is_behind(now_ms))
--- a/figdrum/sync/gossip.py
+++ b/figdrum/sync/gossip.py
@@ -105,7 +105,7 @@
         self.regressions = 0
         self._confirmation = freshness.Confirmation()
         self._gate = freshness.StartGate(now_ms)
-        self._lag = freshness.ChangeLag()
+        self._behind = freshness.BehindWatch()
         self._election = readers.ReaderElection(cfg.name, cfg.zone, now_ms)
         self._peers = peers.PeerBook(
             registry_lib.Balancer(cfg.name, cfg.zone, cfg.address), cfg.seeds,
@@ -136,7 +136,7 @@
 
     def is_behind(self, now_ms: int) -> bool:
         """Returns whether the node knows that it is behind."""
-        return self._lag.is_behind(now_ms, self.replica.is_blocked)
+        return self._behind.is_behind(now_ms)
 
     def is_reader(self) -> bool:
         """Returns whether the node is one of its zone's readers."""
@@ -190,8 +190,8 @@
         self._peers.on_digest(now_ms, digest)
         self._confirmation.on_peer(now_ms, digest.confirmed_age_ms,
                                    digest.revision, self.replica.revision)
-        self._lag.on_applied_elsewhere(now_ms, digest.change,
-                                       self.replica.contracts.change)
+        self._behind.on_named(now_ms, digest.change,
+                              self.replica.contracts.change)
         self._gate.on_digest(digest)
         self._open_gate(now_ms)
         own = self.replica.contracts.change
@@ -211,7 +211,7 @@
         own = self.replica.contracts.change
         newest = max((change_lib.number(e.key) for e in delta.entries),
                      default=0)
-        self._lag.on_known(now_ms, newest, own)
+        self._behind.on_named(now_ms, newest, own)
         if not self.replica.accepts(delta):
             actions = self._reply_pull(now_ms)
             if newest > own:
@@ -242,7 +242,7 @@
         The node asks a peer at once when it lacks that change.
         """
         own = self.replica.contracts.change
-        self._lag.on_applied_elsewhere(now_ms, change, own)
+        self._behind.on_named(now_ms, change, own)
         return self.pull_now(now_ms) if change > own else ()
 
     def pull_now(self, now_ms: int) -> Actions:
@@ -278,9 +278,9 @@
         before_change = self.replica.contracts.change
         changed = self.replica.apply(delta)
         own = self.replica.contracts.change
-        self._lag.on_applied(own)
+        self._behind.on_applied(own)
         for key in changed:
-            self._lag.on_known(now_ms, change_lib.number(key), own)
+            self._behind.on_named(now_ms, change_lib.number(key), own)
         self._confirmation.on_revision(self.replica.revision)
         if not changed:
             return ()
--- a/figdrum/sync/replica.py
+++ b/figdrum/sync/replica.py
@@ -95,17 +95,8 @@
         self._base_entry: control.Entry | None = None
         self._lists: dict[str, service_list_lib.ServiceList] = {}
         self._registries: dict[str, registry_lib.Registry] = {}
-        self._unreadable = 0
         self.fault = ''
 
-    @property
-    def is_blocked(self) -> bool:
-        """Whether the next change is held but cannot be read or does not fit.
-
-        A newer version of its object ends this.
-        """
-        return self._unreadable == self._state.change + 1
-
     @property
     def revision(self) -> int:
         """Revision up to which this replica is complete."""
@@ -293,7 +284,6 @@
                 change = change_lib.Change.from_json(entry.value)
                 self._state = state_lib.fold(self._state, change)
             except errors.ContractError as exc:
-                self._unreadable = self._state.change + 1
                 self._report(entry.key, exc)
                 return
         if self._state.change - self._base.state.change >= 2 * KEPT_CHANGES:
--- a/figdrum/sync/tests/test_replica.py
+++ b/figdrum/sync/tests/test_replica.py
@@ -154,7 +154,6 @@
     node.apply(platform.delta(0))
     assert node.contracts.change == 1
     assert node.fault
-    assert node.is_blocked
     assert any('changes/0000000002: FD400' in line for line in caplog.messages)
 
 
@@ -167,13 +166,12 @@
     agent = replica_lib.Replica(replica_lib.agent_scope('a'))
     node.apply(platform.delta(0))
     agent.apply(node.delta_since(0))
-    assert agent.is_blocked
+    assert agent.contracts.change == 1
     platform.write(change_lib.key(2), make_change(2))
     node.apply(platform.delta(node.revision))
     agent.apply(node.delta_since(agent.revision))
     for replica in (node, agent):
         assert replica.contracts.change == 2
-        assert not replica.is_blocked
 
 
 def test_applied_change_is_never_replaced():
--- a/figdrum/sync/tests/test_rules.py
+++ b/figdrum/sync/tests/test_rules.py
@@ -165,10 +165,9 @@
 
 
 @pytest.mark.parametrize('from_platform', [True, False])
-def test_damaged_change_stops_nobody_unless_others_could_read_it(from_platform):
+def test_damaged_change_stops_a_balancer_until_it_is_mended(from_platform):
     """Guards against one damaged object that stops every balancer for good,
-    and against a balancer of an old release that serves without a change that
-    others apply."""
+    and against routing by contracts of which a newer version exists."""
     controller = gossip.GossipController(gossip.GossipConfig('n', 'z', ADDRESS),
                                          replica_lib.Replica(),
                                          random.Random(1), 0)
@@ -183,15 +182,14 @@
             controller.on_delta(now_ms, delta)
 
     take(0, control.Delta(0, 5, (make_entry(1, '{', 5),), -1))
-    assert not controller.is_behind(60_000)
-    controller.on_digest(60_000, make_digest('a', 5, change=1))
-    assert controller.is_behind(67_001)
+    assert not controller.is_behind(7_000)
+    assert controller.is_behind(7_001)
     take(70_000, control.Delta(5, 6, (make_entry(1, good, 6),), -1))
     assert controller.replica.contracts.zones_out == {'z'}
     assert not controller.is_behind(200_000)
 
 
-def test_change_after_a_gap_counts_while_nothing_is_damaged():
+def test_change_after_a_gap_counts_as_missing():
     """Guards against a balancer that serves although a change between is
     missing."""
     controller = gossip.GossipController(gossip.GossipConfig('n', 'z', ADDRESS),
