Give up a balancer that stays connected but does not answer

An agent kept a stream to a balancer that had stopped working with its socket open, and heard of no change on it. subscription.py, questions.py and list_waits.py had no tests of their own. Found by reading.

An agent asks again after 3 checks of 1 s without a delta and gives the stream up after 8, counted as agent.stream_silent. Checks are counted, not time, so that an agent that was paused reads what waits for it first. The pause before a new stream grows until a delta arrives, not only until the connection opens.

--- a/figdrum/agent/subscription.py
+++ b/figdrum/agent/subscription.py
@@ -5,7 +5,11 @@
 
 Two streams are kept to different balancers. One that ends or cannot be opened
 moves on to the next configured balancer that the other stream does not use. A
-repeated `Subscribe` is answered at once, so it also fetches what is new.
+repeated `Subscribe` is answered at once, so it also fetches what is new, and
+shows whether a balancer that sends nothing still works. One that stays
+connected but does not answer is given up. Silence is counted in checks and not
+in time: after a pause of this process its unread messages come before the next
+check.
 """
 
 import collections.abc
@@ -27,6 +31,11 @@
 FETCH_PAUSE_MS = 100
 FIRST_PAUSE_MS = 200
 LONGEST_PAUSE_MS = 2_000
+CHECK_MS = 1_000
+# Checks without a delta after which a stream is asked again.
+ASK_CHECKS = 3
+# Checks without a delta after which a stream is given up. Room for two answers.
+SILENT_CHECKS = 8
 
 _log = logs.part('sync')
 
@@ -40,13 +49,15 @@
         self.stream: control_stream.ControlStream | None = None
         self.fetched_ms: int | None = None
         self.pause_ms = FIRST_PAUSE_MS
+        self.silent_checks = 0
+        self.check: typing.Any = None
 
     def on_opened(self, stream: control_stream.ControlStream) -> None:
         """Subscribes; see `StreamOwner`."""
         self.stream = stream
-        self.pause_ms = FIRST_PAUSE_MS
+        self.silent_checks = 0
         self.fetched_ms = None
-        self._owner.fetch()
+        self._owner.on_opened(self)
 
     def on_message(self, stream: control_stream.ControlStream,
                    message: codec.Message) -> None:
@@ -58,6 +69,9 @@
         """Moves on to another balancer; see `StreamOwner`."""
         del stream
         self.stream = None
+        if self.check is not None:
+            self.check.cancel()
+            self.check = None
         self._owner.on_closed(self)
 
     def count(self, name: str) -> None:
@@ -129,15 +143,20 @@
                                        link.fetched_ms < FETCH_PAUSE_MS):
                 continue
             link.fetched_ms = now_ms
-            link.stream.send(
-                control.Subscribe(self._name, self._service,
-                                  self._replica.revision))
+            self._subscribe(link)
+
+    def on_opened(self, link: _Link) -> None:
+        """Subscribes and watches for silence."""
+        self.fetch()
+        self._check_later(link)
 
     def on_message(self, link: _Link, message: codec.Message) -> None:
         """Applies a delta."""
         if not isinstance(message, control.Delta):
             self.count('agent.unexpected_control_message')
             return
+        link.silent_checks = 0
+        link.pause_ms = FIRST_PAUSE_MS
         if not self._replica.accepts(message):
             link.fetched_ms = None
             self.fetch()
@@ -164,6 +183,29 @@
         """Counts a fault."""
         self._around.metrics.incr(name)
 
+    def _subscribe(self, link: _Link) -> None:
+        link.stream.send(
+            control.Subscribe(self._name, self._service,
+                              self._replica.revision))
+
+    def _check_later(self, link: _Link) -> None:
+        link.check = self._around.timers.call_later(CHECK_MS,
+                                                    lambda: self._check(link))
+
+    def _check(self, link: _Link) -> None:
+        """Asks a silent balancer again, and gives it up in the end."""
+        link.check = None
+        link.silent_checks += 1
+        if link.silent_checks >= SILENT_CHECKS:
+            self.count('agent.stream_silent')
+            _log.warning('balancer %s:%d does not answer',
+                         *self._balancers[link.index])
+            link.stream.close()
+            return
+        if link.silent_checks % ASK_CHECKS == 0:
+            self._subscribe(link)
+        self._check_later(link)
+
     def _connect(self, link: _Link) -> None:
         if self._stopped:
             return
