Name the registry's writer after its class

membership/registry.py and sync/registry.py looked like two modules for one thing. They are not: the first writes the platform's object, the second holds its values. Found by reading both and their callers.

Ruled out: merging them, as sync would then depend on the updater of lists.

membership/registry.py becomes registry_writer.py, after its class.

Before: two registry.py. After: one; tests of membership, balancer and cli pass (first on a scratch copy).

--- a/figdrum/balancer/process.py
+++ b/figdrum/balancer/process.py
@@ -33,7 +33,7 @@
 from figdrum.core import clock
 from figdrum.core import errors
 from figdrum.core import ids
-from figdrum.membership import registry as registry_writer
+from figdrum.membership import registry_writer
 from figdrum.platform import http_store
 from figdrum.platform import store
 from figdrum.routing import router
--- a/figdrum/balancer/registration.py
+++ b/figdrum/balancer/registration.py
@@ -12,7 +12,7 @@
 from twisted.internet import defer
 
 from figdrum.core import errors
-from figdrum.membership import registry as registry_writer
+from figdrum.membership import registry_writer
 from figdrum.sync import gossip
 from figdrum.sync import registry as registry_lib
 from figdrum.telemetry import logs
--- a/figdrum/membership/registry.py
+++ b/figdrum/membership/registry_writer.py
@@ -1,4 +1,4 @@
-"""Writes the published balancers of a zone.
+"""Writes the published balancers of a zone (values: `sync.registry`).
 
 Explanation
 ===========
@@ -10,7 +10,7 @@
 Examples
 ========
 
-See `figdrum/membership/tests/test_registry.py`.
+See `figdrum/membership/tests/test_registry_writer.py`.
 """
 
 import collections.abc
--- a/figdrum/membership/tests/test_registry.py
+++ b/figdrum/membership/tests/test_registry_writer.py
@@ -5,7 +5,7 @@
 from twisted.internet import task
 
 from figdrum.balancer import reactor_timers
-from figdrum.membership import registry
+from figdrum.membership import registry_writer
 from figdrum.platform import memory_store
 from figdrum.sync import registry as registry_lib
 
@@ -21,8 +21,8 @@
         self.clock = task.Clock()
         timers = reactor_timers.ReactorTimers(self.clock)
         self.store = memory_store.MemoryStore(timers)
-        self.registry = registry.RegistryWriter(self.store, timers, 'a',
-                                                random.Random(1))
+        self.registry = registry_writer.RegistryWriter(self.store, timers, 'a',
+                                                       random.Random(1))
 
     def names(self):
         """Returns the names of the registered balancers."""
