Split the reader of traces off the writer

telemetry/trace.py held the recording and the reading of traces. Found by reading.

TraceReader moves to telemetry/trace_reader.py.

--- a/figdrum/balancer/tests/test_process.py
+++ b/figdrum/balancer/tests/test_process.py
@@ -28,6 +28,7 @@
 from figdrum.telemetry import metrics
 from figdrum.telemetry import replay
 from figdrum.telemetry import trace
+from figdrum.telemetry import trace_reader
 
 CALLER = ('10.1.0.9', 4000)
 SERVICE = ('10.9.0.1', 5683)
@@ -350,7 +351,7 @@
         system.network.run(3)
     recorder.close()
     assert recorder.steps > 100
-    replayed = replay.replay(trace.TraceReader(path).steps())
+    replayed = replay.replay(trace_reader.TraceReader(path).steps())
     assert replayed == replay.Replayed(recorder.steps, None)
 
 
--- a/figdrum/cli/replay.py
+++ b/figdrum/cli/replay.py
@@ -5,7 +5,7 @@
 from figdrum.cli import base
 from figdrum.cli import remedies
 from figdrum.telemetry import replay
-from figdrum.telemetry import trace
+from figdrum.telemetry import trace_reader
 
 
 class ReplayCommand(base.Command):
@@ -16,7 +16,7 @@
 
     def act(self) -> remedies.ExitCode:
         path = self.argument('file')
-        found = replay.replay(trace.TraceReader(path).steps())
+        found = replay.replay(trace_reader.TraceReader(path).steps())
         if found.difference is None:
             self.print(f'{path}: {found.steps} steps with the same outcome')
             return remedies.ExitCode.OK
--- a/figdrum/telemetry/tests/test_trace.py
+++ b/figdrum/telemetry/tests/test_trace.py
@@ -20,6 +20,7 @@
 from figdrum.settings import schema
 from figdrum.telemetry import replay
 from figdrum.telemetry import trace
+from figdrum.telemetry import trace_reader
 from figdrum.telemetry import values
 
 COAP_GET = b'\x40\x01\x00\x07'
@@ -87,7 +88,7 @@
     """Replays `path` with `factory`."""
     registry = replay.Registry()
     registry.register('counter', factory)
-    return replay.replay(trace.TraceReader(path).steps(), registry)
+    return replay.replay(trace_reader.TraceReader(path).steps(), registry)
 
 
 @pytest.fixture(name='path')
@@ -153,7 +154,7 @@
     writer.close()
     registry = replay.Registry()
     registry.register('router', 'figdrum.routing.router:Router')
-    assert replay.replay(trace.TraceReader(path).steps(),
+    assert replay.replay(trace_reader.TraceReader(path).steps(),
                          registry) == replay.Replayed(2, None)
 
 
@@ -161,7 +162,7 @@
     """Guards against a trace that passes because nothing was run."""
     record(path)
     with pytest.raises(errors.TraceError):
-        replay.replay(trace.TraceReader(path).steps(), replay.Registry())
+        replay.replay(trace_reader.TraceReader(path).steps(), replay.Registry())
 
 
 def test_recording_does_not_change_the_result(path):
@@ -218,7 +219,7 @@
     with open(path, 'w', encoding='utf-8') as file:
         file.write(line + '\n')
     with pytest.raises(errors.TraceError):
-        list(trace.TraceReader(path).steps())
+        list(trace_reader.TraceReader(path).steps())
 
 
 @pytest.mark.parametrize('value', [
--- a/figdrum/telemetry/trace.py
+++ b/figdrum/telemetry/trace.py
@@ -277,57 +277,6 @@
     return {'raised': getattr(exc, 'code', type(exc).__name__)}
 
 
-class TraceReader:
-    """Reads the steps of a trace file.
-
-    The last line is left out when it has no line end: the process was killed
-    while it wrote.
-    """
-
-    def __init__(self, path: str):
-        self._path = path
-
-    def steps(self) -> collections.abc.Iterator[Step]:
-        """Yields the steps in order.
-
-        Raises:
-          errors.TraceError: if the file cannot be read or a line is not a
-            step of a known version.
-        """
-        try:
-            with open(self._path, encoding='utf-8') as file:
-                number = 0
-                while line := file.readline(MAX_LINE_BYTES + 1):
-                    number += 1
-                    if not line.endswith('\n'):
-                        if len(line) > MAX_LINE_BYTES:
-                            raise self._fault(number, 'the line is too long')
-                        return
-                    yield self._parse(line, number)
-        except (OSError, UnicodeDecodeError) as exc:
-            raise errors.TraceError('read trace', self._path, str(exc)) from exc
-
-    def _parse(self, line: str, number: int) -> Step:
-        try:
-            row = json.loads(line)
-            version = row.pop('v')
-            if version != TRACE_VERSION:
-                raise self._fault(number, f'format version {version!r:.20}')
-            step = Step(**row)
-        except (AttributeError, KeyError, RecursionError, TypeError,
-                ValueError) as exc:
-            raise self._fault(number, repr(exc)) from exc
-        wanted = (int, str, str, int | None, list, dict, list)
-        if not all(
-                isinstance(field, kind) for field, kind in zip(step, wanted)):
-            raise self._fault(number, 'a field has a wrong type')
-        return step
-
-    def _fault(self, number: int, reason: str) -> errors.TraceError:
-        return errors.TraceError('read trace', self._path,
-                                 f'line {number}: {reason}')
-
-
 def open_trace(path: str, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> Trace:
     """Returns a writer to `path`, or a `NullTrace` when `path` is empty."""
     return TraceWriter(path, limit_bytes) if path else NullTrace()
--- /dev/null
+++ b/figdrum/telemetry/trace_reader.py
@@ -0,0 +1,58 @@
+"""Reads what a `TraceWriter` recorded."""
+
+import collections.abc
+import json
+
+from figdrum.core import errors
+from figdrum.telemetry import trace
+
+
+class TraceReader:
+    """Reads the steps of a trace file.
+
+    The last line is left out when it has no line end: the process was killed
+    while it wrote.
+    """
+
+    def __init__(self, path: str):
+        self._path = path
+
+    def steps(self) -> collections.abc.Iterator[trace.Step]:
+        """Yields the steps in order.
+
+        Raises:
+          errors.TraceError: if the file cannot be read or a line is not a
+            step of a known version.
+        """
+        try:
+            with open(self._path, encoding='utf-8') as file:
+                number = 0
+                while line := file.readline(trace.MAX_LINE_BYTES + 1):
+                    number += 1
+                    if not line.endswith('\n'):
+                        if len(line) > trace.MAX_LINE_BYTES:
+                            raise self._fault(number, 'the line is too long')
+                        return
+                    yield self._parse(line, number)
+        except (OSError, UnicodeDecodeError) as exc:
+            raise errors.TraceError('read trace', self._path, str(exc)) from exc
+
+    def _parse(self, line: str, number: int) -> trace.Step:
+        try:
+            row = json.loads(line)
+            version = row.pop('v')
+            if version != trace.TRACE_VERSION:
+                raise self._fault(number, f'format version {version!r:.20}')
+            step = trace.Step(**row)
+        except (AttributeError, KeyError, RecursionError, TypeError,
+                ValueError) as exc:
+            raise self._fault(number, repr(exc)) from exc
+        wanted = (int, str, str, int | None, list, dict, list)
+        if not all(
+                isinstance(field, kind) for field, kind in zip(step, wanted)):
+            raise self._fault(number, 'a field has a wrong type')
+        return step
+
+    def _fault(self, number: int, reason: str) -> errors.TraceError:
+        return errors.TraceError('read trace', self._path,
+                                 f'line {number}: {reason}')
