Remove two imports left over from the shared limits

pylint over all packages found them: coap/flow_memory.py and coap/observation.py imported modules that they no longer use.

--- a/figdrum/coap/flow_memory.py
+++ b/figdrum/coap/flow_memory.py
@@ -23,7 +23,6 @@
 import dataclasses
 import random
 
-from figdrum.coap import exchange
 from figdrum.coap import observation
 from figdrum.core import ids
 from figdrum.core import limits
--- a/figdrum/coap/observation.py
+++ b/figdrum/coap/observation.py
@@ -22,7 +22,6 @@
 from figdrum.coap import exchange
 from figdrum.coap import request
 from figdrum.core import ids
-from figdrum.core import limits
 
 
 @dataclasses.dataclass(slots=True)
