--- a/figdrum/coap/observation.py
+++ b/figdrum/coap/observation.py
@@ -23,8 +23,6 @@
 from figdrum.coap import request
 from figdrum.core import ids
 
-CONFIRM_MS = 60_000
-
 
 @dataclasses.dataclass(slots=True)
 class Observation:
--- a/figdrum/coap/tests/test_server.py
+++ b/figdrum/coap/tests/test_server.py
@@ -9,8 +9,10 @@
 
 from figdrum.coap import codes
 from figdrum.coap import exchange
+from figdrum.coap import flow_memory
 from figdrum.coap import server
 from figdrum.core import ids
+from figdrum.core import limits
 from figdrum.core import states
 
 FLOW = ids.FlowKey('10.0.0.1', 4000, '10.9.0.1', 5683)
@@ -60,7 +62,7 @@
     reply = only(coap.answer(9, 1, codes.Response(CONTENT, b'x')))
     assert (reply.mtype, reply.mid, reply.token,
             reply.payload) == (aiocoap.ACK, 77, b'ab', b'x')
-    again = coap.on_datagram(exchange.EXCHANGE_LIFETIME_MS - 1, FLOW, data)
+    again = coap.on_datagram(limits.COPY_LIFETIME_MS - 1, FLOW, data)
     assert only(again).payload == b'x'
     assert isinstance(again.events[0], server.Dropped)
     # Another caller may use the same message id.
@@ -307,7 +309,7 @@
     assert not any(isinstance(e, server.Requested) for e in copy.events)
     # It moves on, and ends with the lifetime of copies.
     assert len(taker.handover(3, FLOW).refused) == 1
-    assert not giver.handover(exchange.EXCHANGE_LIFETIME_MS, FLOW).refused
+    assert not giver.handover(limits.COPY_LIFETIME_MS, FLOW).refused
 
 
 def test_number_of_refusals_is_bounded():
@@ -322,7 +324,7 @@
 
 def test_states_of_refused_flows_are_bounded(monkeypatch):
     """Guards against memory that grows with flows that are never held."""
-    monkeypatch.setattr(server, 'MAX_FLOWS', 10)
+    monkeypatch.setattr(flow_memory, 'MAX_FLOWS', 10)
     coap = make()
     observe(coap)
     for port in range(50):
--- a/figdrum/contracts/change_log.py
+++ b/figdrum/contracts/change_log.py
@@ -25,15 +25,16 @@
 import json
 import logging
 import typing
-import unicodedata
 import uuid
 
 from twisted.internet import defer
 
 from figdrum.contracts import change as change_lib
 from figdrum.contracts import contract as contract_lib
+from figdrum.contracts import operators
 from figdrum.contracts import proposals
 from figdrum.contracts import state as state_lib
+from figdrum.contracts import sure_writer
 from figdrum.core import clock as clock_lib
 from figdrum.core import errors
 from figdrum.core import ids
@@ -48,10 +49,6 @@
 PURPOSE_LIMIT = 1_000
 """Longest purpose in characters."""
 
-OPERATOR_LIMIT = 100
-"""Longest operator name in characters."""
-
-WRITE_ATTEMPTS = 3
 RACE_ATTEMPTS = 20
 
 _log = logging.getLogger(__name__)
@@ -91,6 +88,7 @@
                  clock: clock_lib.Clock,
                  new_id: typing.Callable[[], str] | None = None):
         self._store = store
+        self._writer = sure_writer.SureWriter(store)
         self._clock = clock
         self._new_id = new_id or (lambda: uuid.uuid4().hex[:12])
 
@@ -115,8 +113,7 @@
         for item in sorted(items, key=lambda item: item.key):
             if change_lib.number(item.key) <= state.change:
                 continue
-            state = state_lib.fold(state,
-                                   change_lib.Change.from_json(item.value))
+            state = _folded_with(state, item)
             revision = item.revision
         return loaded._replace(state=state, revision=revision)
 
@@ -150,7 +147,7 @@
         Returns:
           A Deferred of the `Proposal`.
         """
-        _check_operator('propose', proposer)
+        operators.check_name('propose', proposer)
         size = len(json.dumps(body.to_dict()).encode())
         if size > BODY_LIMIT_BYTES:
             raise errors.ContractError(
@@ -171,7 +168,7 @@
                                       body,
                                       purpose=purpose[:PURPOSE_LIMIT])
         try:
-            yield self._write(key, proposal.to_json(), 0)
+            yield self._writer.write(key, proposal.to_json(), 0)
         except errors.ConflictError:
             return _same_proposal((yield self._store.get(key)), body, proposer)
         return proposal
@@ -201,7 +198,7 @@
         """Returns a Deferred of all changes in order, or of those of
         `subject` (see `change.contract_subject`)."""
         items, _ = yield self._store.list(change_lib.PREFIX)
-        changes = [change_lib.Change.from_json(item.value) for item in items]
+        changes = [_read_change(item) for item in items]
         return tuple(c for c in sorted(changes, key=lambda c: c.n)
                      if subject in ('', c.body.subject))
 
@@ -225,11 +222,11 @@
         Returns:
           A Deferred of the `Change`.
         """
-        _check_operator('approve', approver)
+        operators.check_name('approve', approver)
         loaded = None
         for _ in range(RACE_ATTEMPTS):
             item, proposal = yield self._read_proposal(proposal_id)
-            _check_approver(proposal, approver)
+            operators.check_approver(proposal, approver)
             change = yield self._own_change(proposal)
             if change is not None:
                 break
@@ -258,13 +255,13 @@
         if not (proposal.change == n and proposal.decider == approver):
             proposal = proposal.with_intent(n, approver, self._clock.wall_ms())
             try:
-                item = yield self._write(item.key, proposal.to_json(),
-                                         item.version)
+                item = yield self._writer.write(item.key, proposal.to_json(),
+                                                item.version)
             except errors.ConflictError:
                 return None
         change = proposal.to_change(n)
         try:
-            yield self._write(change_lib.key(n), change.to_json(), 0)
+            yield self._writer.write(change_lib.key(n), change.to_json(), 0)
         except errors.ConflictError:
             return (yield self._own_change(proposal))
         return change
@@ -296,7 +293,7 @@
         if item is None:
             raise errors.StoreError('read change', change_lib.key(n),
                                     'it is in the log but was not found')
-        return change_lib.Change.from_json(item.value)
+        return _read_change(item)
 
     @defer.inlineCallbacks
     def _own_change(self, proposal: proposals.Proposal):
@@ -306,7 +303,7 @@
         item = yield self._store.get(change_lib.key(proposal.change))
         if item is None:
             return None
-        change = change_lib.Change.from_json(item.value)
+        change = _read_change(item)
         return change if change.id == change_lib.id_of(proposal.id) else None
 
     @defer.inlineCallbacks
@@ -328,7 +325,8 @@
             return item, proposal
         proposal = proposal.approved(change)
         try:
-            item = yield self._write(item.key, proposal.to_json(), item.version)
+            item = yield self._writer.write(item.key, proposal.to_json(),
+                                            item.version)
         except errors.ConflictError:
             # Another reader of the proposal records the same approval.
             return (yield self._read_proposal(proposal.id))
@@ -358,8 +356,8 @@
         loaded = yield self._catch_up(loaded)
         snapshot = state_lib.Snapshot(loaded.state, loaded.revision)
         try:
-            yield self._write(state_lib.SNAPSHOT_KEY, snapshot.to_json(),
-                              loaded.snapshot_version)
+            yield self._writer.write(state_lib.SNAPSHOT_KEY, snapshot.to_json(),
+                                     loaded.snapshot_version)
         except errors.ConflictError:
             pass  # Another approver wrote a snapshot.
         except errors.ValueTooLargeError as exc:
@@ -377,7 +375,7 @@
         Returns:
           A Deferred of the rejected `Proposal`.
         """
-        _check_operator('reject', operator)
+        operators.check_name('reject', operator)
         for _ in range(RACE_ATTEMPTS):
             item, proposal = yield self._read_proposal(proposal_id)
             item, proposal = yield self._repaired(item, proposal)
@@ -388,7 +386,8 @@
             yield self._check_intent_failed(proposal)
             decided = proposal.rejected(operator, reason, self._clock.wall_ms())
             try:
-                yield self._write(item.key, decided.to_json(), item.version)
+                yield self._writer.write(item.key, decided.to_json(),
+                                         item.version)
                 return decided
             except errors.ConflictError:
                 continue
@@ -423,38 +422,23 @@
                                        'no such proposal')
         return item, proposals.Proposal.from_json(item.value)
 
-    @defer.inlineCallbacks
-    def _write(self, key: str, value: str, if_version: int):
-        """Writes, and after a failure reads back and tries again.
 
-        Fires with the stored item. Fails with `errors.ConflictError` only when
-        the object at `if_version + 1` is not this write's.
-        """
-        last = None
-        for _ in range(WRITE_ATTEMPTS):
-            try:
-                return (yield self._store.put(key, value, if_version))
-            except errors.StoreError as exc:
-                last = exc
-            except errors.ConflictError:
-                # An earlier attempt may have taken effect.
-                item = yield self._store.get(key)
-                if _is_write(item, value, if_version):
-                    return item
-                raise
-            try:
-                item = yield self._store.get(key)
-            except errors.StoreError as exc:
-                last = exc
-                continue
-            if _is_write(item, value, if_version):
-                return item
-        raise last
+def _read_change(item: store_lib.Item) -> change_lib.Change:
+    """Returns the change; an error names its object."""
+    try:
+        return change_lib.Change.from_json(item.value)
+    except errors.ContractError as exc:
+        raise errors.ContractError(exc.step, item.key, exc.reason) from exc
 
 
-def _is_write(item: store_lib.Item | None, value: str, if_version: int) -> bool:
-    return (item is not None and item.version == if_version + 1 and
-            item.value == value)
+def _folded_with(state: state_lib.ContractState,
+                 item: store_lib.Item) -> state_lib.ContractState:
+    """Returns the state after the change; an error names its object."""
+    change = _read_change(item)
+    try:
+        return state_lib.fold(state, change)
+    except errors.ContractError as exc:
+        raise errors.ContractError(exc.step, item.key, exc.reason) from exc
 
 
 def _same_proposal(item: store_lib.Item, body: change_lib.Body,
@@ -466,24 +450,6 @@
     return stored
 
 
-def _check_operator(step: str, operator: str) -> None:
-    if not operator.strip() or len(operator) > OPERATOR_LIMIT:
-        raise errors.ApprovalError(
-            step, '-', f'an operator name has 1 to {OPERATOR_LIMIT} characters')
-
-
-def _check_approver(proposal: proposals.Proposal, approver: str) -> None:
-    if _folded(approver) == _folded(proposal.proposer):
-        raise errors.ApprovalError(
-            'approve', proposal.id,
-            f'{approver} proposed it; another operator must approve it')
-
-
-def _folded(operator: str) -> str:
-    """Returns the name without differences that people do not see."""
-    return ' '.join(unicodedata.normalize('NFKC', operator).casefold().split())
-
-
 def _check_open(step: str, proposal: proposals.Proposal) -> None:
     if proposal.status is not proposals.Status.PROPOSED:
         raise errors.ApprovalError(
