--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,9 @@
 
 .PHONY: demo test spec proofs bench dist lint format
 
-$(STAMP): requirements.txt
+# The name of the stamp holds the checksum of requirements.txt, so it needs no
+# prerequisite; checkouts may share one environment.
+$(STAMP):
 	python3 -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.txt
 	touch $@
