--- /dev/null
+++ b/bench/broken_flows.py
@@ -0,0 +1,203 @@
+"""Flows broken by a day of planned changes, and by failures.
+
+Explanation
+===========
+
+The day is compressed into minutes: every server is replaced, balancers are
+replaced, contracts change, and a zone goes out and returns; failures run as a
+day of their own. All flows last for hours, that is, from before the first event
+to the end. Each packet goes to any balancer, and views are uneven.
+"""
+
+import random
+import typing
+
+from bench import baselines
+from bench import callers as callers_lib
+from bench import fleet as fleet_lib
+from bench import measure
+from bench import schedule as schedule_lib
+from bench import sites
+
+FLOWS_PER_SERVER = 50
+GAP_MS = 10_000
+FLOWS_START_MS = 20_000
+FLOWS_RAMP_MS = 60_000
+FIGDRUM = 'figdrum'
+
+
+class Row(typing.NamedTuple):
+    """What one scheme did on one day.
+
+    Attributes:
+      user: The site.
+      day: Planned changes or failures.
+      scheme: The balancer.
+      flows: Flows.
+      broken_planned: Flows broken by planned changes.
+      broken_failure: Flows broken by failures.
+      given_up: Flows that ended in a zone taken out.
+      packets: Packets sent.
+      reached_wrong: Packets that first reached a target without the session.
+      handled_wrong: Packets that such a target handled, or sessions lost.
+      wrong_service: Packets handled for another service.
+      unanswered: Share of requests without an answer in 30 s.
+    """
+    user: str
+    day: str
+    scheme: str
+    flows: int
+    broken_planned: int
+    broken_failure: int
+    given_up: int
+    packets: int
+    reached_wrong: int
+    handled_wrong: int
+    wrong_service: int
+    unanswered: float
+
+
+class BrokenFlows(measure.Measure):
+    """Counts broken flows.
+
+    Args:
+      flows_per_server: Flows for each server.
+      replaced: Servers replaced on the planned day; None is all.
+      crashes: Crashes on the day of failures.
+      users: Sites.
+    """
+    name = 'broken_flows'
+
+    def __init__(self,
+                 flows_per_server: int = FLOWS_PER_SERVER,
+                 replaced: int | None = None,
+                 crashes: int = schedule_lib.CRASHES,
+                 users: tuple[sites.Site, ...] = sites.SITES):
+        self._flows_per_server = flows_per_server
+        self._replaced = replaced
+        self._crashes = crashes
+        self._users = users
+
+    def run(self, seed: int) -> measure.Table:
+        rows = []
+        notes = []
+        for site in self._users:
+            days = (('planned',
+                     schedule_lib.planned(site, seed, self._replaced)),
+                    ('failures',
+                     schedule_lib.failures(site, seed, self._crashes)))
+            for label, day in days:
+                notes.append(f'{site.name}, {label}: {_describe(day)}')
+                plans = self._plan(site, day, seed)
+                rows.append(run_figdrum(site, label, day, plans, seed))
+                rows += [
+                    run_baseline(site, label, day, plans, scheme, seed)
+                    for scheme in baselines.SCHEMES
+                ]
+        return measure.Table(self.name, self.command, seed, tuple(rows),
+                             _bounds(rows), _plot(rows), tuple(notes))
+
+    def _plan(self, site: sites.Site, day: schedule_lib.Day,
+              seed: int) -> list[callers_lib.FlowPlan]:
+        rng = random.Random(seed)
+        plans = []
+        for service in site.services:
+            plans += callers_lib.plan_flows(
+                site, rng, service.name,
+                service.servers * self._flows_per_server, FLOWS_START_MS,
+                FLOWS_RAMP_MS, day.end_ms, GAP_MS)
+        return plans
+
+
+def run_figdrum(site: sites.Site, label: str, day: schedule_lib.Day,
+                plans: list[callers_lib.FlowPlan], seed: int) -> Row:
+    """Runs figdrum through a day."""
+    fleet = fleet_lib.Fleet(site, seed)
+    callers = callers_lib.Callers(fleet)
+    fleet.observer = callers
+    fleet.start()
+    for event in day.events:
+        fleet.events.at(event.at_ms, happen, fleet, event)
+    for plan in plans:
+        callers.add(plan)
+    fleet.events.run_until(day.end_ms)
+    late = [r for r in callers.requests if r.deadline_at_ms <= day.end_ms]
+    missing = sum(r.answered_ms is None for r in late)
+    causes = list(callers.broken.values())
+    return Row(site.name, label, FIGDRUM, len(plans), causes.count('planned'),
+               causes.count('failure'), len(callers.given_up), callers.packets,
+               callers.wrong_first, callers.wrong_delivered,
+               fleet.wrong_service, missing / max(1, len(late)))
+
+
+def run_baseline(site: sites.Site, label: str, day: schedule_lib.Day,
+                 plans: list[callers_lib.FlowPlan],
+                 scheme: type[baselines.Scheme], seed: int) -> Row:
+    """Runs a baseline through a day."""
+    fleet = baselines.BaselineFleet(site, scheme, seed)
+    fleet.run(day, plans)
+    causes = list(fleet.broken.values())
+    return Row(site.name, label, scheme.name, len(plans),
+               causes.count('planned'), causes.count('failure'),
+               len(fleet.given_up), fleet.packets, fleet.wrong, fleet.wrong, 0,
+               float('nan'))
+
+
+def happen(fleet: fleet_lib.Fleet, event: schedule_lib.Event) -> None:
+    """Carries out an event."""
+    kind = schedule_lib.Kind
+    if event.kind is kind.JOIN:
+        fleet.join(event.subject, event.service, event.zone)
+    elif event.kind is kind.LEAVE:
+        fleet.leave(event.subject)
+    elif event.kind is kind.CRASH:
+        fleet.crash(event.subject)
+    elif event.kind is kind.BALANCER:
+        old = next(b for b in fleet.balancers if b.listed)
+        fleet.add_balancer(old.zone)
+        fleet.stop_balancer(old)
+    elif event.kind is kind.BALANCER_CRASH:
+        old = next(b for b in fleet.balancers if b.listed)
+        fleet.add_balancer(old.zone)
+        fleet.crash_balancer(old)
+    elif event.kind is kind.CONTRACT:
+        limits = fleet.contracts.contract(event.subject).limits
+        other = (callers_lib.LOWERED
+                 if limits == sites.LIMITS else sites.LIMITS)
+        fleet.change(fleet.site.contract(event.subject, other))
+    elif event.kind is kind.ZONE_OUT:
+        fleet.change(fleet_lib.change_lib.ZoneOut(event.subject))
+    elif event.kind is kind.ZONE_IN:
+        fleet.change(fleet_lib.change_lib.ZoneIn(event.subject))
+
+
+def _describe(day: schedule_lib.Day) -> str:
+    counts = ', '.join(f'{day.count(kind)} x {kind.value}'
+                       for kind in schedule_lib.Kind
+                       if day.count(kind))
+    return f'{counts} in {day.end_ms // 1000} s of virtual time'
+
+
+def _bounds(rows: list[Row]) -> tuple[measure.Bound, ...]:
+    own = [row for row in rows if row.scheme == FIGDRUM]
+    planned = sum(row.broken_planned for row in own)
+    foreign = sum(row.wrong_service for row in own)
+    return (measure.Bound('P1: no flow broken by planned change', planned == 0,
+                          planned),
+            measure.Bound('P2: no packet handled for another service',
+                          foreign == 0, foreign))
+
+
+def _plot(rows: list[Row]) -> measure.Plot:
+    groups = {}
+    for row in rows:
+        groups.setdefault(row.scheme, []).append(row)
+    series = tuple(
+        measure.Series(scheme, tuple(f'{r.user}, {r.day}' for r in found),
+                       tuple((r.broken_planned + r.broken_failure) / r.flows
+                             for r in found))
+        for scheme, found in groups.items())
+    return measure.Plot('Broken flows', 'day', 'share of flows', series)
+
+
+MEASURE = BrokenFlows
--- /dev/null
+++ b/bench/callers.py
@@ -0,0 +1,237 @@
+"""Callers: flows, their requests with retransmission, and what became of them.
+
+Explanation
+===========
+
+A flow is a session that lasts from its first answer to its end. It is broken
+when a packet of it is handled by a target that has no session of it, or when a
+request gets no answer in all retransmissions. The cause is the failure of its
+holder, its zone that operators took out, or else a planned change.
+"""
+
+import collections
+import dataclasses
+import struct
+import typing
+
+from figdrum.contracts import contract
+from figdrum.core import ids
+from figdrum.messages import datagram
+from bench import agents as agents_lib
+from bench import fleet as fleet_lib
+from bench import sites
+
+# RFC 7252, section 4.8.
+ACK_TIMEOUT_MS = 2_000
+ACK_RANDOM_FACTOR = 1.5
+MAX_RETRANSMIT = 4
+RETRY_MS = 500
+DEADLINE_MS = 30_000
+# An observation is confirmed each 60 s (section 10), so no gap is longer.
+MOST_GAP_MS = 60_000
+REQUEST_SHARE = 0.7
+
+_CON = 0x40
+_GET = 1
+_EMPTY = 0
+
+
+class FlowPlan(typing.NamedTuple):
+    """A flow to come.
+
+    Attributes:
+      key: Source and destination.
+      customer: Customer of the destination.
+      service: Service of the destination.
+      start_ms: First request.
+      end_ms: No packet after this.
+      gap_ms: Mean time between packets.
+    """
+    key: ids.FlowKey
+    customer: str
+    service: str
+    start_ms: int
+    end_ms: int
+    gap_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Flow:
+    """A flow in progress."""
+    plan: FlowPlan
+    holder: str = ''
+    stalled: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request; a refused one is sent again as a new datagram."""
+    flow: Flow
+    sent_ms: int
+    deadline_at_ms: int
+    payload: bytes = b''
+    tries: int = 0
+    answered_ms: int | None = None
+    refused: int = 0
+
+
+def plan_flows(site: sites.Site,
+               rng,
+               service: str,
+               count: int,
+               start_ms: int,
+               ramp_ms: int,
+               end_ms: int,
+               gap_ms: float,
+               first: int = 0) -> list[FlowPlan]:
+    """Returns flows that start evenly in `ramp_ms` and last to `end_ms`."""
+    plans = []
+    for n in range(first, first + count):
+        customer = rng.choice(site.customers)
+        key = ids.FlowKey(f'192.0.{n // 50000}.{n % 250 + 1}',
+                          1024 + n % 50000, *site.address(customer, service))
+        at_ms = start_ms + (n - first) * ramp_ms // max(1, count)
+        plans.append(FlowPlan(key, customer, service, at_ms, end_ms, gap_ms))
+    return plans
+
+
+class Callers(fleet_lib.Observer):
+    """All callers of a fleet.
+
+    Attributes:
+      broken: Causes by flow, the first of each.
+      given_up: Flows that ended in a zone taken out.
+      packets: Packets sent.
+      wrong_first: Packets for which the balancer chose another agent than the
+        holder, which passes them on.
+      wrong_delivered: Packets that a target without the session handled.
+      requests: All requests.
+    """
+
+    def __init__(self, fleet: fleet_lib.Fleet, deadline_ms: int = DEADLINE_MS):
+        self.broken: dict[ids.FlowKey, str] = {}
+        self.given_up: set[ids.FlowKey] = set()
+        self.packets = 0
+        self.wrong_first = 0
+        self.wrong_delivered = 0
+        self.requests: list[Request] = []
+        self.flows: dict[ids.FlowKey, Flow] = {}
+        self.refusals: collections.Counter = collections.Counter()
+        self._fleet = fleet
+        self._events = fleet.events
+        self._rng = fleet.rng
+        self._deadline_ms = deadline_ms
+        self._open: dict[bytes, Request] = {}
+        self._crashed: set[str] = set()
+
+    def add(self, plan: FlowPlan) -> None:
+        """Schedules a flow."""
+        self._events.at(plan.start_ms, self._start, plan)
+
+    def on_first_hop(self, agent: str, flow: ids.FlowKey) -> None:
+        holder = self.flows[flow].holder
+        self.wrong_first += bool(holder) and holder != agent
+
+    def on_delivered(self, agent: agents_lib.Agent,
+                     packet: datagram.Packet) -> None:
+        flow = self.flows[packet.flow]
+        if packet.flow not in agent.held:
+            if flow.holder:
+                self._lost_session(flow)
+        flow.holder = agent.name
+
+    def on_adopted(self, agent: agents_lib.Agent, flow: ids.FlowKey) -> None:
+        self.flows[flow].holder = agent.name
+
+    def on_zone(self, agent: agents_lib.Agent) -> None:
+        for key in agent.held:
+            if self.flows[key].holder == agent.name:
+                self.given_up.add(key)
+                self.flows[key].holder = ''
+
+    def on_crash(self, agent: agents_lib.Agent) -> None:
+        if not agent.admission.flows_stopped:
+            self._crashed.add(agent.name)
+
+    def on_reply(self, packet: datagram.Packet, ok: bool) -> None:
+        req = self._open.get(packet.payload)
+        if req is None:
+            return
+        del self._open[packet.payload]
+        now_ms = self._events.now_ms
+        if ok:
+            req.answered_ms = now_ms
+            return
+        req.refused += 1
+        if now_ms + RETRY_MS < req.deadline_at_ms:
+            self._events.after(RETRY_MS, self._send_new, req)
+
+    def deadline_at_ms(self, packet: datagram.Packet) -> int:
+        req = self._open.get(packet.payload)
+        return req.deadline_at_ms if req else self._events.now_ms
+
+    def _start(self, plan: FlowPlan) -> None:
+        flow = Flow(plan)
+        self.flows[plan.key] = flow
+        self._request(flow)
+        self._plan_next(flow)
+
+    def _plan_next(self, flow: Flow) -> None:
+        gap_ms = min(MOST_GAP_MS,
+                     self._rng.expovariate(1 / flow.plan.gap_ms))
+        if self._events.now_ms + gap_ms < flow.plan.end_ms:
+            self._events.after(1 + round(gap_ms), self._next, flow)
+
+    def _next(self, flow: Flow) -> None:
+        if self._rng.random() < REQUEST_SHARE or not flow.holder:
+            self._request(flow)
+        else:
+            self._transmit(flow, self._datagram(_EMPTY))
+        self._plan_next(flow)
+
+    def _request(self, flow: Flow) -> None:
+        now_ms = self._events.now_ms
+        req = Request(flow, now_ms, now_ms + self._deadline_ms)
+        self.requests.append(req)
+        self._send_new(req)
+
+    def _send_new(self, req: Request) -> None:
+        req.payload = self._datagram(_GET)
+        req.tries = 0
+        self._open[req.payload] = req
+        timeout_ms = ACK_TIMEOUT_MS * self._rng.uniform(1, ACK_RANDOM_FACTOR)
+        self._try(req, req.payload, round(timeout_ms))
+
+    def _try(self, req: Request, payload: bytes, timeout_ms: int) -> None:
+        if payload not in self._open:
+            return
+        if req.tries > MAX_RETRANSMIT:
+            del self._open[payload]
+            if req.flow.holder:
+                self._lost_session(req.flow)
+            return
+        req.tries += 1
+        self._transmit(req.flow, payload)
+        self._events.after(timeout_ms, self._try, req, payload, 2 * timeout_ms)
+
+    def _transmit(self, flow: Flow, payload: bytes) -> None:
+        self.packets += 1
+        self._fleet.send(flow.plan.key, payload)
+
+    def _lost_session(self, flow: Flow) -> None:
+        holder = self._fleet.agents[flow.holder]
+        key = flow.plan.key
+        flow.holder = ''
+        if self._fleet.zone_is_out(holder.identity.zone):
+            self.given_up.add(key)
+            return
+        self.wrong_delivered += 1
+        cause = 'failure' if holder.name in self._crashed else 'planned'
+        self.broken.setdefault(key, cause)
+
+    def _datagram(self, code: int) -> bytes:
+        number = self._fleet.next_number()
+        return struct.pack('>BBHI', _CON, code, number & 0xffff, number)
+
+
+LOWERED = contract.Limits(50_000, 5_000, 5_000)
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,403 @@
+"""Agents, balancers and what they know of lists and contracts.
+
+Explanation
+===========
+
+The newest lists and contracts lie here, as in the platform. Each node learns of
+a change after a time of its own, so views are uneven. No sockets: messages are
+events in virtual time.
+"""
+
+import abc
+import random
+
+from figdrum.contracts import change as change_lib
+from figdrum.contracts import state as contract_state
+from figdrum.core import ids
+from figdrum.core import states
+from figdrum.membership import service_list
+from figdrum.messages import datagram
+from figdrum.routing import router as router_lib
+from figdrum.routing import serving
+from bench import agents as agents_lib
+from bench import events as events_lib
+from bench import sites
+
+# P10: a change is in force everywhere within 7 s. Nodes of the bench differ by
+# up to 5 s, so that each is in time.
+LEAST_DELAY_MS = 50
+MOST_DELAY_MS = 5_000
+# Section 6.3: a member silent for 3,000 ms is published as lost.
+LOST_AFTER_MS = 3_000
+TOMBSTONE_MS = 300_000
+BALANCER_LINGER_MS = 10_000
+# The fabric's health check of balancers.
+FABRIC_NOTICE_MS = 3_000
+CALLER_HOP_MS = 3
+START_AT_MS = 10_000
+
+
+class Observer(abc.ABC):
+    """Hears what happens to packets."""
+
+    @abc.abstractmethod
+    def on_delivered(self, agent: agents_lib.Agent,
+                     packet: datagram.Packet) -> None:
+        """A packet is about to be handled by an agent's target."""
+
+    @abc.abstractmethod
+    def on_first_hop(self, agent: str, flow: ids.FlowKey) -> None:
+        """A balancer chose this agent."""
+
+    @abc.abstractmethod
+    def on_adopted(self, agent: agents_lib.Agent, flow: ids.FlowKey) -> None:
+        """An agent took over a flow."""
+
+    @abc.abstractmethod
+    def on_zone(self, agent: agents_lib.Agent) -> None:
+        """An agent learnt that its zone went out or in; it gives up."""
+
+    @abc.abstractmethod
+    def on_crash(self, agent: agents_lib.Agent) -> None:
+        """An agent is about to crash."""
+
+    @abc.abstractmethod
+    def on_reply(self, packet: datagram.Packet, ok: bool) -> None:
+        """An answer or refusal reached the caller."""
+
+    @abc.abstractmethod
+    def deadline_at_ms(self, packet: datagram.Packet) -> int:
+        """Returns the deadline of a request."""
+
+
+class _Always:
+    """A balancer that is never behind."""
+    may_serve = True
+
+    def is_behind(self, now_ms):
+        del now_ms
+        return False
+
+
+class Balancer:
+    """A balancer: the product's router and its view."""
+
+    def __init__(self, address: ids.Address, zone: str, fleet: 'Fleet'):
+        self.address = address
+        self.zone = zone
+        self.alive = True
+        self.listed = True
+        self.contracts = fleet.contracts
+        self.lists = dict(fleet.lists)
+        self.router = router_lib.Router(ids.ZoneName(zone), address,
+                                        serving.ServingGate(_Always()))
+
+    def take(self, lists: dict[str, service_list.ServiceList],
+             contracts: contract_state.ContractState) -> None:
+        """Takes what is newer than known."""
+        if contracts.change > self.contracts.change:
+            self.contracts = contracts
+        for name, members in lists.items():
+            if members.version > self.lists[name].version:
+                self.lists[name] = members
+        self.router.on_members(
+            frozenset(m.address for members in self.lists.values()
+                      for m in members.members))
+
+
+class Fleet:
+    """All nodes of a site.
+
+    Attributes:
+      events: The virtual time.
+      rng: Source of all chance.
+      contracts: The newest contracts.
+      lists: The newest lists by service.
+      agents: Agents by name.
+      balancers: Balancers that run.
+      wrong_service: Packets that an agent of another service delivered.
+      zone_packets: Times at which a packet reached an agent or balancer in a
+        zone that was out, with the zone.
+      drops: Packets dropped by agents, by reason.
+    """
+
+    def __init__(self,
+                 site: sites.Site,
+                 seed: int,
+                 connections: int = agents_lib.CONNECTIONS):
+        self.site = site
+        self.events = events_lib.EventQueue()
+        self.rng = random.Random(seed)
+        self.contracts = site.contracts()
+        self.lists = {
+            s.name: service_list.ServiceList.empty(s.name)
+            for s in site.services
+        }
+        self.agents: dict[str, agents_lib.Agent] = {}
+        self.balancers: list[Balancer] = []
+        self.observer: Observer | None = None
+        self.wrong_service = 0
+        self.zone_packets: list[tuple[int, str]] = []
+        self.drops: dict[str, int] = {}
+        self._connections = connections
+        self._by_address: dict[ids.Address, str] = {}
+        self._routers: dict[ids.Address, Balancer] = {}
+        self._numbers = 0
+
+    def start(self) -> None:
+        """Starts all servers and balancers and lets them settle."""
+        for service in self.site.services:
+            for n in range(service.servers):
+                self.join(f'{service.name}-{n}', service.name,
+                          self.site.zone_of(n))
+        for n in range(len(self.site.zones) * self.site.balancers_per_zone):
+            self.add_balancer(self.site.zone_of(n))
+        self.events.each(agents_lib.TICK_MS, self._tick)
+        self.events.each(agents_lib.HEARTBEAT_MS, self._heartbeats)
+
+    def newest(self, service: str):
+        """Returns the newest list of a service and the contracts."""
+        return self.lists[service], self.contracts
+
+    def next_number(self) -> int:
+        """Returns a number that was not used before."""
+        self._numbers += 1
+        return self._numbers
+
+    def deadline_at_ms(self, packet: datagram.Packet) -> int:
+        """Returns the deadline of a request."""
+        return self.observer.deadline_at_ms(packet)
+
+    def zone_is_out(self, zone: str) -> bool:
+        """Whether operators have taken a zone out."""
+        return zone in self.contracts.zones_out
+
+    # Planned changes and failures.
+
+    def join(self, name: str, service: str, zone: str) -> agents_lib.Agent:
+        """Starts a server; a name that was used before rejoins."""
+        old = self.agents.get(name)
+        number = len(self._by_address) + 1
+        address = (old.identity.address if old else
+                   (f'10.1.{number // 250}.{number % 250}', 7000))
+        agent = agents_lib.Agent(
+            agents_lib.Identity(name, service, zone, address), self,
+            self.site.slots, self._connections)
+        self.agents[name] = agent
+        self._by_address[address] = name
+        known = self.lists[service].find(name) is not None
+        incarnation = self.lists[service].version + 1
+        agent.join(incarnation)
+        self._publish(
+            service,
+            service_list.Member(name, address, zone, incarnation,
+                                states.MemberState.ACTIVE, known), agent)
+        return agent
+
+    def leave(self, name: str) -> None:
+        """Asks a server to stop, as by SIGTERM."""
+        agent = self.agents[name]
+        agent.start_drain()
+        self._mark(name, states.MemberState.DRAINING)
+        self.events.each(agents_lib.TICK_MS, lambda: self._drained(name))
+
+    def crash(self, name: str) -> None:
+        """Ends a server at once."""
+        self.observer.on_crash(self.agents[name])
+        self.agents[name].crash()
+        self.events.after(
+            LOST_AFTER_MS, lambda: self.agents[name].alive or self._mark(
+                name, states.MemberState.LOST))
+
+    def add_balancer(self, zone: str) -> Balancer:
+        """Starts a balancer with the newest view."""
+        number = len(self._routers) + 1
+        balancer = Balancer((f'10.2.0.{number}', 7000), zone, self)
+        self.balancers.append(balancer)
+        self._routers[balancer.address] = balancer
+        return balancer
+
+    def stop_balancer(self, balancer: Balancer) -> None:
+        """Stops a balancer: it goes on forwarding while it lingers."""
+        balancer.listed = False
+        self.events.after(BALANCER_LINGER_MS, self._end_balancer, balancer)
+
+    def crash_balancer(self, balancer: Balancer) -> None:
+        """Ends a balancer at once; the fabric notices later."""
+        balancer.alive = False
+        self.events.after(FABRIC_NOTICE_MS, self._end_balancer, balancer)
+
+    def change(self, body: change_lib.Body) -> None:
+        """Puts an approved change in force."""
+        self.contracts = contract_state.preview(self.contracts, body)
+        self._spread()
+
+    # Packets.
+
+    def send(self, flow: ids.FlowKey, payload: bytes) -> None:
+        """Carries a caller's datagram to any balancer that is in service."""
+        choices = [b for b in self.balancers if b.listed]
+        if not choices:
+            return
+        self.events.after(CALLER_HOP_MS, self._route, self.rng.choice(choices),
+                          flow, payload)
+
+    def carry(self, to: service_list.Member, message) -> None:
+        """Carries a message from an agent to a member."""
+        self.events.after(self._hop_ms(), self._arrive, to.address, message)
+
+    def reply(self, agent: agents_lib.Agent, packet: datagram.Packet,
+              ok: bool) -> None:
+        """Carries an answer or a refusal to the caller."""
+        balancer = self._routers[packet.balancer]
+        if not agent.alive or not balancer.alive:
+            return
+        balancer.router.on_heard(self.events.now_ms, agent.identity.address)
+        self.events.after(CALLER_HOP_MS + self._hop_ms(),
+                          self.observer.on_reply, packet, ok)
+
+    def on_delivered(self, agent: agents_lib.Agent,
+                     packet: datagram.Packet) -> None:
+        """Notes a packet that a target handles."""
+        if packet.service != agent.identity.service:
+            self.wrong_service += 1
+        self.observer.on_delivered(agent, packet)
+
+    def on_adopted(self, agent: agents_lib.Agent, flow: ids.FlowKey) -> None:
+        """Notes a handover."""
+        self.observer.on_adopted(agent, flow)
+
+    def on_zone(self, agent: agents_lib.Agent) -> None:
+        """Notes that an agent's zone went out or in."""
+        self.observer.on_zone(agent)
+        if not agent.out:
+            agent.target.chill()
+
+    def on_start(self, agent: agents_lib.Agent) -> None:
+        """Notes a request that a target starts."""
+
+    def on_drop(self, agent: agents_lib.Agent, action) -> None:
+        """Notes a dropped packet."""
+        del agent
+        reason = action.reason.value
+        self.drops[reason] = self.drops.get(reason, 0) + 1
+
+    def _hop_ms(self) -> int:
+        return self.rng.randint(1, 1 + round(self.site.zone_hop_ms))
+
+    def _route(self, balancer: Balancer, flow: ids.FlowKey,
+               payload: bytes) -> None:
+        if not balancer.alive:
+            return
+        if self.zone_is_out(balancer.zone):
+            self.zone_packets.append((self.events.now_ms, balancer.zone))
+        routed = balancer.router.route(self.events.now_ms,
+                                       (flow.src_host, flow.src_port),
+                                       (flow.dst_host, flow.dst_port), payload,
+                                       balancer.contracts,
+                                       balancer.lists.__getitem__)
+        if isinstance(routed, router_lib.Forward):
+            self.observer.on_first_hop(routed.member.name, flow)
+            self.events.after(self._hop_ms(), self._arrive_first, balancer,
+                              routed)
+
+    def _arrive_first(self, balancer: Balancer,
+                      routed: router_lib.Forward) -> None:
+        agent = self.agents[self._by_address[routed.member.address]]
+        packet = routed.packet
+        if agent.alive and (packet.change < agent.contracts.change or
+                            packet.list_version < agent.members.version):
+            # `Stale` makes the balancer sync at once.
+            self.events.after(agents_lib.FETCH_MS, balancer.take,
+                              dict(self.lists), self.contracts)
+        self._arrive(routed.member.address, packet)
+
+    def _arrive(self, address: ids.Address, message) -> None:
+        agent = self.agents[self._by_address[address]]
+        if isinstance(message, datagram.Packet):
+            if self.zone_is_out(agent.identity.zone):
+                self.zone_packets.append(
+                    (self.events.now_ms, agent.identity.zone))
+            agent.on_packet(message)
+        else:
+            agent.on_message(message)
+
+    # Time and views.
+
+    def _tick(self) -> None:
+        for agent in tuple(self.agents.values()):
+            if agent.alive:
+                agent.tick()
+        for balancer in self.balancers:
+            if not balancer.alive:
+                continue
+            for address in balancer.router.due_pings(self.events.now_ms):
+                name = self._by_address.get(address)
+                if name and self.agents[name].alive:
+                    balancer.router.on_heard(self.events.now_ms, address)
+
+    def _heartbeats(self) -> None:
+        for agent in tuple(self.agents.values()):
+            if not agent.alive:
+                continue
+            beat = agent.heartbeat()
+            for member in agent.members.routable():
+                if member.name != agent.name:
+                    self.agents[member.name].on_message(beat)
+
+    def _drained(self, name: str) -> bool:
+        agent = self.agents[name]
+        if not agent.alive or not agent.has_drained():
+            return agent.alive
+        self.events.after(agents_lib.LINGER_MS, self._left, name)
+        return False
+
+    def _left(self, name: str) -> None:
+        self.observer.on_crash(self.agents[name])
+        self.agents[name].crash()
+        self._mark(name, states.MemberState.LEFT)
+
+    def _end_balancer(self, balancer: Balancer) -> None:
+        balancer.alive = balancer.listed = False
+        self.balancers.remove(balancer)
+
+    def _mark(self, name: str, state: states.MemberState) -> None:
+        agent = self.agents[name]
+        service = agent.identity.service
+        member = self.lists[service].find(name)
+        self._publish(service, member._replace(state=state), agent)
+        if state in (states.MemberState.LEFT, states.MemberState.LOST):
+            self.events.after(TOMBSTONE_MS, self._prune, service, name,
+                              member.incarnation)
+
+    def _prune(self, service: str, name: str, incarnation: int) -> None:
+        member = self.lists[service].find(name)
+        if member is not None and member.incarnation == incarnation:
+            members = self.lists[service].without(name)
+            self.lists[service] = members._replace(version=members.version + 1)
+            self._spread()
+
+    def _publish(self, service: str, member: service_list.Member,
+                 writer: agents_lib.Agent) -> None:
+        members = self.lists[service].with_member(member)
+        self.lists[service] = members._replace(version=members.version + 1)
+        if writer.alive:
+            writer.take(*self.newest(service))
+        self._spread()
+
+    def _spread(self) -> None:
+        """Tells every node, each after a time of its own."""
+        lists, contracts = dict(self.lists), self.contracts
+        for agent in self.agents.values():
+            self.events.after(self._delay_ms(), self._tell, agent,
+                              lists[agent.identity.service], contracts)
+        for balancer in self.balancers:
+            self.events.after(self._delay_ms(), balancer.take, lists, contracts)
+
+    def _tell(self, agent: agents_lib.Agent, members: service_list.ServiceList,
+              contracts: contract_state.ContractState) -> None:
+        if agent.alive:
+            agent.take(members, contracts)
+
+    def _delay_ms(self) -> int:
+        return self.rng.randint(LEAST_DELAY_MS, MOST_DELAY_MS)
--- /dev/null
+++ b/bench/target.py
@@ -0,0 +1,65 @@
+"""A target's time to answer, and how much load it bears while it warms up."""
+
+import collections
+import dataclasses
+import random
+
+from figdrum.core import clock
+
+COLD_RATE = 2.0
+FULL_RATE = 200.0
+MEAN_RUN_MS = 20.0
+# Section 5.6 of docs/design.md lets the rate grow by half after as many
+# completions as the rate, so a completion stands for half a start a second.
+WARMTH_PER_COMPLETION = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """A target.
+
+    Attributes:
+      rng: Source of run times.
+      slow_factor: Factor on every run time.
+      completions: Answers since it was cold.
+      most_over: Largest share of what it bore in one second that was started.
+      most_cold_starts: Most starts in the one second after which it bore least
+        for the load that it got.
+      bears_then: What it bore in that second.
+    """
+    rng: random.Random
+    slow_factor: float = 1.0
+    completions: int = 0
+    most_over: float = 0.0
+    most_cold_starts: int = 0
+    bears_then: float = 0.0
+    starts: collections.deque = dataclasses.field(
+        default_factory=collections.deque)
+
+    @property
+    def bears(self) -> float:
+        """Starts a second that it bears now."""
+        return min(FULL_RATE,
+                   COLD_RATE + WARMTH_PER_COMPLETION * self.completions)
+
+    def start(self, now_ms: int) -> int:
+        """Starts a request; returns its run time in ms."""
+        while self.starts and self.starts[0] <= now_ms - clock.MS_PER_S:
+            self.starts.popleft()
+        self.starts.append(now_ms)
+        share = len(self.starts) / self.bears
+        if share > self.most_over:
+            self.most_over = share
+            self.most_cold_starts = len(self.starts)
+            self.bears_then = self.bears
+        run_ms = self.rng.gammavariate(4, MEAN_RUN_MS / 4) * self.slow_factor
+        return max(1, round(run_ms))
+
+    def finish(self) -> None:
+        """Notes an answer, which warms the target."""
+        self.completions += 1
+
+    def chill(self) -> None:
+        """Makes it cold."""
+        self.completions = 0
+        self.starts.clear()
