Keep the doubt about a flow whose former holder has left

Wrong: an agent with a pointer to a member that has left the list must ask the others before it admits the flow. An acknowledgement that came first deleted the pointer, and an inquiry that timed out was forgotten; the next request was then admitted as a new flow while the member that had taken the flow over still held it.

Change: a packet that cannot start a flow leaves the pointer in place, and a copy that finds an inquiry timed out asks again. Two tests, both failing before.

--- a/figdrum/ownership/decision.py
+++ b/figdrum/ownership/decision.py
@@ -188,7 +188,9 @@
             must_ask = must_ask or view.rules.departure_inquiry
             packet = packet._replace(
                 uncertain=packet.uncertain or view.rules.doubt)
-        record = None
+        # A packet that cannot start a flow settles nothing. The pointer stays,
+        # so that the next request still asks before it is admitted.
+        record = None if packet.may_start else record
     packet = packet._replace(must_ask=must_ask)
     return _decide_unrouted(view, record, packet)
 
--- a/figdrum/ownership/owner.py
+++ b/figdrum/ownership/owner.py
@@ -119,7 +119,13 @@
         fence = self._table.fence(packet.flow, packet.payload)
         if fence:
             return decision.decide(view, fence, packet).actions
-        record = self._live_record(now_ms, packet.flow)
+        record = self._table.get(packet.flow)
+        if packet.may_start and self._has_timed_out(now_ms, packet.flow,
+                                                    record):
+            # Whatever called for the inquiry still calls for it.
+            del self._pending_since[packet.flow]
+            record = None
+            packet = packet._replace(must_ask=True)
         if record is None and self._table.is_full():
             return (actions.Drop(packet, actions.DropReason.TABLE_FULL),)
         decided = decision.decide(view, record, packet)
@@ -244,14 +250,13 @@
                              ghost_ahead=any(
                                  name in ghosts for name in departed))
 
-    def _live_record(self, now_ms: int, flow: ids.FlowKey) -> records.Record:
-        record = self._table.get(flow)
-        if isinstance(record, records.Pending):
-            since_ms = self._pending_since.get(flow, now_ms)
-            if now_ms - since_ms >= PENDING_TIMEOUT_MS:
-                del self._pending_since[flow]
-                return None
-        return record
+    def _has_timed_out(self, now_ms: int, flow: ids.FlowKey,
+                       record: records.Record) -> bool:
+        """Returns whether `record` is an inquiry that was not answered."""
+        if not isinstance(record, records.Pending):
+            return False
+        since_ms = self._pending_since.get(flow, now_ms)
+        return now_ms - since_ms >= PENDING_TIMEOUT_MS
 
     def _store(self, now_ms: int, packet: datagram.Packet,
                record: records.Record) -> None:
--- /dev/null
+++ b/figdrum/ownership/tests/test_departed_holder.py
@@ -0,0 +1,92 @@
+"""Tests of flows whose holder left after it had handed them over."""
+
+from figdrum.core import ids
+from figdrum.core import states
+from figdrum.membership import service_list
+from figdrum.messages import datagram
+from figdrum.ownership import actions
+from figdrum.ownership import admission_check
+from figdrum.ownership import owner
+from figdrum.routing import rendezvous
+
+NAMES = ('a', 'b', 'c')
+SETTLED_MS = 300_000
+
+
+class _Room(admission_check.AdmissionCheck):
+    """Always room."""
+
+    def can_admit(self, now_ms, customer):
+        return True
+
+
+def _flow_first_at(name: str) -> ids.FlowKey:
+    flows = (ids.FlowKey('192.0.2.1', port, '10.9.0.1', 5683)
+             for port in range(1024, 9999))
+    return next(
+        f for f in flows if rendezvous.order(f.to_bytes(), NAMES)[0] == name)
+
+
+def _members(version: int, **changed) -> service_list.ServiceList:
+    return service_list.ServiceList(
+        ids.ServiceName('fieldbook'), version,
+        tuple(
+            service_list.Member(name, ('10.0.0.1', n), 'muscat-a', n +
+                                1, changed.get(name, states.MemberState.ACTIVE))
+            for n, name in enumerate(NAMES)))
+
+
+def _packet(flow: ids.FlowKey, version: int, may_start: bool = True):
+    return datagram.Packet(0, version, 'al-sahil', 'fieldbook', flow, may_start,
+                           ('10.0.0.9', 7000), b'%d' % may_start)
+
+
+def _beat(agent: owner.Owner, now_ms: int, version: int) -> None:
+    for n, name in enumerate(NAMES[1:], 2):
+        agent.on_message(now_ms, datagram.Heartbeat(name, n, version), _Room())
+
+
+def _pointing_agent() -> tuple[owner.Owner, ids.FlowKey, int]:
+    """Returns a settled agent that is first in a flow's order and points to
+    `b`, which then leaves the list."""
+    agent = owner.Owner(ids.AgentName('a'), ids.ServiceName('fieldbook'),
+                        ids.ZoneName('muscat-a'))
+    agent.join(0, ids.Incarnation(1))
+    agent.on_list(0, _members(3), frozenset())
+    for now_ms in range(100, SETTLED_MS, 100):
+        _beat(agent, now_ms, 3)
+        agent.on_tick(now_ms)
+    flow = _flow_first_at('a')
+    agent.on_message(SETTLED_MS, datagram.Held(flow, 'b', 2), _Room())
+    agent.on_list(SETTLED_MS, _members(4, b=states.MemberState.LEFT),
+                  frozenset())
+    _beat(agent, SETTLED_MS, 4)
+    return agent, flow, SETTLED_MS
+
+
+def _asks(decided: owner.Actions) -> bool:
+    return all(
+        isinstance(action, actions.Send) and action.message.asker == 'a'
+        for action in decided) and bool(decided)
+
+
+def test_acknowledgement_keeps_doubt():
+    """An acknowledgement that found the pointer's member gone made the agent
+    forget the flow; it admitted the next request as a new flow, although the
+    member that had left had handed the flow over to another."""
+    agent, flow, now_ms = _pointing_agent()
+    agent.on_packet(now_ms, _packet(flow, 4, may_start=False), _Room())
+    assert _asks(agent.on_packet(now_ms, _packet(flow, 4), _Room()))
+
+
+def test_lost_inquiry_is_repeated():
+    """A copy that came after an inquiry had timed out was admitted without
+    asking when only the departed pointer had called for the inquiry."""
+    agent, flow, now_ms = _pointing_agent()
+    assert _asks(agent.on_packet(now_ms, _packet(flow, 4), _Room()))
+    for _ in range(owner.PENDING_TIMEOUT_MS // 100):
+        now_ms += 100
+        _beat(agent, now_ms, 4)
+        agent.on_tick(now_ms)
+    agent.on_packet(now_ms, _packet(flow, 4, may_start=False), _Room())
+    assert _asks(agent.on_packet(now_ms, _packet(flow, 4), _Room()))
