Ask the others about flows whose first member is in a zone taken out

Wrong: a flow whose first member is in the zone may be held by a member behind it, in a zone that stays.

Ruled out: uneven views (holder and second holder had the same list and change).

Change: a member in a zone that is out counts as departed for the copy lifetime. One test, failing before.

--- a/figdrum/ownership/owner.py
+++ b/figdrum/ownership/owner.py
@@ -192,11 +192,18 @@
         return tuple(actions.Release(hold.flow) for hold in holds)
 
     def _note_departures(self, now_ms: int) -> None:
-        """Remembers when each lost or left member was first seen as such."""
-        gone = {(m.name, m.incarnation)
-                for m in self._list.members
-                if m.state in (states.MemberState.LOST, states.MemberState.LEFT)
-               }
+        """Remembers when each lost or left member, or one in a zone that is
+        out, was first seen as such.
+
+        Such a member may have passed a flow's packets to a member behind this
+        agent, which still holds the flow.
+        """
+        gone = {
+            (m.name, m.incarnation)
+            for m in self._list.members
+            if m.state in (states.MemberState.LOST,
+                           states.MemberState.LEFT) or m.zone in self._zones_out
+        }
         self._departed_ms = {
             pair: self._departed_ms.get(pair, now_ms) for pair in gone
         }
--- a/figdrum/ownership/tests/test_departed_holder.py
+++ b/figdrum/ownership/tests/test_departed_holder.py
@@ -20,11 +20,11 @@
         return True
 
 
-def _flow_first_at(name: str) -> ids.FlowKey:
+def _flow_with_order(*order: str) -> ids.FlowKey:
     flows = (ids.FlowKey('192.0.2.1', port, '10.9.0.1', 5683)
              for port in range(1024, 9999))
-    return next(
-        f for f in flows if rendezvous.order(f.to_bytes(), NAMES)[0] == name)
+    return next(f for f in flows
+                if tuple(rendezvous.order(f.to_bytes(), NAMES)) == order)
 
 
 def _members(version: int, **changed) -> service_list.ServiceList:
@@ -46,17 +46,22 @@
         agent.on_message(now_ms, datagram.Heartbeat(name, n, version), _Room())
 
 
-def _pointing_agent() -> tuple[owner.Owner, ids.FlowKey, int]:
-    """Returns a settled agent that is first in a flow's order and points to
-    `b`, which then leaves the list."""
+def _settled_agent() -> owner.Owner:
     agent = owner.Owner(ids.AgentName('a'), ids.ServiceName('fieldbook'),
-                        ids.ZoneName('muscat-a'))
+                        ids.ZoneName('zone-a'))
     agent.join(0, ids.Incarnation(1))
     agent.on_list(0, _members(3), frozenset())
     for now_ms in range(100, SETTLED_MS, 100):
         _beat(agent, now_ms, 3)
         agent.on_tick(now_ms)
-    flow = _flow_first_at('a')
+    return agent
+
+
+def _pointing_agent() -> tuple[owner.Owner, ids.FlowKey, int]:
+    """Returns a settled agent that is first in a flow's order and points to
+    `b`, which then leaves the list."""
+    agent = _settled_agent()
+    flow = _flow_with_order('a', 'b', 'c')
     agent.on_message(SETTLED_MS, datagram.Held(flow, 'b', 2), _Room())
     agent.on_list(SETTLED_MS, _members(4, b=states.MemberState.LEFT),
                   frozenset())
@@ -90,3 +95,12 @@
         agent.on_tick(now_ms)
     agent.on_packet(now_ms, _packet(flow, 4, may_start=False), _Room())
     assert _asks(agent.on_packet(now_ms, _packet(flow, 4), _Room()))
+
+
+def test_zone_out_calls_for_an_inquiry():
+    """A member in a zone taken out had passed a flow on to a member that stays;
+    the next in the order admitted the flow a second time."""
+    agent = _settled_agent()
+    flow = _flow_with_order('b', 'a', 'c')
+    agent.on_list(SETTLED_MS, _members(3), frozenset({'zone-b'}))
+    assert _asks(agent.on_packet(SETTLED_MS, _packet(flow, 3), _Room()))
