--- a/bench/callers.py
+++ b/bench/callers.py
@@ -4,10 +4,10 @@
 ===========
 
 A flow is a session that lasts from its first answer to its end. It is broken
-when a packet of it is handled by a target that has no session of it, or when a
-request gets no answer in all retransmissions, or when its holder ends. The cause
-is the failure of its holder, its zone that operators took out, or else planned
-change.
+when a packet of it is handled by a target that has no session of it, when a
+request gets no answer in all retransmissions, or when its holder ends. The
+cause is the failure of its holder, its zone that operators took out, or else a
+planned change.
 """
 
 import dataclasses
