Give each member of the departed-holder tests a zone of its own

All members of the test were in one zone, none of which was the zone taken out, so the test never set up its case. Change: each member has its own zone.

--- a/figdrum/ownership/tests/test_departed_holder.py
+++ b/figdrum/ownership/tests/test_departed_holder.py
@@ -31,7 +31,7 @@
     return service_list.ServiceList(
         ids.ServiceName('fieldbook'), version,
         tuple(
-            service_list.Member(name, ('10.0.0.1', n), 'muscat-a', n +
+            service_list.Member(name, ('10.0.0.1', n), f'zone-{name}', n +
                                 1, changed.get(name, states.MemberState.ACTIVE))
             for n, name in enumerate(NAMES)))
 
