--- /dev/null
+++ b/bench/callers.py
@@ -0,0 +1,239 @@
+"""Callers: flows, their requests with retransmission, and what became of them.
+
+Explanation
+===========
+
+A flow is a session that lasts from its first answer to its end. It is broken
+when a packet of it is handled by a target that has no session of it, when a
+request gets no answer in all retransmissions, or when its holder ends. The
+cause is the failure of its holder, its zone that operators took out, or else a
+planned change.
+"""
+
+import dataclasses
+import random
+import struct
+import typing
+
+from figdrum.core import ids
+from figdrum.messages import datagram
+from bench import agents as agents_lib
+from bench import fleet as fleet_lib
+from bench import sites
+
+# RFC 7252, section 4.8.
+ACK_TIMEOUT_MS = 2_000
+ACK_RANDOM_FACTOR = 1.5
+MAX_RETRANSMIT = 4
+RETRY_MS = 500
+DEADLINE_MS = 30_000
+# An observation is confirmed each 60 s (section 10), so no gap is longer.
+MOST_GAP_MS = 60_000
+REQUEST_SHARE = 0.7
+
+_CON = 0x40
+_GET = 1
+_EMPTY = 0
+
+
+class FlowPlan(typing.NamedTuple):
+    """A flow to come.
+
+    Attributes:
+      key: Source and destination.
+      customer: Customer of the destination.
+      service: Service of the destination.
+      start_ms: First request.
+      end_ms: No packet after this.
+      gap_ms: Mean time between packets.
+    """
+    key: ids.FlowKey
+    customer: str
+    service: str
+    start_ms: int
+    end_ms: int
+    gap_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Flow:
+    """A flow in progress and the agent that has its session, or ''."""
+    plan: FlowPlan
+    holder: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request; a refused one is sent again as a new datagram."""
+    flow: Flow
+    sent_ms: int
+    deadline_at_ms: int
+    payload: bytes = b''
+    tries: int = 0
+    answered_ms: int | None = None
+
+
+class Span(typing.NamedTuple):
+    """Flows start evenly from `start_ms` for `ramp_ms`, and last to the end."""
+    start_ms: int
+    ramp_ms: int
+    end_ms: int
+
+
+def make_key(site: sites.Site, customer: str, service: str,
+             number: int) -> ids.FlowKey:
+    """Returns the key of caller `number`."""
+    return ids.FlowKey(f'192.0.{number // 50_000}.{number % 250 + 1}',
+                       1024 + number % 50_000, *site.address(customer, service))
+
+
+def plan_flows(site: sites.Site, rng: random.Random, service: str, count: int,
+               span: Span, gap_ms: float) -> list[FlowPlan]:
+    """Returns flows that last for hours, that is, to the end of the span."""
+    plans = []
+    for n in range(count):
+        customer = rng.choice(site.customers)
+        plans.append(
+            FlowPlan(make_key(site, customer, service, n), customer, service,
+                     span.start_ms + n * span.ramp_ms // count, span.end_ms,
+                     gap_ms))
+    return plans
+
+
+class Callers(fleet_lib.Observer):
+    """All callers of a fleet.
+
+    Attributes:
+      broken: Causes by flow, the first of each.
+      given_up: Flows that ended in a zone taken out.
+      packets: Packets sent.
+      wrong_first: Packets for which the balancer chose another agent than the
+        holder, which passes them on.
+      wrong_delivered: Packets that a target without the session handled.
+      requests: All requests.
+    """
+
+    def __init__(self, fleet: fleet_lib.Fleet, deadline_ms: int = DEADLINE_MS):
+        self.broken: dict[ids.FlowKey, str] = {}
+        self.given_up: set[ids.FlowKey] = set()
+        self.packets = 0
+        self.wrong_first = 0
+        self.wrong_delivered = 0
+        self.requests: list[Request] = []
+        self.flows: dict[ids.FlowKey, Flow] = {}
+        self._fleet = fleet
+        self._events = fleet.events
+        self._rng = fleet.rng
+        self._deadline_ms = deadline_ms
+        self._open: dict[bytes, Request] = {}
+
+    def add(self, plan: FlowPlan) -> None:
+        """Schedules a flow."""
+        self._events.at(plan.start_ms, self._start, plan)
+
+    def on_first_hop(self, agent: str, flow: ids.FlowKey) -> None:
+        holder = self.flows[flow].holder
+        self.wrong_first += bool(holder) and holder != agent
+
+    def on_delivered(self, agent: agents_lib.Agent,
+                     packet: datagram.Packet) -> None:
+        flow = self.flows[packet.flow]
+        if packet.flow not in agent.held:
+            if flow.holder:
+                self._lost_session(flow)
+        flow.holder = agent.name
+
+    def on_adopted(self, agent: agents_lib.Agent, flow: ids.FlowKey) -> None:
+        self.flows[flow].holder = agent.name
+
+    def on_zone(self, agent: agents_lib.Agent) -> None:
+        for key in agent.held:
+            if self.flows[key].holder == agent.name:
+                self.given_up.add(key)
+                self.flows[key].holder = ''
+
+    def on_crash(self, agent: agents_lib.Agent) -> None:
+        cause = 'planned' if agent.admission.flows_stopped else 'failure'
+        for key in agent.held:
+            flow = self.flows[key]
+            if (flow.holder == agent.name and
+                    flow.plan.end_ms > self._events.now_ms):
+                flow.holder = ''
+                self.broken.setdefault(key, cause)
+
+    def on_reply(self, packet: datagram.Packet, ok: bool) -> None:
+        req = self._open.get(packet.payload)
+        if req is None:
+            return
+        del self._open[packet.payload]
+        now_ms = self._events.now_ms
+        if ok:
+            req.answered_ms = now_ms
+            return
+        if now_ms + RETRY_MS < req.deadline_at_ms:
+            self._events.after(RETRY_MS, self._send_new, req)
+
+    def deadline_at_ms(self, packet: datagram.Packet) -> int:
+        req = self._open.get(packet.payload)
+        return req.deadline_at_ms if req else self._events.now_ms
+
+    def _start(self, plan: FlowPlan) -> None:
+        flow = Flow(plan)
+        self.flows[plan.key] = flow
+        self._request(flow)
+        self._plan_next(flow)
+
+    def _plan_next(self, flow: Flow) -> None:
+        gap_ms = min(MOST_GAP_MS, self._rng.expovariate(1 / flow.plan.gap_ms))
+        if self._events.now_ms + gap_ms < flow.plan.end_ms:
+            self._events.after(1 + round(gap_ms), self._next, flow)
+
+    def _next(self, flow: Flow) -> None:
+        if self._rng.random() < REQUEST_SHARE or not flow.holder:
+            self._request(flow)
+        else:
+            self._transmit(flow, self._datagram(_EMPTY))
+        self._plan_next(flow)
+
+    def _request(self, flow: Flow) -> None:
+        now_ms = self._events.now_ms
+        req = Request(flow, now_ms, now_ms + self._deadline_ms)
+        self.requests.append(req)
+        self._send_new(req)
+
+    def _send_new(self, req: Request) -> None:
+        req.payload = self._datagram(_GET)
+        req.tries = 0
+        self._open[req.payload] = req
+        timeout_ms = ACK_TIMEOUT_MS * self._rng.uniform(1, ACK_RANDOM_FACTOR)
+        self._try(req, req.payload, round(timeout_ms))
+
+    def _try(self, req: Request, payload: bytes, timeout_ms: int) -> None:
+        if payload not in self._open:
+            return
+        if req.tries > MAX_RETRANSMIT:
+            del self._open[payload]
+            if req.flow.holder:
+                self._lost_session(req.flow)
+            return
+        req.tries += 1
+        self._transmit(req.flow, payload)
+        self._events.after(timeout_ms, self._try, req, payload, 2 * timeout_ms)
+
+    def _transmit(self, flow: Flow, payload: bytes) -> None:
+        self.packets += 1
+        self._fleet.send(flow.plan.key, payload)
+
+    def _lost_session(self, flow: Flow) -> None:
+        holder = self._fleet.agents[flow.holder]
+        key = flow.plan.key
+        flow.holder = ''
+        if self._fleet.zone_is_out(holder.identity.zone):
+            self.given_up.add(key)
+            return
+        self.wrong_delivered += 1
+        self.broken.setdefault(key, 'planned')
+
+    def _datagram(self, code: int) -> bytes:
+        number = self._fleet.next_number()
+        return struct.pack('>BBHI', _CON, code, number & 0xffff, number)
--- a/figdrum/ownership/owner.py
+++ b/figdrum/ownership/owner.py
@@ -119,7 +119,13 @@
         fence = self._table.fence(packet.flow, packet.payload)
         if fence:
             return decision.decide(view, fence, packet).actions
-        record = self._live_record(now_ms, packet.flow)
+        record = self._table.get(packet.flow)
+        if packet.may_start and self._has_timed_out(now_ms, packet.flow,
+                                                    record):
+            # Whatever called for the inquiry still calls for it.
+            del self._pending_since[packet.flow]
+            record = None
+            packet = packet._replace(must_ask=True)
         if record is None and self._table.is_full():
             return (actions.Drop(packet, actions.DropReason.TABLE_FULL),)
         decided = decision.decide(view, record, packet)
@@ -186,11 +192,18 @@
         return tuple(actions.Release(hold.flow) for hold in holds)
 
     def _note_departures(self, now_ms: int) -> None:
-        """Remembers when each lost or left member was first seen as such."""
-        gone = {(m.name, m.incarnation)
-                for m in self._list.members
-                if m.state in (states.MemberState.LOST, states.MemberState.LEFT)
-               }
+        """Remembers when each lost or left member, or one in a zone that is
+        out, was first seen as such.
+
+        Such a member may have passed a flow's packets to a member behind this
+        agent, which still holds the flow.
+        """
+        gone = {
+            (m.name, m.incarnation)
+            for m in self._list.members
+            if m.state in (states.MemberState.LOST,
+                           states.MemberState.LEFT) or m.zone in self._zones_out
+        }
         self._departed_ms = {
             pair: self._departed_ms.get(pair, now_ms) for pair in gone
         }
@@ -244,14 +257,13 @@
                              ghost_ahead=any(
                                  name in ghosts for name in departed))
 
-    def _live_record(self, now_ms: int, flow: ids.FlowKey) -> records.Record:
-        record = self._table.get(flow)
-        if isinstance(record, records.Pending):
-            since_ms = self._pending_since.get(flow, now_ms)
-            if now_ms - since_ms >= PENDING_TIMEOUT_MS:
-                del self._pending_since[flow]
-                return None
-        return record
+    def _has_timed_out(self, now_ms: int, flow: ids.FlowKey,
+                       record: records.Record) -> bool:
+        """Returns whether `record` is an inquiry that was not answered."""
+        if not isinstance(record, records.Pending):
+            return False
+        since_ms = self._pending_since.get(flow, now_ms)
+        return now_ms - since_ms >= PENDING_TIMEOUT_MS
 
     def _store(self, now_ms: int, packet: datagram.Packet,
                record: records.Record) -> None:
