--- a/figdrum/agent/tests/test_core.py
+++ b/figdrum/agent/tests/test_core.py
@@ -6,7 +6,7 @@
 import pytest
 
 from figdrum.agent import drain
-from figdrum.agent.tests import world as world_lib
+from standins import world as world_lib
 from figdrum.coap import codes
 from figdrum.core import states
 from figdrum.messages import codec
@@ -389,8 +389,6 @@
 
 def test_platform_outage_stops_no_traffic(world):
     """Guards against service that depends on the platform."""
-    members = world.members()
-    world.members = lambda: members
     world.db.down = True
     for number in range(10):
         world.call(flow(number), post(f'k{number}'))
--- a/figdrum/agent/tests/test_faults.py
+++ b/figdrum/agent/tests/test_faults.py
@@ -6,7 +6,7 @@
 import pytest
 
 from figdrum.agent import drain
-from figdrum.agent.tests import world as world_lib
+from standins import world as world_lib
 from figdrum.core import states
 
 # Seed 56 ran a key twice when two claim holders left at once and copies of
--- a/figdrum/agent/tests/test_feeds.py
+++ b/figdrum/agent/tests/test_feeds.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer
 
 from figdrum.agent import feeds
-from figdrum.agent.tests import world
+from standins import world
 from figdrum.coap import codes
 from figdrum.coap import request
 from figdrum.coap import server
--- a/figdrum/agent/tests/test_offering.py
+++ b/figdrum/agent/tests/test_offering.py
@@ -7,7 +7,7 @@
 
 from figdrum.agent import drain
 from figdrum.agent import offering
-from figdrum.agent.tests import world
+from standins import world
 from figdrum.core import states
 from figdrum.membership import service_list
 from figdrum.messages import datagram
--- a/figdrum/agent/tests/test_process.py
+++ b/figdrum/agent/tests/test_process.py
@@ -14,7 +14,7 @@
 import msgpack
 import pytest
 
-from figdrum.agent.tests import world
+from standins import world
 from figdrum.contracts import change
 from figdrum.contracts import contract
 from figdrum.core import states
