Prove P1 to P10 under failures by behave scenarios

The features showed only the nested order of back ends; nothing showed the ten requirements of docs/design.md section 2 while something fails.

Each requirement has a feature in virtual time: kills, pauses, outages, lost answers, racing operators, late and repeated datagrams, uneven lists, and pairs of them. A scenario without the mechanism expects the violation, so a mechanism that does nothing is found out; standins/doubles.py replaces internal methods for it, and no setting can. The site's targets use the stand-ins' warmth, whose collapse is the overload of P3.

--- /dev/null
+++ b/features/steps/change_steps.py
@@ -0,0 +1,107 @@
+"""Steps on contract changes: the log, the operators and the replicas."""
+
+import behave
+
+from figdrum.contracts import change as change_lib
+from figdrum.core import errors
+from figdrum.platform import memory_store
+from figdrum.contracts.tests import test_change_log as logs
+from figdrum.sync.tests import simulation
+
+IN_FORCE_MS = 7000
+
+
+@behave.given('{count:d} balancers in {zones:d} zones')
+def step_balancers(context, count, zones):
+    context.sim = simulation.Simulation(7)
+    context.sim.start(count, zones)
+    context.sim.time.run_until(3000)
+
+
+@behave.given('control messages are lost, late and repeated')
+def step_lossy(context):
+    context.sim.loss, context.sim.repeat, context.sim.slowest_ms = 0.1, 0.2, 400
+
+
+@behave.when('change {n:d} is approved')
+def step_change(context, n):
+    context.sim.append(n)
+    context.number = n
+
+
+@behave.when('balancers are killed and start again')
+def step_restart(context):
+    for node in tuple(context.sim.nodes.values())[::4]:
+        context.sim.start_node(node.balancer)
+
+
+@behave.when('the change log has {seconds:d} seconds')
+def step_wait(context, seconds):
+    time = context.sim.time
+    time.run_until(time.now_ms() + seconds * 1000)
+
+
+@behave.when('the platform of the log goes down')
+def step_log_down(context):
+    context.sim.store.down = True
+
+
+@behave.then('every balancer has change {n:d}')
+def step_all(context, n):
+    assert context.sim.changes() == {n}, context.sim.changes()
+
+
+@behave.then('balancers lack change {n:d}')
+def step_lack(context, n):
+    assert context.sim.changes() != {n}
+
+
+@behave.when('two operators approve different changes, answers being lost')
+def step_race(context):
+    """The second operator approves while the first one's append is under
+    way; the answer to that append is lost."""
+    context.store = store = memory_store.MemoryStore()
+    first, second = logs.Hooked(store), memory_store.Link(store)
+    logs.result(
+        logs.make_log(store).propose_contract(logs.make_contract('one'), 'ana'))
+    other = logs.make_log(second)
+    logs.result(
+        other.propose(change_lib.ContractSet(logs.make_contract('two', 5684)),
+                      'ana', 'q1'))
+    context.told = []
+
+    def race(kind, key):
+        if kind != 'put' or not key.startswith('changes/'):
+            return
+        if not context.told:
+            context.told.append(None)
+            context.told[0] = logs.result(other.approve('q1', 'bo')).n
+        elif len(context.told) == 1:
+            store.lose_next_answers = 1
+            first.before = lambda kind, key: None
+
+    first.before = race
+    try:
+        context.told.append(
+            logs.result(logs.make_log(first).approve('p1', 'bo')).n)
+    except errors.FigdrumError as exc:
+        context.told.append(exc)
+
+
+def _sound(context):
+    try:
+        changes = logs.assert_log_sound(context.store)
+    except (AssertionError, errors.FigdrumError):
+        return False
+    return [c.n for c in changes] == [1, 2] and sorted(context.told,
+                                                       key=str) == [1, 2]
+
+
+@behave.then('both changes are in force and each operator is told so')
+def step_sound(context):
+    assert _sound(context), context.told
+
+
+@behave.then('a change is lost or an operator is told wrongly')
+def step_unsound(context):
+    assert not _sound(context)
--- a/figdrum/agent/tests/test_core.py
+++ b/figdrum/agent/tests/test_core.py
@@ -6,11 +6,11 @@
 import pytest
 
 from figdrum.agent import drain
-from standins import world as world_lib
 from figdrum.coap import codes
 from figdrum.core import states
 from figdrum.messages import codec
 from figdrum.messages import datagram
+from standins import world as world_lib
 
 coap, flow = world_lib.coap, world_lib.flow_of
 
--- a/figdrum/agent/tests/test_faults.py
+++ b/figdrum/agent/tests/test_faults.py
@@ -6,8 +6,8 @@
 import pytest
 
 from figdrum.agent import drain
-from standins import world as world_lib
 from figdrum.core import states
+from standins import world as world_lib
 
 # Seed 56 ran a key twice when two claim holders left at once and copies of
 # their claims were sent to each other or lost.
--- a/figdrum/agent/tests/test_feeds.py
+++ b/figdrum/agent/tests/test_feeds.py
@@ -3,10 +3,10 @@
 from twisted.internet import defer
 
 from figdrum.agent import feeds
-from standins import world
 from figdrum.coap import codes
 from figdrum.coap import request
 from figdrum.coap import server
+from standins import world
 
 CONTENT = codes.Response(69, b'1')
 
--- a/figdrum/agent/tests/test_offering.py
+++ b/figdrum/agent/tests/test_offering.py
@@ -7,12 +7,12 @@
 
 from figdrum.agent import drain
 from figdrum.agent import offering
-from standins import world
 from figdrum.core import states
 from figdrum.membership import service_list
 from figdrum.messages import datagram
 from figdrum.ownership import actions
 from figdrum.ownership import offers
+from standins import world
 
 MEMBERS = [
     service_list.Member(name, (name, 1), 'muscat-a', 1,
--- a/figdrum/agent/tests/test_process.py
+++ b/figdrum/agent/tests/test_process.py
@@ -14,7 +14,6 @@
 import msgpack
 import pytest
 
-from standins import world
 from figdrum.contracts import change
 from figdrum.contracts import contract
 from figdrum.core import states
@@ -24,6 +23,7 @@
 from figdrum.messages import datagram
 from standins import http_call
 from standins import process
+from standins import world
 
 DEADLINE_S = 60
 POLL_S = 0.1
--- /dev/null
+++ b/standins/doubles.py
@@ -0,0 +1,125 @@
+"""Test doubles that leave one mechanism out, by its name in the features."""
+
+# Doubles take the place of internal methods.
+# pylint: disable=protected-access
+
+import contextlib
+from unittest import mock
+
+from twisted.internet import defer
+
+from figdrum.admission import warmup
+from figdrum.agent import claim_service
+from figdrum.agent import core
+from figdrum.agent import handover
+from figdrum.agent import requests
+from figdrum.coap import codes
+from figdrum.contracts import change
+from figdrum.contracts import change_log
+from figdrum.contracts import state
+from figdrum.core import states
+from figdrum.filters import filter  # pylint: disable=redefined-builtin
+from figdrum.filters import request_contract
+from figdrum.ownership import decision
+from figdrum.ownership import owner
+from figdrum.platform import memory_store
+from figdrum.routing import suspicion
+from figdrum.sync.tests import simulation
+
+
+class _AnyService(str):
+    """Equal to every service."""
+    __hash__ = str.__hash__
+
+    def __eq__(self, other):
+        return True
+
+    def __ne__(self, other):
+        return False
+
+
+def _settled(self, *args, make=owner.Owner._view, **kwargs):
+    view = make(self, *args, **kwargs)
+    if view.phase is decision.Phase.INQUIRING:
+        view = view._replace(phase=decision.Phase.SETTLED)
+    return view._replace(departed_ahead=False)
+
+
+def _any_service(self, *args, make=owner.Owner.__init__):
+    make(self, *args)
+    self._service = _AnyService(self._service)
+
+
+def _no_zones_out(self, members, contracts, make=core.AgentCore.on_replica):
+    for zone in contracts.zones_out:
+        contracts = state.preview(contracts, change.ZoneIn(zone))
+    make(self, members, contracts)
+
+
+def _refuse_unclaimed(self, ctx):
+    self._answer(ctx.number, codes.refusal(states.Refusal.DID_NOT_RUN))
+
+
+def _answer_oldest(self, number, response, make=requests.Requests._answer):
+    waiting = self.__dict__.setdefault('waiting', [])
+    del number
+    make(self, waiting.pop(0), response)
+
+
+def _note_oldest(self, event, origin, make=requests.Requests._context):
+    self.__dict__.setdefault('waiting', []).append(event.exchange)
+    return make(self, event, origin)
+
+
+def _leave_silently(self):
+    self.leave.start(self._around.clock.now_ms())
+
+
+def _overwrite(self,
+               key,
+               value,
+               if_version,
+               make=memory_store.MemoryStore._write):
+    del if_version
+    held = self._items.get(key)
+    return make(self, key, value, held.version if held else 0)
+
+
+_DOUBLES = {
+    'handover': [(handover.HeldFlows, 'offers', lambda self: ())],
+    'inquiry': [(owner.Owner, '_view', _settled)],
+    'service check': [(owner.Owner, '__init__', _any_service),
+                      (request_contract.RequestContractFilter, 'apply',
+                       lambda self, ctx: filter.Pass(ctx))],
+    'warm-up': [(warmup.Warmup, 'may_start', lambda self, now_ms: True),
+                (warmup.Warmup, 'may_admit', lambda self, now_ms: True)],
+    'zone check': [(core.AgentCore, 'on_replica', _no_zones_out)],
+    'matching': [(requests.Requests, '_answer', _answer_oldest),
+                 (requests.Requests, '_context', _note_oldest)],
+    'claimed refusal': [(requests.Requests, '_refuse_claimed',
+                         _refuse_unclaimed)],
+    'claims': [(claim_service.ClaimService, 'acquire',
+                lambda self, ctx: defer.succeed(filter.Pass(ctx)))],
+    'leave notice': [(core.AgentCore, 'start_drain', _leave_silently),
+                     (handover.HeldFlows, 'stop_requests', lambda self: None)],
+    'wait for requests': [(handover.HeldFlows, 'busy', lambda self: False)],
+    'suspicion': [(suspicion.SuspicionTable, 'due_pings', lambda self, now_ms:
+                   ())],
+    'gossip': [(simulation.Node, '_send', lambda self, peer, message: None)],
+    'create-if-absent': [(memory_store.MemoryStore, '_write', _overwrite)],
+    'reading back': [
+        (change_log, '_is_write', lambda *args: False),
+        (change_log.ChangeLog, '_own_change',
+         lambda self, proposal: defer.succeed(None)),
+        (change_log.ChangeLog, '_check_valid',
+         lambda self, proposal, state: defer.succeed(None)),
+    ],
+}
+
+
+def without(context, mechanism: str) -> None:
+    """Leaves a mechanism out until the scenario ends."""
+    stack = contextlib.ExitStack()
+    for place_, name, double in _DOUBLES[mechanism]:
+        stack.enter_context(mock.patch.object(place_, name, double))
+    context.add_cleanup(stack.close)
--- a/standins/world.py
+++ b/standins/world.py
@@ -37,6 +37,7 @@
 from figdrum.sync import freshness
 from figdrum.telemetry import metrics
 from figdrum.telemetry import trace as trace_lib
+from standins import warmth
 
 SERVICE = 'fieldbook'
 CUSTOMER = 'al-sahil'
@@ -72,6 +73,7 @@
         self._now_ms = now_ms
         self.runs: list[ports.TargetRequest] = []
         self.started_ms: list[int] = []
+        self.warmth = warmth.Warmth()
         self.answer = lambda req: self.body
         self.delay = lambda req: self.delay_ms
         self.body = b'1'
@@ -90,13 +92,17 @@
             return defer.succeed(ports.TargetAnswer(503, b'', True))
         self.runs.append(req)
         self.started_ms.append(self._now_ms())
+        self.warmth.on_start(self._now_ms())
         if self.fails:
             self.fails -= 1
             return defer.fail(errors.TargetError('call', 'fake', 'cut'))
         done = defer.Deferred()
-        self._timers.call_later(
-            self.delay(req),
-            lambda: done.callback(ports.TargetAnswer(200, self.answer(req))))
+
+        def end():
+            self.warmth.on_completion()
+            done.callback(ports.TargetAnswer(200, self.answer(req)))
+
+        self._timers.call_later(self.delay(req), end)
         return done
 
 
@@ -231,13 +237,23 @@
                                     service_list.ServiceList.empty(service))
 
 
-class World:
+class Network(typing.NamedTuple):
+    """Shares of datagrams that are lost, late, or come again later."""
+    loss: float = 0.0
+    late: float = 0.0
+    repeated: float = 0.0
+    latest_ms: int = 2000
+
+
+# One class holds the processes and the switches of all faults.
+class World:  # pylint: disable=too-many-instance-attributes
     """All processes of a test.
 
     Attributes:
         paused: Names of the agents that stand still.
         queueing: Whether datagrams wait for a paused agent or are lost.
         cuts: Pairs of addresses that exchange nothing.
+        network: How datagrams fare.
     """
 
     def __init__(self, seed: int = 1, **options):
@@ -253,6 +269,7 @@
         self.paused: set[str] = set()
         self.queueing = False
         self.cuts: set[frozenset[ids.Address]] = set()
+        self.network = Network()
         self.balancers: dict[ids.Address, Balancer] = {}
         self._timers: dict[str, _AgentTimers] = {}
         self._waiting: dict[str, list[tuple[ids.Address, bytes]]] = {}
@@ -300,6 +317,8 @@
                                **options))
         timers = self._timers[name] = _AgentTimers(self, name)
         self.targets[name] = FakeTarget(timers, self.clock.now_ms)
+        self.targets[name].warmth = warmth.Warmth(options['cold_rate'],
+                                                  options['full_rate'])
         around = surroundings.Surroundings(self.clock, timers,
                                            _Port(self,
                                                  address), self.targets[name],
@@ -333,6 +352,10 @@
         """Returns the frame address of an agent that runs."""
         return next(a for a, known in self._addresses.items() if known == name)
 
+    def take_address(self, name: str, address: ids.Address) -> None:
+        """Gives an agent the address of one that has ended, too."""
+        self._addresses[address] = name
+
     def start(self, *names: str) -> None:
         """Starts agents and waits until they are in the list."""
         for name in names:
@@ -393,7 +416,17 @@
         """Carries a datagram between the processes."""
         if frozenset((source, address)) in self.cuts:
             return
-        self.timers.call_later(1, lambda: self._arrive(source, address, data))
+        net = self.network
+        if self.rng.random() < net.loss:
+            return
+        delays_ms = [1]
+        if self.rng.random() < net.late:
+            delays_ms = [self.rng.randrange(1, net.latest_ms)]
+        if self.rng.random() < net.repeated:
+            delays_ms.append(self.rng.randrange(1, net.latest_ms))
+        for delay_ms in delays_ms:
+            self.timers.call_later(delay_ms,
+                                   lambda: self._arrive(source, address, data))
 
     def packet(self, flow: ids.FlowKey, data: bytes, **fields):
         """Returns the packet that a balancer makes of a caller's datagram."""
