Count the silence of members from the own join

The others sent it no heartbeats, since they did not know it, so at its join all of them counted as silent and it published a live member as lost at once.

Ruled out: the killed agent's own flows and a confused observer; the log shows the joiner as the one that published, 70 ms after its join.

The leases begin anew with each own incarnation. A list that takes longer than 3 s from the join to the others would still let them count as silent.

--- a/figdrum/membership/leases.py
+++ b/figdrum/membership/leases.py
@@ -108,7 +108,8 @@
             members: The list.
             incarnation: Own incarnation, 0 before the join.
         """
-        if incarnation != self._incarnation:
+        is_new = incarnation != self._incarnation
+        if is_new:
             # A new incarnation has its own acknowledgements; the others'
             # versions at or above it may be known already.
             self._incarnation = incarnation
@@ -124,6 +125,9 @@
             if known is None or known.member.incarnation < member.incarnation:
                 known = _Lease(member, now_ms)
             known.member = member
+            if is_new:
+                # The others send heartbeats only once they know of the join.
+                known.heard_ms = now_ms
             leases[member.name] = known
         self._leases = leases
 
--- a/figdrum/membership/tests/test_leases.py
+++ b/figdrum/membership/tests/test_leases.py
@@ -45,6 +45,16 @@
     assert table.acknowledged()
 
 
+def test_silence_is_counted_from_the_own_join():
+    """Guards against a joiner that publishes live members as lost because they
+    sent it no heartbeats before they knew of it."""
+    table = leases.LeaseTable('s-1')
+    table.on_list(0, _members(5), 0)
+    table.on_list(20_000, _members(5, 9), 1)
+    assert not table.due_lost(20_100)
+    assert len(table.due_lost(23_000)) == 4
+
+
 def test_a_new_incarnation_needs_new_acknowledgements():
     """Guards against a rejoined member that trusts old acknowledgements."""
     table = leases.LeaseTable('s-2')
