--- /dev/null
+++ b/bench/random_faults.py
@@ -0,0 +1,471 @@
+"""Pairs of failures at random moments against the requirements P1 to P9.
+
+Explanation
+===========
+
+`python -m bench.random_faults` runs seeds in virtual time. Each has 3 to 8
+agents of two services in three zones, three balancers whose lists are up to
+2 s late, callers that repeat their datagrams, and two failures or planned
+events that overlap. The outcome is read from the targets' runs and the
+callers' answers:
+
+* P1: a flow held by no agent that was killed, paused or in a zone out keeps a
+  holder, and has just one at the end;
+* P2: each run is at a target of its own service;
+* P3: no target collapses; see `standins.warmth`;
+* P4, P8: nothing starts in a zone out, or at a leaving target, after a few
+  seconds;
+* P6, P7: a request that was refused as did-not-run has not run, and no key ran
+  twice;
+* P9: a request that ran at a leaving target was answered, unless datagrams
+  were lost;
+* each request is answered or refused in the end.
+
+References
+==========
+
+docs/design.md, sections 2 and 7.
+"""
+
+import argparse
+import collections
+import concurrent.futures
+import random
+import sys
+import typing
+
+import aiocoap
+
+from figdrum.agent import drain
+from figdrum.core import states
+from standins import world as world_lib
+
+SEEDS = 200
+CI_SEEDS = tuple(range(12))
+WORKERS = 4
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+SERVICES = {
+    world_lib.SERVICE: world_lib.SERVICE_ADDRESS,
+    world_lib.OTHER_SERVICE: world_lib.OTHER_ADDRESS
+}
+FEEDS = 12
+STEP_MS = 100
+# The failures begin within the first span; the second leaves time for every
+# copy of a caller.
+FAULT_SPAN_MS = 12_000
+LOAD_MS = 30_000
+LIMIT_MS = 150_000
+# A burst of 30 requests a second, more than cold targets bear.
+BURST_MS = 2_000
+BURST = 3
+# "A few seconds" of P4 and P8.
+FEW_SECONDS_MS = 5_000
+# Times of a caller's copies (RFC 7252, section 4.8), then again with another
+# port, as after a restart of the caller.
+COPIES_MS = (0, 2_500, 7_500, 17_500)
+PORTS = 4
+DID_NOT_RUN = states.Refusal.DID_NOT_RUN.value.encode()
+
+
+class Caller:
+    """One request and its copies."""
+
+    def __init__(self, number: int, service: str, now_ms: int, is_post: bool):
+        self.name = f'r{number}'
+        self.service = service
+        self.is_post = is_post
+        self.answer: aiocoap.Message | None = None
+        self._number = number
+        self._due_ms = [
+            now_ms + port * 2 * COPIES_MS[-1] + copy_ms
+            for port in range(PORTS)
+            for copy_ms in COPIES_MS
+        ]
+        self._sent = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether it has its answer or sends no more."""
+        return self.answer is not None or self._sent == len(self._due_ms)
+
+    def due(self, now_ms: int) -> tuple[typing.Any, bytes] | None:
+        """Returns the flow and datagram to send now."""
+        if self.is_done or now_ms < self._due_ms[self._sent]:
+            return None
+        port = self._sent // len(COPIES_MS)
+        self._sent += 1
+        flow = world_lib.flow_of(1000 + self._number + 10_000 * port,
+                                 SERVICES[self.service])
+        code = aiocoap.POST if self.is_post else aiocoap.GET
+        query = 'key' if self.is_post else 'id'
+        data = world_lib.coap(code,
+                              7,
+                              token=self.name.encode(),
+                              uri_path=('visits',),
+                              uri_query=(f'{query}={self.name}',))
+        return flow, data
+
+
+class Run:
+    """One seed.
+
+    Attributes:
+        faults: Names of the failures, with their times in ms.
+        violations: What was found, as text.
+    """
+
+    def __init__(self, seed: int, faults: tuple[str, ...] = ()):
+        self._forced = faults
+        self.rng = random.Random(seed)
+        self.faults: list[str] = []
+        self.violations: list[str] = []
+        self.callers: list[Caller] = []
+        self._hurt: set = set()
+        self._all_hurt = False
+        self._is_lossy = False
+        self._out: dict[str, int] = {}
+        self._out_spans: list[tuple[str, int, int]] = []
+        self._drained: dict[str, int] = {}
+        self._paused: set[str] = set()
+        self._services: dict[str, str] = {}
+        self._zones: dict[str, str] = {}
+        self._read = 0
+        self._added = 0
+        self.world = world_lib.World(seed,
+                                     cold_rate=4,
+                                     full_rate=60,
+                                     slots=8,
+                                     drain_ms=8000,
+                                     linger_ms=2000)
+        self.world.queueing = True
+        self._start()
+
+    def go(self) -> None:
+        """Runs the seed and fills in `violations`."""
+        start_ms = self._now()
+        chosen = [getattr(self, f'_{name}') for name in self._forced]
+        burst_ms = start_ms + self.rng.randrange(FAULT_SPAN_MS)
+        for fault in chosen or self.rng.sample(self._faults(), 2):
+            self.world.timers.call_later(self.rng.randrange(FAULT_SPAN_MS),
+                                         lambda fault=fault: self._begin(fault))
+        while self._now() < start_ms + LOAD_MS or not all(
+                c.is_done for c in self.callers):
+            if self._now() > start_ms + LIMIT_MS:
+                break
+            if self._now() < start_ms + LOAD_MS and self.rng.random() < 0.6:
+                self._call()
+            if burst_ms <= self._now() < burst_ms + BURST_MS:
+                for _ in range(BURST):
+                    self._call()
+            self._step()
+        self._judge()
+
+    def _start(self) -> None:
+        for number in range(self.rng.randint(4, 8)):
+            service = (world_lib.OTHER_SERVICE
+                       if number in (1, 4) else world_lib.SERVICE)
+            self._add(service, ZONES[number % 3])
+            self.world.run(200)
+        self.world.run(1500)
+        for zone in ZONES:
+            self.world.add_balancer(zone).lag_ms = self.rng.randrange(2000)
+        self.feeds = [world_lib.flow_of(n) for n in range(FEEDS)]
+        # Cold agents refuse some at first.
+        for copy in range(10):
+            for flow in self.feeds:
+                if not self.world.holder(flow):
+                    self._send(flow,
+                               world_lib.coap(mid=copy, uri_path=('roster',)))
+                    self.world.run(200)
+        self.world.run(3000)
+
+    def _add(self, service: str, zone: str) -> None:
+        self._added += 1
+        name = f'{service}-{self._added}'
+        self._services[name] = service
+        self._zones[name] = zone
+        self.world.add(name, zone, service)
+
+    def _now(self) -> int:
+        return self.world.clock.now_ms()
+
+    def _send(self, flow, data: bytes) -> None:
+        balancer = self.rng.choice(tuple(self.world.balancers.values()))
+        if balancer.address not in self.world.dead_balancers:
+            balancer.send(flow, data)
+
+    def _call(self) -> None:
+        self.callers.append(
+            Caller(len(self.callers), self.rng.choice(tuple(SERVICES)),
+                   self._now(),
+                   self.rng.random() < 0.6))
+
+    def _step(self) -> None:
+        for caller in self.callers:
+            due = caller.due(self._now())
+            if due:
+                self._send(*due)
+        self.world.run(STEP_MS)
+        for _, _, message in self.world.replies[self._read:]:
+            token = message.token.decode()
+            if token.startswith('r') and message.code is not aiocoap.EMPTY:
+                caller = self.callers[int(token[1:])]
+                caller.answer = caller.answer or message
+        self._read = len(self.world.replies)
+        self._end_leavers()
+        for flow in self.feeds:
+            if self._is_kept(flow) and not self.world.holder(flow):
+                self._hurt.add(flow)
+                self._fail('P1', f'flow {flow.src_port} has no holder')
+
+    def _end_leavers(self) -> None:
+        for name, agent in tuple(self.world.agents.items()):
+            if (agent.leave.phase is drain.Phase.DONE and
+                    name not in self.world.paused):
+                agent.publish_leave()
+                self.world.kill(name)
+
+    def _fail(self, requirement: str, text: str) -> None:
+        self.violations.append(f'{requirement} at {self._now()} ms: {text}')
+
+    def _is_kept(self, flow) -> bool:
+        return not self._all_hurt and flow not in self._hurt
+
+    def _hurt_flows(self, *names: str) -> None:
+        """Notes the flows of agents that fail, and those on their way."""
+        for name in (*names, *self._drained):
+            if name in self.world.agents:
+                self._hurt.update(
+                    f for f, _ in self.world.agents[name].flows.items())
+
+    # Failures and planned events.
+
+    def _faults(self):
+        return [
+            self._kill, self._kill_balancer, self._pause, self._outage,
+            self._slow, self._lost_answers, self._bad_network, self._uneven,
+            self._drain, self._join, self._zone_out, self._cold, self._cut,
+            self._contract
+        ]
+
+    def _begin(self, fault) -> None:
+        self.faults.append(f'{fault.__name__[1:]}@{self._now()}')
+        fault()
+
+    def _later(self, low_ms: int, high_ms: int, fn) -> None:
+        self.world.timers.call_later(self.rng.randrange(low_ms, high_ms), fn)
+
+    def _serving(self) -> list[str]:
+        """Returns agents whose service has another one that serves."""
+        names = [
+            n for n in sorted(self.world.agents)
+            if n not in self._drained and n not in self.world.paused
+        ]
+        counts = collections.Counter(self._services[n] for n in names)
+        return [n for n in names if counts[self._services[n]] > 1]
+
+    def _pick(self) -> str | None:
+        return self.rng.choice(self._serving() or [None])
+
+    def _kill(self) -> None:
+        name = self._pick()
+        if name:
+            self._hurt_flows(name)
+            self.world.kill(name)
+            self._later(
+                1000, 8000,
+                lambda: self._add(self._services[name], self._zones[name]))
+
+    def _kill_balancer(self) -> None:
+        address = self.rng.choice(tuple(self.world.balancers))
+        self.world.dead_balancers.add(address)
+        self._is_lossy = True
+
+        def replace():
+            del self.world.balancers[address]
+            self.world.add_balancer(ZONES[0])
+
+        self._later(1000, 5000, replace)
+
+    def _pause(self) -> None:
+        name = self._pick()
+        if name:
+            self._hurt_flows(name)
+            self._paused.add(name)
+            self.world.paused.add(name)
+            self._later(300, 9000, lambda: self.world.paused.discard(name))
+
+    def _outage(self) -> None:
+        self.world.db.down = True
+        self._later(3000, 20_000, lambda: setattr(self.world.db, 'down', False))
+
+    def _slow(self) -> None:
+        self.world.db.delay_ms = self.world.db.effect_delay_ms = 800
+        self._later(3000, 20_000, self._fast)
+
+    def _fast(self) -> None:
+        self.world.db.delay_ms = self.world.db.effect_delay_ms = 0
+
+    def _lost_answers(self) -> None:
+        self.world.db.lose_next_answers = 4
+
+    def _bad_network(self) -> None:
+        self._is_lossy = True
+        self.world.network = world_lib.Network(0.1, 0.1, 0.1)
+        self._later(3000, 12_000,
+                    lambda: setattr(self.world, 'network', world_lib.Network()))
+
+    def _uneven(self) -> None:
+        self.rng.choice(tuple(self.world.balancers.values())).lag_ms = 6500
+
+    def _drain(self) -> None:
+        name = self._pick()
+        if name:
+            self._drained[name] = self._now()
+            self.world.agents[name].start_drain()
+
+    def _join(self) -> None:
+        self._add(self.rng.choice(tuple(SERVICES)), self.rng.choice(ZONES))
+
+    def _zone_out(self) -> None:
+        zone = self.rng.choice(ZONES)
+        self._hurt_flows(*(n for n, z in self._zones.items() if z == zone))
+        self.world.set_contract(out=zone)
+        out_ms = self._now()
+
+        def back():
+            self.world.set_contract(back=zone)
+            self._out_spans.append((zone, out_ms, self._now()))
+
+        self._later(8000, 15_000, back)
+
+    def _cold(self) -> None:
+        name = self._pick()
+        if name:
+            target = self.world.targets[name]
+            target.health = b'{"state": "cold"}'
+            self._later(
+                2000, 9000,
+                lambda: setattr(target, 'health', b'{"state": "ready"}'))
+
+    def _cut(self) -> None:
+        """Cuts an agent from another one or from a balancer."""
+        self._all_hurt = self._is_lossy = True
+        name = self._pick()
+        if not name:
+            return
+        ends = [
+            self.world.address_of(n) for n in self.world.agents if n != name
+        ]
+        pair = frozenset((self.world.address_of(name),
+                          self.rng.choice([*ends, *self.world.balancers])))
+        self.world.cuts.add(pair)
+        self._later(1000, 10_000, lambda: self.world.cuts.discard(pair))
+
+    def _contract(self) -> None:
+        self.world.set_contract((900, 900, 90))
+
+    # Outcomes.
+
+    def _judge(self) -> None:
+        self.world.run(20_000)
+        self._judge_requests()
+        for name, target in self.world.targets.items():
+            self._judge_target(name, target)
+        for flow in self.feeds:
+            if self._is_kept(flow) and len(self.world.holder(flow)) != 1:
+                self._fail(
+                    'P1', f'flow {flow.src_port} is held by '
+                    f'{self.world.holder(flow)}')
+        broken = self.world.metrics.counters['agent.broken_flows']
+        if broken and not self._hurt and not self._all_hurt:
+            self._fail('P1', f'{broken} flows broken')
+
+    def _judge_requests(self) -> None:
+        ran = collections.Counter()
+        where = {}
+        for name, target in self.world.targets.items():
+            for run in target.runs:
+                token = run.key or run.path.partition('id=')[2]
+                ran[token] += 1
+                where[token] = name
+        for caller in self.callers:
+            name, answer = caller.name, caller.answer
+            if caller.is_post and ran[name] > 1:
+                self._fail('P7', f'{name} ran {ran[name]} times')
+            if answer is None:
+                self._fail('answered', f'{name} has no answer')
+            elif answer.payload == DID_NOT_RUN and ran[name]:
+                self._fail('P6', f'{name} ran at {where[name]}')
+            elif (answer.code is aiocoap.SERVICE_UNAVAILABLE and ran[name] and
+                  caller.is_post and not self._is_lossy and
+                  where[name] in self._drained and not self._paused and
+                  where[name] not in self._hurt_agents()):
+                self._fail('P9', f'{name} was cut at {where[name]}')
+
+    def _hurt_agents(self) -> set[str]:
+        out = {zone for zone, _, _ in self._out_spans}
+        return {n for n, zone in self._zones.items() if zone in out}
+
+    def _judge_target(self, name: str, target) -> None:
+        for run in target.runs:
+            if run.service != self._services[name]:
+                self._fail('P2', f'{run.service} at {name}')
+        if target.warmth.collapses:
+            self._fail('P3', f'{name} collapsed')
+        for at in target.started_ms:
+            if at > self._drained.get(name, at) + FEW_SECONDS_MS:
+                self._fail('P8', f'{name} began at {at}')
+            for zone, out_ms, back_ms in self._out_spans:
+                if (self._zones[name] == zone and
+                        out_ms + FEW_SECONDS_MS < at < back_ms):
+                    self._fail('P4', f'{name} began at {at}')
+
+
+class Result(typing.NamedTuple):
+    """The outcome of one seed."""
+    seed: int
+    faults: tuple[str, ...]
+    violations: tuple[str, ...]
+    answered: int
+    refused: int
+
+
+def run_seed(seed: int, faults: tuple[str, ...] = ()) -> Result:
+    """Runs one seed, with `faults` in place of random ones if given."""
+    run = Run(seed, faults)
+    run.go()
+    refused = sum(
+        c.answer is not None and c.answer.code is aiocoap.SERVICE_UNAVAILABLE
+        for c in run.callers)
+    return Result(seed, tuple(run.faults), tuple(run.violations),
+                  len(run.callers) - refused, refused)
+
+
+def run_seeds(seeds: typing.Iterable[int]) -> list[Result]:
+    """Runs seeds in a few processes."""
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
+        return list(pool.map(run_seed, seeds))
+
+
+def main(argv: list[str]) -> int:
+    """Prints the failing seeds; returns 1 if there are any."""
+    parser = argparse.ArgumentParser(prog='bench.random_faults')
+    parser.add_argument('--seeds', type=int, default=SEEDS)
+    parser.add_argument('--seed', type=int)
+    args = parser.parse_args(argv)
+    seeds = range(args.seeds) if args.seed is None else [args.seed]
+    results = run_seeds(seeds)
+    failed = [r for r in results if r.violations]
+    for result in failed:
+        print(f'seed {result.seed}: {", ".join(result.faults)}')
+        for violation in result.violations[:4]:
+            print(f'  {violation}')
+    print(f'{len(results)} seeds, {len(failed)} failed; '
+          f'{sum(r.answered for r in results)} requests answered, '
+          f'{sum(r.refused for r in results)} refused')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/bench/tests/test_traces.py
@@ -0,0 +1,39 @@
+"""Tests of the recorded traces against their stated outcomes."""
+
+import json
+
+import pytest
+
+from bench import record_traces
+from figdrum.telemetry import replay
+from figdrum.telemetry import trace
+
+
+def _steps(name):
+    return list(
+        trace.TraceReader(str(record_traces.TRACES / f'{name}.trace')).steps())
+
+
+@pytest.mark.parametrize('name', sorted(record_traces.EVENTS))
+def test_trace_replays_with_the_stated_outcome(name):
+    """Guards against decision code that decides otherwise than recorded, and
+    against a recording that was accepted whatever it showed."""
+    steps = _steps(name)
+    stated = json.loads((record_traces.TRACES / f'{name}.json').read_text())
+    assert record_traces.outcome(steps)._asdict() == stated
+    assert replay.replay(steps) == replay.Replayed(len(steps), None)
+
+
+@pytest.mark.parametrize('name', sorted(record_traces.EVENTS))
+def test_altered_trace_is_found_at_the_first_step_that_differs(name):
+    """Guards against a replay that compares nothing."""
+    steps = _steps(name)
+    altered = [
+        i for i, step in enumerate(steps)
+        if step.method in ('on_packet', 'route')
+    ][3::5]
+    for i in altered:
+        steps[i] = steps[i]._replace(actions={'raised': 'altered'})
+    found = replay.replay(steps)
+    assert found.steps == altered[0]
+    assert found.difference.step == steps[altered[0]]
--- a/features/steps/site_steps.py
+++ b/features/steps/site_steps.py
@@ -49,7 +49,7 @@
 
 @behave.given('the site lacks {mechanism}')
 def step_lacks(context, mechanism):
-    doubles.without(context, mechanism)
+    context.add_cleanup(doubles.left_out(mechanism).close)
 
 
 @behave.given('{count:d} agents at cold rate {cold:d} and full rate {full:d}')
@@ -238,7 +238,6 @@
     target.health = b'{"state": "cold"}'
     # One poll of the health endpoint, each second.
     context.world.run(1200)
-    target.warmth.cool()
 
 
 @behave.then('{name} was never overloaded')
--- a/standins/doubles.py
+++ b/standins/doubles.py
@@ -117,9 +117,9 @@
 }
 
 
-def without(context, mechanism: str) -> None:
-    """Leaves a mechanism out until the scenario ends."""
+def left_out(mechanism: str) -> contextlib.ExitStack:
+    """Leaves a mechanism out until the returned stack is closed."""
     stack = contextlib.ExitStack()
-    for place_, name, double in _DOUBLES[mechanism]:
-        stack.enter_context(mock.patch.object(place_, name, double))
-    context.add_cleanup(stack.close)
+    for place, name, double in _DOUBLES[mechanism]:
+        stack.enter_context(mock.patch.object(place, name, double))
+    return stack
--- a/standins/world.py
+++ b/standins/world.py
@@ -82,11 +82,17 @@
         self.did_not_run = False
         self.gone = False
         self.health = b'{"state": "ready"}'
+        self._told = self.health
 
     def call(self, req):
         if self.gone:
             return defer.succeed(ports.TargetAnswer(0, b'', True))
         if req.path in ('/health', '/load'):
+            if self.health != self._told:
+                # From here on the agent knows that the target is cold again.
+                self._told = self.health
+                if b'cold' in self.health:
+                    self.warmth.cool()
             return defer.succeed(ports.TargetAnswer(200, self.health))
         if self.did_not_run:
             return defer.succeed(ports.TargetAnswer(503, b'', True))
@@ -371,17 +377,15 @@
 
     def members(self, service: str = SERVICE) -> service_list.ServiceList:
         """Returns a list as the platform last showed it."""
-        found = []
-        reading = self.db.get(f'lists/{service}')
-        reading.addCallbacks(found.append, lambda failure: None)
-        known = self._lists.get(service,
-                                service_list.ServiceList.empty(service))
-        if found and found[0] and found[0].version != known.version:
-            known = service_list.ServiceList.from_json(service,
-                                                       found[0].version,
-                                                       found[0].value)
-            self._lists[service] = known
-        return known
+        self.db.get(f'lists/{service}').addCallbacks(
+            lambda item: self._read(service, item), lambda failure: None)
+        return self._lists.get(service, service_list.ServiceList.empty(service))
+
+    def _read(self, service: str, item: typing.Any) -> None:
+        known = self._lists.get(service)
+        if item and (known is None or item.version > known.version):
+            self._lists[service] = service_list.ServiceList.from_json(
+                service, item.version, item.value)
 
     def seen(self) -> _Seen:
         """Returns what a balancer without a lag knows."""
