Tell the path of an acknowledgement which agent holds the flow

Change: the holder answers Held to the members that passed such a packet on. Conclusion: flows that send little but acknowledgements survive joins.

--- a/figdrum/ownership/decision.py
+++ b/figdrum/ownership/decision.py
@@ -348,8 +348,23 @@
 
 def _deliver_held(view: View, record: records.Hold,
                   packet: datagram.Packet) -> Decision:
-    return Decision(record,
-                    (actions.Deliver(packet),) + _held_notice(view, packet))
+    return Decision(record, (actions.Deliver(packet),) +
+                    _held_notice(view, packet) + _path_notices(view, packet))
+
+
+def _path_notices(view: View,
+                  packet: datagram.Packet) -> tuple[actions.Action, ...]:
+    """Tells the members that passed a packet on which one holds its flow.
+
+    A packet that cannot start a flow leaves no pointers behind. A feed sends
+    little else, and a joiner that never learned of its holder would admit the
+    flow's next request as a new flow once it has settled.
+    """
+    if packet.may_start:
+        return ()
+    held = datagram.Held(packet.flow, view.name, view.incarnation)
+    passed = [view.find(name) for name in packet.visited if name != view.name]
+    return tuple(actions.Send(m, held) for m in passed if m is not None)
 
 
 def _is_stale_asker(view: View, packet: datagram.Packet) -> bool:
--- a/figdrum/ownership/tests/test_departed_holder.py
+++ b/figdrum/ownership/tests/test_departed_holder.py
@@ -104,3 +104,17 @@
     flow = _flow_with_order('b', 'a', 'c')
     agent.on_list(SETTLED_MS, _members(3), frozenset({'zone-b'}))
     assert _asks(agent.on_packet(SETTLED_MS, _packet(flow, 3), _Room()))
+
+
+def test_acknowledgement_tells_the_path_who_holds_the_flow():
+    """A joiner that had seen only a feed's acknowledgements never learned of
+    its holder, and admitted the next request as a new flow once settled."""
+    flow = _flow_with_order('a', 'b', 'c')
+    holder = _settled_agent()
+    holder.on_packet(SETTLED_MS, _packet(flow, 3), _Room())
+    acknowledgement = _packet(flow, 3, False)._replace(visited=('b',))
+    decided = holder.on_packet(SETTLED_MS, acknowledgement, _Room())
+    assert [(action.to.name, action.message)
+            for action in decided
+            if isinstance(action, actions.Send)
+           ] == [('b', datagram.Held(flow, 'a', 1))]
