Bound an agent's tables so that it stays under 64 MB

Change: 12,000 claims, 6,000 answers with 2 MB of bodies, 8,000 flow records; full tables refuse, as before. key_ms is the lifetime in both tables.

--- a/figdrum/agent/claim_service.py
+++ b/figdrum/agent/claim_service.py
@@ -55,10 +55,11 @@
       around: Ports of the agent.
       asking: Questions to other agents.
       answer_ms: Time in which a member has to answer a claim.
+      key_ms: Time that claims and answers are kept.
     """
 
     def __init__(self, own: view.View, around: surroundings.Surroundings,
-                 asking: questions.Questions, answer_ms: int):
+                 asking: questions.Questions, answer_ms: int, key_ms: int):
         self._own = own
         self._clock = around.clock
         self._timers = around.timers
@@ -66,8 +67,9 @@
         self._metrics = around.metrics
         self._questions = asking
         self._answer_ms = answer_ms
-        self._registry = claim_registry.ClaimRegistry(own.name)
-        self._results = result_table.ResultTable()
+        self._registry = claim_registry.ClaimRegistry(own.name,
+                                                      lifetime_ms=key_ms)
+        self._results = result_table.ResultTable(lifetime_ms=key_ms)
         self._claimed: dict[int, _Key] = {}
         self._leaving = False
         self._giving = 0
--- a/figdrum/agent/core.py
+++ b/figdrum/agent/core.py
@@ -154,7 +154,7 @@
             self.place, around,
             questions.Questions(around.timers, around.peers,
                                 self._cfg.repeat_ms, around.rng),
-            self._cfg.claim_answer_ms)
+            self._cfg.claim_answer_ms, self._cfg.key_ms)
         self._slots = slot_waiter.SlotWaiter(around.clock, around.timers,
                                              self.admission, around.metrics)
         self._requests = self._make_requests()
--- a/figdrum/idempotency/claim_registry.py
+++ b/figdrum/idempotency/claim_registry.py
@@ -34,7 +34,8 @@
 # Longer than EXCHANGE_LIFETIME (247 s, RFC 7252 section 4.8.2) plus the
 # longest walk, on clocks whose rates differ by 1 %.
 KEY_LIFETIME_MS = limits.KEY_LIFETIME_MS
-DEFAULT_CAPACITY = 100_000
+# 5.7 MB at 472 B a claim, see docs/CAPACITY.md.
+DEFAULT_CAPACITY = 12_000
 
 
 class MemberStanding(enum.Enum):
@@ -99,16 +100,21 @@
 class ClaimRegistry:
     """Claims by customer and key, for the key lifetime."""
 
-    def __init__(self, name: ids.AgentName, capacity: int = DEFAULT_CAPACITY):
+    def __init__(self,
+                 name: ids.AgentName,
+                 capacity: int = DEFAULT_CAPACITY,
+                 lifetime_ms: int = KEY_LIFETIME_MS):
         """Makes an empty registry.
 
         Args:
           name: The member that keeps it.
           capacity: Most claims that it keeps. A full registry grants nothing:
             evicting a claim early could let its request run again.
+          lifetime_ms: Time that it keeps a claim.
         """
         self._name = name
         self._capacity = capacity
+        self._lifetime_ms = lifetime_ms
         self._claims: collections.OrderedDict[tuple[str, str], tuple[
             Executor, int]] = collections.OrderedDict()
 
@@ -145,6 +151,6 @@
         """Forgets claims that are older than the key lifetime."""
         while self._claims:
             name, (_, set_ms) = next(iter(self._claims.items()))
-            if now_ms - set_ms < KEY_LIFETIME_MS:
+            if now_ms - set_ms < self._lifetime_ms:
                 return
             del self._claims[name]
--- a/figdrum/idempotency/result_table.py
+++ b/figdrum/idempotency/result_table.py
@@ -18,7 +18,10 @@
 
 from figdrum.idempotency import claim_registry
 
-DEFAULT_CAPACITY = 20_000
+# 3 MB at 510 B a key with a short answer, see docs/CAPACITY.md. Long answers
+# are bounded by their bytes.
+DEFAULT_CAPACITY = 6_000
+BODIES_LIMIT_BYTES = 2_000_000
 
 
 class New(typing.NamedTuple):
@@ -55,9 +58,18 @@
 class ResultTable:
     """Requests by customer and key, for the key lifetime after they end."""
 
-    def __init__(self, capacity: int = DEFAULT_CAPACITY):
-        """Makes an empty table of at most `capacity` keys."""
+    def __init__(self,
+                 capacity: int = DEFAULT_CAPACITY,
+                 lifetime_ms: int = claim_registry.KEY_LIFETIME_MS):
+        """Makes an empty table.
+
+        Args:
+          capacity: Most keys that it keeps.
+          lifetime_ms: Time that it keeps an answer.
+        """
         self._capacity = capacity
+        self._lifetime_ms = lifetime_ms
+        self._bodies_bytes = 0
         self._rows: collections.OrderedDict[tuple[str, str],
                                             _Row] = collections.OrderedDict()
 
@@ -75,7 +87,8 @@
         state = self.find(customer, key)
         if state is not None:
             return state
-        if len(self._rows) >= self._capacity:
+        if (len(self._rows) >= self._capacity or
+                self._bodies_bytes >= BODIES_LIMIT_BYTES):
             return Full()
         self._put(now_ms, (customer, key), Running())
         return New()
@@ -87,20 +100,27 @@
 
     def forget(self, customer: str, key: str) -> None:
         """Forgets a key whose request certainly did not start here."""
-        self._rows.pop((customer, key), None)
+        self._drop((customer, key))
 
     def expire(self, now_ms: int) -> None:
         """Forgets answers older than the key lifetime; never running ones."""
         while self._rows:
             name, row = next(iter(self._rows.items()))
-            if now_ms - row.used_ms < claim_registry.KEY_LIFETIME_MS:
+            if now_ms - row.used_ms < self._lifetime_ms:
                 return
             if isinstance(row.state, Running):
                 self._put(now_ms, name, row.state)
                 continue
-            del self._rows[name]
+            self._drop(name)
+
+    def _drop(self, name: tuple[str, str]) -> None:
+        row = self._rows.pop(name, None)
+        if row is not None and isinstance(row.state, Done):
+            self._bodies_bytes -= len(row.state.body)
 
     def _put(self, now_ms: int, name: tuple[str, str],
              state: Running | Done) -> None:
+        self._drop(name)
         self._rows[name] = _Row(state, now_ms)
-        self._rows.move_to_end(name)
+        if isinstance(state, Done):
+            self._bodies_bytes += len(state.body)
--- /dev/null
+++ b/figdrum/idempotency/tests/test_result_table.py
@@ -0,0 +1,24 @@
+"""Tests of the table of requests and their answers."""
+
+from figdrum.idempotency import result_table
+
+
+def test_long_answers_are_bounded_in_bytes():
+    """Guards against long answers that fill the agent's memory."""
+    table = result_table.ResultTable(lifetime_ms=1_000)
+    body = bytes(60_000)
+    kept = 0
+    while isinstance(table.begin(0, 'c', str(kept)), result_table.New):
+        table.finish(0, 'c', str(kept), 68, body)
+        kept += 1
+    assert kept * len(body) < result_table.BODIES_LIMIT_BYTES + len(body)
+    assert table.find('c', '0') == result_table.Done(68, body)
+    table.expire(1_000)
+    assert isinstance(table.begin(1_000, 'c', 'next'), result_table.New)
+
+
+def test_running_request_is_never_forgotten():
+    """Guards against a request that runs again while its first run lasts."""
+    table = result_table.ResultTable(lifetime_ms=1_000)
+    table.begin(0, 'c', 'k')
+    assert isinstance(table.begin(5_000, 'c', 'k'), result_table.Running)
--- a/figdrum/ownership/flow_table.py
+++ b/figdrum/ownership/flow_table.py
@@ -19,7 +19,9 @@
 # EXCHANGE_LIFETIME of RFC 7252 section 4.8.2: no copy of a confirmable
 # message is sent or delivered later than this after the first.
 COPY_LIFETIME_MS = limits.COPY_LIFETIME_MS
-DEFAULT_CAPACITY = 20_000
+# 3.9 MB at 483 B a record, see docs/CAPACITY.md. The target size needs 1,700
+# flows of 247 s for each agent, and about as many pointers.
+DEFAULT_CAPACITY = 8_000
 _DIGEST_BYTES = 8
 
 
