--- a/figdrum/ownership/flow_table.py
+++ b/figdrum/ownership/flow_table.py
@@ -81,8 +81,6 @@
 
     def fence(self, flow: ids.FlowKey, payload: bytes) -> records.Fence | None:
         """Returns the fence of one datagram, or None."""
-        if not self._fences:
-            return None
         found = self._fences.get(fence_key(flow, payload))
         return found[0] if found else None
 
--- a/figdrum/ownership/owner.py
+++ b/figdrum/ownership/owner.py
@@ -120,9 +120,6 @@
         if fence:
             return decision.decide(view, fence, packet).actions
         record = self._table.get(packet.flow)
-        if self._is_held_here(now_ms, packet, record):
-            self._store(now_ms, packet, record)
-            return (actions.Deliver(packet),)
         if packet.may_start and self._has_timed_out(now_ms, packet.flow,
                                                     record):
             # Whatever called for the inquiry still calls for it.
@@ -194,14 +191,6 @@
             self._offered.pop(hold.flow, None)
         return tuple(actions.Release(hold.flow) for hold in holds)
 
-    def _is_held_here(self, now_ms: int, packet: datagram.Packet,
-                      record: records.Record) -> bool:
-        """Returns whether a packet that came straight from a balancer meets
-        its holder; the decision is then known without the flow's order."""
-        return (record == records.Hold() and not packet.visited and
-                not packet.asker and self.phase(now_ms)
-                not in (decision.Phase.FENCED, decision.Phase.BEHIND))
-
     def _note_departures(self, now_ms: int) -> None:
         """Remembers when each lost or left member, or one in a zone that is
         out, was first seen as such.
