--- a/bench/tests/test_traces.py
+++ b/bench/tests/test_traces.py
@@ -6,12 +6,13 @@
 
 from bench import record_traces
 from figdrum.telemetry import replay
-from figdrum.telemetry import trace
+from figdrum.telemetry import trace_reader
 
 
 def _steps(name):
     return list(
-        trace.TraceReader(str(record_traces.TRACES / f'{name}.trace')).steps())
+        trace_reader.TraceReader(str(record_traces.TRACES /
+                                     f'{name}.trace')).steps())
 
 
 @pytest.mark.parametrize('name', sorted(record_traces.EVENTS))
