--- a/standins/doubles.py
+++ b/standins/doubles.py
@@ -16,6 +16,7 @@
 from figdrum.coap import codes
 from figdrum.contracts import change
 from figdrum.contracts import change_log
+from figdrum.contracts import sure_writer
 from figdrum.contracts import state
 from figdrum.core import states
 from figdrum.filters import filter  # pylint: disable=redefined-builtin
@@ -108,7 +109,7 @@
     'gossip': [(simulation.Node, '_send', lambda self, peer, message: None)],
     'create-if-absent': [(memory_store.MemoryStore, '_write', _overwrite)],
     'reading back': [
-        (change_log, '_is_write', lambda *args: False),
+        (sure_writer, '_is_write', lambda *args: False),
         (change_log.ChangeLog, '_own_change',
          lambda self, proposal: defer.succeed(None)),
         (change_log.ChangeLog, '_check_valid',
