Ask the others wherever a member ahead is silent or memory was lost

Cause: with a joiner that settles in the model, a flow was held twice after its leaving holder had handed it over and was silent before the list said so, and a refused datagram ran after the one agent that could have passed it on with doubt had restarted and was still joining. Ruled out: the wait for heartbeats, which is now left out of cases without pauses, since it only makes a member that is behind wait. Change: a silent member ahead, and an agent without memory, put the duty to ask on the packet.

--- a/figdrum/ownership/decision.py
+++ b/figdrum/ownership/decision.py
@@ -174,8 +174,7 @@
     packet = packet._replace(list_version=view.list_version,
                              uncertain=packet.uncertain or
                              (view.rules.doubt and doubtful))
-    must_ask = packet.must_ask or view.phase is Phase.INQUIRING or (
-        view.rules.departure_inquiry and view.departed_ahead)
+    must_ask = packet.must_ask or _must_ask(view, packet)
     if isinstance(record, records.Pointer):
         target = view.find(record.to)
         if _is_alive(view, record, target):
@@ -420,6 +419,18 @@
     return packet.may_start and view.ghost_ahead
 
 
+def _must_ask(view: View, packet: datagram.Packet) -> bool:
+    """Returns whether another member may hold the flow without this agent's
+    knowledge.
+
+    An agent that lost its memory passes that doubt on with the packet. A
+    silent member may have left after it handed its flows over.
+    """
+    departed = view.departed_ahead or _has_suspect_ahead(view, packet)
+    return (view.phase is Phase.INQUIRING or view.amnesic or
+            (view.rules.departure_inquiry and departed))
+
+
 def _has_suspect_ahead(view: View, packet: datagram.Packet) -> bool:
     return any(
         view.is_ahead(name)
--- a/spec/ownership.py
+++ b/spec/ownership.py
@@ -111,6 +111,7 @@
         self._rules = rules
         self._phases = phases
         self._copies_at_start = budget.copies
+        self._has_pauses = budget.pauses > 0
         first = (_member('s', 1, False), _member('t', 1, False))
         settled = [
             Process(_UP, standing.Standing(name, 1), 1, None) for name in 'st'
@@ -261,7 +262,10 @@
                              process._replace(list_version=latest))
                 yield f'{NAMES[index]} learns the list', self._acknowledge(
                     after, index)
-            yield f'{NAMES[index]} is heard', self._beat(world, index)
+            # A heartbeat only makes a member that is behind wait, so without
+            # pauses its absence is the harder case.
+            if self._has_pauses:
+                yield f'{NAMES[index]} is heard', self._beat(world, index)
         if world.budget.joins and world.processes[0] is None:
             budget = world.budget._replace(joins=0)
             yield 'n joins', self._join(world._replace(budget=budget), 0)
