Inquire also when the list came before the answer to the join

Cause: found in the read-through. Change: join() looks at the list it already has. A method that nobody called is gone from the agent's membership. Before / after: the new test fails without the change and passes with it; the ownership tests pass.

--- a/figdrum/agent/membership.py
+++ b/figdrum/agent/membership.py
@@ -91,10 +91,6 @@
         """Takes a sign of life of another member."""
         self._leases.on_heartbeat(now_ms, heartbeat)
 
-    def suspected(self, now_ms: int) -> frozenset[str]:
-        """Returns the members that do not answer."""
-        return self._leases.suspected(now_ms)
-
     def woke(self, now_ms: int) -> None:
         """Records that this process was paused."""
         self._woken_ms = now_ms
--- a/figdrum/ownership/owner.py
+++ b/figdrum/ownership/owner.py
@@ -84,6 +84,9 @@
         """Starts a new incarnation; what an earlier one held is forgotten."""
         draining = self._standing is not None and self._standing.draining
         self._standing = standing.Standing(self._name, incarnation, draining)
+        # The list may come from a balancer before the platform's answer.
+        if self._list.version >= incarnation:
+            self._standing = self._standing.joined(now_ms, self._list)
         self._pending_since.clear()
         self._offered.clear()
         self._last_event_ms = now_ms
--- a/figdrum/ownership/tests/test_departed_holder.py
+++ b/figdrum/ownership/tests/test_departed_holder.py
@@ -118,3 +118,15 @@
             for action in decided
             if isinstance(action, actions.Send)
            ] == [('b', datagram.Held(flow, 'a', 1))]
+
+
+def test_agent_that_knew_its_list_before_its_join_inquires():
+    """An agent whose list arrived before the platform's answer to its join
+    settled at once and admitted a flow that another member held."""
+    agent = owner.Owner(ids.AgentName('a'), ids.ServiceName('fieldbook'),
+                        ids.ZoneName('zone-a'))
+    agent.on_list(0, _members(3), frozenset())
+    agent.join(0, ids.Incarnation(1))
+    agent.on_list(0, _members(3), frozenset())
+    flow = _flow_with_order('a', 'b', 'c')
+    assert _asks(agent.on_packet(0, _packet(flow, 3), _Room()))
