--- /dev/null
+++ b/figdrum/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Flows of opaque packets: placement, ownership and admission."""
--- /dev/null
+++ b/figdrum/flows/balancer.py
@@ -0,0 +1,428 @@
+"""A balancer's decisions about clients' packets.
+
+Explanation
+===========
+
+An opening packet goes to the target that `placement` chooses. Later packets go
+to the agent that is known to hold the flow. If none is known, the balancer asks
+agents one after the other, in the flow's rendezvous order, by handing them the
+packet; further packets of the flow wait for the outcome.
+"""
+
+
+from figdrum.core import errors
+from figdrum.core import ids
+from figdrum.flows import actions
+from figdrum.flows import messages
+from figdrum.flows import placement
+from figdrum.flows import routes
+from figdrum.flows import segment as segment_module
+from figdrum.flows import target as target_module
+from figdrum.flows import target_view
+
+# Time in ms in which an agent answers a question about a flow: it may try its
+# target for 15 ms first, and both processes may be waiting for their core.
+ANSWER_MS = 40
+
+# Packets of one flow that wait for a search; an end has 16 in flight at most.
+WAITING_PACKETS = 16
+
+# Searches at one time; packets beyond are dropped, and clients retransmit.
+MAX_SEARCHES = 512
+
+# Time in ms for which a flow stays known as ended. Clients that were reset
+# need it for packets that were under way.
+ENDED_MS = 2_000
+
+# Flows that the balancer remembers at most: some 200 bytes each.
+MAX_FLOWS = 60_000
+
+# A flow without packets for this time, in ms, is forgotten (`maxFlowS` is 60).
+IDLE_MS = 65_000
+
+# Time in ms between greetings to each agent. An agent reports for 3 s after one.
+HELLO_MS = 1_000
+
+
+class _Flow:
+    """Where a flow goes.
+
+    Attributes:
+      agent: The agent that holds it, or the one that was chosen for it.
+      last_ms: When its last packet came.
+      tried: Targets that refused its opening packet.
+    """
+    __slots__ = ('agent', 'last_ms', 'tried')
+
+    def __init__(self, agent: ids.Address, now_ms: int):
+        self.agent = agent
+        self.last_ms = now_ms
+        self.tried: set[str] = set()
+
+
+class _Search:
+    """A question about a flow's owner that goes from agent to agent.
+
+    Attributes:
+      candidates: Agents that are still to be asked.
+      asked: The agent that is being asked.
+      asked_ms: When it was asked.
+      question: The packet that is handed to the agents.
+      tag: Service of the flow, for `Carry`.
+      waiting: Later packets of the flow.
+      is_certain: Every agent so far has denied the flow.
+    """
+    __slots__ = ('candidates', 'asked', 'asked_ms', 'question', 'tag',
+                 'waiting', 'is_certain', 'started_ms', 'steps')
+
+    def __init__(self, now_ms: int, candidates: list[ids.Address],
+                 question: segment_module.Segment, tag: int):
+        self.candidates = candidates
+        self.asked: ids.Address | None = None
+        self.asked_ms = now_ms
+        self.started_ms = now_ms
+        self.steps = 0
+        self.question = question
+        self.tag = tag
+        self.waiting: list[bytes] = []
+        self.is_certain = True
+
+
+class Balancer:
+    """Decides on the packets of clients."""
+
+    def __init__(self, now_ms: int, packets: segment_module.PacketFormat,
+                 zone: ids.ZoneName):
+        self._packets = packets
+        self._zone = zone
+        self._started_ms = now_ms
+        self._cfg: routes.Configuration | None = None
+        self._tags: dict[bytes, frozenset[int]] = {}
+        self._zones_out: frozenset[ids.ZoneName] = frozenset()
+        self._knowledge = -1
+        self._flows: dict[bytes, _Flow] = {}
+        self._ended: dict[bytes, int] = {}
+        self._searches: dict[bytes, _Search] = {}
+        self._greeted_ms = now_ms - HELLO_MS
+        self.targets = target_view.TargetViews()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer knows where packets go."""
+        return self._cfg is not None and len(self.targets) > 0
+
+    @property
+    def has_configuration(self) -> bool:
+        """Whether a configuration is in force."""
+        return self._cfg is not None
+
+    def on_configuration(self, cfg: routes.Configuration) -> actions.Actions:
+        """Puts a configuration in force unless a newer one is."""
+        if self._cfg is not None and cfg.version <= self._cfg.version:
+            return []
+        self._cfg = cfg
+        self._tags = {
+            address: frozenset(
+                messages.service_tag(share.service) for share in route.shares)
+            for address, route in cfg.routes.items()
+        }
+        return [
+            actions.Note('configuration', {
+                'version': cfg.version,
+                'routes': len(cfg.routes)
+            })
+        ]
+
+    def on_zones_out(self, now_ms: int, zones: frozenset[ids.ZoneName],
+                     knowledge: int) -> actions.Actions:
+        """Takes the zones that operators have taken out.
+
+        Args:
+          now_ms: Time.
+          zones: All zones that are out.
+          knowledge: Store revision at which this was so.
+        """
+        if knowledge < self._knowledge:
+            return []
+        self._knowledge = knowledge
+        if zones == self._zones_out:
+            return []
+        self._zones_out = zones
+        note = actions.Note('zones out', {
+            'zones': ','.join(sorted(zones)),
+            'revision': knowledge
+        })
+        return [note] + self._greet(now_ms)
+
+    def on_registration(
+            self, now_ms: int, name: str,
+            registration: target_module.Registration) -> actions.Actions:
+        """Takes a target's entry in the store."""
+        if not self.targets.register(now_ms, name, registration):
+            return []
+        view = self.targets.by_agent(registration.agent)
+        note = actions.Note(
+            'target known', {
+                'target': name,
+                'service': registration.service,
+                'zone': registration.zone
+            })
+        return [note, self._hello(view)] if view else [note]
+
+    def on_registration_removed(self, name: str) -> actions.Actions:
+        """Forgets a target whose entry is gone."""
+        self.targets.remove(name)
+        return [actions.Note('target removed', {'target': name})]
+
+    def on_client_packet(self, now_ms: int, raw: bytes) -> actions.Actions:
+        """Takes a packet from a client."""
+        segment = self._packets.parse_client(raw)
+        if segment is None or self._cfg is None:
+            return []
+        address = self._packets.service_address(segment.key)
+        route = self._cfg.routes.get(address)
+        if route is None:
+            return self._reset(segment.key, segment.ack, 'no route')
+        if segment.is_opening:
+            return self._on_opening(now_ms, route, segment)
+        flow = self._flows.get(segment.key)
+        if flow is not None:
+            flow.last_ms = now_ms
+            return [self._carry(flow.agent, route, segment, False)]
+        if segment.key in self._ended:
+            if segment.is_reset:
+                return []
+            return self._reset(segment.key, segment.ack, 'flow ended')
+        return self._look_for(now_ms, route, segment)
+
+    def on_message(self, now_ms: int, origin: ids.Address,
+                   data: bytes) -> actions.Actions:
+        """Takes a datagram from an agent."""
+        view = self.targets.by_agent(origin)
+        if view is None:
+            return []
+        try:
+            message = messages.decode(data)
+        except errors.MessageError as exc:
+            return [actions.Note('unreadable message', {'reason': exc.reason})]
+        view.heard_ms = now_ms
+        if isinstance(message, messages.Report):
+            view.take_report(now_ms, message)
+        elif isinstance(message, messages.Held):
+            return self._on_held(now_ms, origin, message.key)
+        elif isinstance(message, messages.NotHeld):
+            return self._on_not_held(now_ms, origin, message)
+        elif isinstance(message, messages.Refused):
+            return self._on_refused(now_ms, view, message)
+        return []
+
+    def on_due(self, now_ms: int) -> actions.Actions:
+        """Goes on with searches whose agent has not answered in time."""
+        result: actions.Actions = []
+        for key, search in tuple(self._searches.items()):
+            if now_ms - search.asked_ms >= ANSWER_MS:
+                search.is_certain = False
+                result += self._ask_next(now_ms, key, search)
+        if self._searches:
+            result.append(actions.Wake(ANSWER_MS))
+        return result
+
+    def on_tick(self, now_ms: int) -> actions.Actions:
+        """Greets agents and forgets old flows; called each 250 ms."""
+        for key, until_ms in tuple(self._ended.items()):
+            if until_ms <= now_ms:
+                del self._ended[key]
+        if now_ms - self._greeted_ms >= HELLO_MS:
+            self._expire(now_ms)
+            return self._greet(now_ms)
+        return []
+
+    def _on_opening(self, now_ms: int, route: routes.Route,
+                    segment: segment_module.Segment) -> actions.Actions:
+        flow = self._flows.get(segment.key)
+        copies = segment.ack
+        if flow is not None and copies:
+            # The chosen target has not answered: another one may.
+            view = self.targets.by_agent(flow.agent)
+            if view is not None:
+                flow.tried.add(view.name)
+        return self._place(now_ms, route, segment, flow)
+
+    def _place(self, now_ms: int, route: routes.Route,
+               segment: segment_module.Segment,
+               flow: _Flow | None) -> actions.Actions:
+        service = routes.pick_service(route, segment.key)
+        tag = messages.service_tag(service)
+        ordered = self.targets.in_order(segment.key, (tag,))
+        tried = flow.tried if flow is not None else ()
+        candidates = placement.eligible(now_ms, ordered, self._zones_out,
+                                        tried)
+        view = placement.choose(candidates, self._zone,
+                                self.targets.busy_per_flow(tag))
+        if view is None:
+            self._flows.pop(segment.key, None)
+            return self._reset(segment.key, 0, f'no target of {service}')
+        if flow is None:
+            flow = self._flows[segment.key] = _Flow(view.agent, now_ms)
+        flow.agent = view.agent
+        flow.last_ms = now_ms
+        view.openings += 1
+        note = actions.Note(
+            'flow placed', {
+                'flow': self._packets.describe(segment.key),
+                'route': route.name,
+                'target': view.name,
+                'load': round(view.load(0.0), 2),
+                'report_age_ms': (now_ms - view.heard_ms
+                                  if view.heard_ms is not None else None),
+                'copies': segment.ack
+            })
+        data = messages.encode_carry(tag, False, segment.raw)
+        return [actions.ToPeer(view.agent, data), note]
+
+    def _on_refused(self, now_ms: int, view: target_view.TargetView,
+                    message: messages.Refused) -> actions.Actions:
+        segment = self._packets.parse_client(message.raw)
+        if segment is None or self._cfg is None:
+            return []
+        route = self._cfg.routes.get(
+            self._packets.service_address(segment.key))
+        flow = self._flows.get(segment.key)
+        if route is None or flow is None or flow.agent != view.agent:
+            return []
+        flow.tried.add(view.name)
+        note = actions.Note(
+            'target refused', {
+                'flow': self._packets.describe(segment.key),
+                'target': view.name,
+                'reason': message.reason
+            })
+        return [note] + self._place(now_ms, route, segment, flow)
+
+    def _look_for(self, now_ms: int, route: routes.Route,
+                  segment: segment_module.Segment) -> actions.Actions:
+        search = self._searches.get(segment.key)
+        if search is not None:
+            if len(search.waiting) < WAITING_PACKETS:
+                search.waiting.append(segment.raw)
+            return []
+        if len(self._searches) >= MAX_SEARCHES:
+            return []
+        address = self._packets.service_address(segment.key)
+        ordered = self.targets.in_order(segment.key, self._tags[address])
+        answering = [v.agent for v in ordered if not v.is_silent(now_ms)]
+        silent = [v.agent for v in ordered if v.is_silent(now_ms)]
+        tag = messages.service_tag(routes.pick_service(route, segment.key))
+        search = _Search(now_ms, answering + silent, segment, tag)
+        self._searches[segment.key] = search
+        return self._ask_next(now_ms, segment.key,
+                              search) + [actions.Wake(ANSWER_MS)]
+
+    def _ask_next(self, now_ms: int, key: bytes,
+                  search: _Search) -> actions.Actions:
+        if not search.candidates:
+            return self._give_up(now_ms, key, search)
+        search.asked = search.candidates.pop(0)
+        search.asked_ms = now_ms
+        search.steps += 1
+        data = messages.encode_carry(search.tag, True, search.question.raw)
+        return [actions.ToPeer(search.asked, data)]
+
+    def _give_up(self, now_ms: int, key: bytes,
+                 search: _Search) -> actions.Actions:
+        del self._searches[key]
+        note = actions.Note(
+            'owner not found', {
+                'flow': self._packets.describe(key),
+                'asked': search.steps,
+                'certain': search.is_certain,
+                'ms': now_ms - search.started_ms
+            })
+        if not search.is_certain or not search.steps:
+            return [note]
+        self._ended[key] = now_ms + ENDED_MS
+        return [note] + self._reset(key, search.question.ack, 'no owner')
+
+    def _on_held(self, now_ms: int, origin: ids.Address,
+                 key: bytes) -> actions.Actions:
+        flow = self._flows.get(key)
+        if flow is None:
+            self._flows[key] = _Flow(origin, now_ms)
+        else:
+            flow.agent = origin
+        search = self._searches.pop(key, None)
+        if search is None:
+            return []
+        note = actions.Note(
+            'owner found', {
+                'flow': self._packets.describe(key),
+                'agent': origin[0],
+                'asked': search.steps,
+                'ms': now_ms - search.started_ms
+            })
+        result: actions.Actions = [note]
+        for raw in search.waiting:
+            data = messages.encode_carry(search.tag, False, raw)
+            result.append(actions.ToPeer(origin, data))
+        return result
+
+    def _on_not_held(self, now_ms: int, origin: ids.Address,
+                     message: messages.NotHeld) -> actions.Actions:
+        key = message.key
+        flow = self._flows.get(key)
+        search = self._searches.get(key)
+        if message.ended:
+            if flow is not None and flow.agent != origin:
+                return []
+            self._flows.pop(key, None)
+            self._searches.pop(key, None)
+            ack = search.question.ack if search else 0
+            if search is None:
+                # The reset needs the client's next acknowledgement.
+                self._ended[key] = now_ms + ENDED_MS
+                return []
+            self._ended[key] = now_ms + ENDED_MS
+            return self._reset(key, ack, 'owner ended')
+        if flow is not None and flow.agent == origin:
+            del self._flows[key]
+        if search is not None and search.asked == origin:
+            return self._ask_next(now_ms, key, search)
+        return []
+
+    def _carry(self, agent: ids.Address, route: routes.Route,
+               segment: segment_module.Segment,
+               asks: bool) -> actions.ToPeer:
+        tag = messages.service_tag(route.shares[0].service)
+        return actions.ToPeer(agent,
+                              messages.encode_carry(tag, asks, segment.raw))
+
+    def _reset(self, key: bytes, ack: int, cause: str) -> actions.Actions:
+        return [
+            actions.ToClient(self._packets.client_host(key),
+                             self._packets.build_reset(key, ack)),
+            actions.Note('flow reset', {
+                'flow': self._packets.describe(key),
+                'cause': cause
+            })
+        ]
+
+    def _greet(self, now_ms: int) -> actions.Actions:
+        self._greeted_ms = now_ms
+        return [self._hello(view) for view in self.targets.all()]
+
+    def _hello(self, view: target_view.TargetView) -> actions.ToPeer:
+        limits = routes.ServiceLimits(0, 0.0)
+        if self._cfg is not None:
+            limits = self._cfg.services.get(view.registration.service, limits)
+        hello = messages.Hello(self._knowledge,
+                               view.registration.zone in self._zones_out,
+                               limits.cold_per_s, limits.warmup_ms)
+        return actions.ToPeer(view.agent, messages.encode(hello))
+
+    def _expire(self, now_ms: int) -> None:
+        for key, flow in tuple(self._flows.items()):
+            if (now_ms - flow.last_ms > IDLE_MS or
+                    len(self._flows) > MAX_FLOWS):
+                del self._flows[key]
+
+
--- /dev/null
+++ b/figdrum/flows/cold_limit.py
@@ -0,0 +1,44 @@
+"""Limits opening packets to a target that has just started.
+
+Examples
+========
+
+>>> limit = ColdLimit()
+>>> limit.set_rate(2.0)
+>>> [limit.take(now_ms) for now_ms in (0, 10, 20, 30, 1100)]
+[True, True, False, False, True]
+"""
+
+import collections
+
+from figdrum.core import clock
+
+# Opening packets a second that a cold target gets at least, so that it warms
+# up; the platform's rules allow `warmupSlack` = 5 beside its rate.
+FLOOR_PER_S = 2
+
+# The window is longer than a second by this, in ms, since packets that leave
+# within one second may arrive within a shorter span.
+WINDOW_MARGIN_MS = 50
+
+
+class ColdLimit:
+    """Counts opening packets in a sliding window of a second."""
+
+    def __init__(self):
+        self._per_s = FLOOR_PER_S
+        self._taken_ms: collections.deque[int] = collections.deque()
+
+    def set_rate(self, per_s: float) -> None:
+        """Sets the requests a second that the target bears while cold."""
+        self._per_s = max(FLOOR_PER_S, int(per_s))
+
+    def take(self, now_ms: int) -> bool:
+        """Counts an opening packet and returns True if it is within bounds."""
+        start_ms = now_ms - clock.MS_PER_S - WINDOW_MARGIN_MS
+        while self._taken_ms and self._taken_ms[0] <= start_ms:
+            self._taken_ms.popleft()
+        if len(self._taken_ms) >= self._per_s:
+            return False
+        self._taken_ms.append(now_ms)
+        return True
--- /dev/null
+++ b/figdrum/flows/flow_table.py
@@ -0,0 +1,153 @@
+"""The flows of one target, as its agent has seen them."""
+
+import collections.abc
+
+from figdrum.flows import load_meter
+from figdrum.flows import segment as segment_module
+
+# A flow without a packet for this time, in ms, is forgotten. Flows may be
+# discarded at 60 s (`maxFlowS`).
+IDLE_MS = 65_000
+
+# Time in ms for which the record of a closed flow is kept, for late packets:
+# the longest pause between retransmissions is 1.6 s.
+CLOSED_MS = 5_000
+
+
+class Flow:
+    """A flow that the target has accepted or is believed to hold.
+
+    Attributes:
+      key: Key of the flow.
+      opened_ms: When the agent first saw it.
+      last_ms: When its last packet passed.
+      target: Identity of the target's incarnation at that time.
+      server_first: First sequence number of the server; None if the agent
+        started later than the flow.
+      server_next: Number after the last byte that the server has sent.
+      client_next: Number after the last byte that the client has sent.
+      client_ack: The client's last acknowledgement.
+      is_open: The client has acknowledged this server, or the server has sent
+        more than its answer to the opening packet.
+      is_busy: A request is in progress.
+      client_closed: The client has sent its last byte.
+      server_closed: The server has sent its last byte.
+    """
+    __slots__ = ('key', 'opened_ms', 'last_ms', 'target', 'server_first',
+                 'server_next', 'client_next', 'client_ack', 'is_open', 'is_busy',
+                 'client_closed', 'server_closed')
+
+    def __init__(self, key: bytes, now_ms: int, target: str):
+        self.key = key
+        self.opened_ms = now_ms
+        self.last_ms = now_ms
+        self.target = target
+        self.server_first: int | None = None
+        self.server_next = 0
+        self.client_next: int | None = None
+        self.client_ack = 0
+        self.is_open = False
+        self.is_busy = False
+        self.client_closed = False
+        self.server_closed = False
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether both ends have closed the flow."""
+        return self.client_closed and self.server_closed
+
+    def acknowledges(self, segment: segment_module.Segment) -> bool:
+        """Returns whether a client's packet can belong to this flow.
+
+        The client acknowledges the sequence numbers of the server at which
+        the flow opened, so a packet that acknowledges others is for another
+        server that answered the same opening packet.
+        """
+        if self.server_first is None:
+            return True
+        sent = (self.server_next - self.server_first) % (1 << 32)
+        return 0 < (segment.ack - self.server_first) % (1 << 32) <= sent
+
+
+class FlowTable:
+    """All flows of one target and the requests in progress on them."""
+
+    def __init__(self, now_ms: int):
+        self._flows: dict[bytes, Flow] = {}
+        self.meter = load_meter.LoadMeter(now_ms)
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def get(self, key: bytes) -> Flow | None:
+        """Returns the flow `key`, or None."""
+        return self._flows.get(key)
+
+    def open(self, now_ms: int, key: bytes, target: str) -> Flow:
+        """Adds a flow, in place of an earlier one between the same ports."""
+        self.remove(now_ms, key)
+        flow = self._flows[key] = Flow(key, now_ms, target)
+        return flow
+
+    def remove(self, now_ms: int, key: bytes) -> Flow | None:
+        """Forgets the flow `key` and returns it."""
+        flow = self._flows.pop(key, None)
+        if flow is not None:
+            self._set_busy(now_ms, flow, False)
+        return flow
+
+    def flows(self) -> collections.abc.Iterable[Flow]:
+        """Returns all flows; the table may be changed meanwhile."""
+        return tuple(self._flows.values())
+
+    def note_client(self, now_ms: int, flow: Flow,
+                    segment: segment_module.Segment) -> None:
+        """Takes a client's packet into account."""
+        flow.last_ms = now_ms
+        flow.client_ack = segment.ack
+        if flow.server_first is not None:
+            flow.is_open = True
+        if segment.is_closing or segment.is_reset:
+            flow.client_closed = True
+        if segment.is_reset:
+            flow.server_closed = True
+            self._set_busy(now_ms, flow, False)
+        if segment.length:
+            end = (segment.seq + segment.length) % (1 << 32)
+            if (flow.client_next is None or
+                    segment_module.follows(flow.client_next, end)):
+                flow.client_next = end
+                self._set_busy(now_ms, flow, True)
+
+    def note_target(self, now_ms: int, flow: Flow,
+                    segment: segment_module.Segment) -> None:
+        """Takes a packet of the target into account."""
+        flow.last_ms = now_ms
+        if not segment.is_accepting:
+            flow.is_open = True
+        if segment.is_accepting and flow.server_first is None:
+            flow.server_first = segment.seq
+            flow.server_next = (segment.seq + 1) % (1 << 32)
+        end = (segment.seq + segment.length +
+               segment.is_closing) % (1 << 32)
+        if segment_module.follows(flow.server_next, end):
+            flow.server_next = end
+        if segment.length:
+            self._set_busy(now_ms, flow, False)
+        if segment.is_closing or segment.is_reset:
+            flow.server_closed = True
+        if segment.is_reset:
+            flow.client_closed = True
+            self._set_busy(now_ms, flow, False)
+
+    def expire(self, now_ms: int) -> None:
+        """Forgets flows that are idle or closed for long."""
+        for flow in self.flows():
+            limit_ms = CLOSED_MS if flow.is_closed else IDLE_MS
+            if now_ms - flow.last_ms > limit_ms:
+                self.remove(now_ms, flow.key)
+
+    def _set_busy(self, now_ms: int, flow: Flow, is_busy: bool) -> None:
+        if flow.is_busy != is_busy:
+            flow.is_busy = is_busy
+            self.meter.add(now_ms, 1 if is_busy else -1)
--- /dev/null
+++ b/figdrum/flows/load_meter.py
@@ -0,0 +1,46 @@
+"""Averages the requests in progress at a target.
+
+Examples
+========
+
+>>> meter = LoadMeter(0)
+>>> meter.add(0, 1)
+>>> round(meter.average(2000), 2)
+0.63
+"""
+
+import math
+
+# Time constant of the average, in ms. Shorter averages follow single requests
+# of some 20 ms; longer ones miss a burst of 3 s.
+TIME_CONSTANT_MS = 2_000
+
+
+class LoadMeter:
+    """An exponential average of a count over time.
+
+    Attributes:
+      current: Requests in progress now.
+    """
+
+    def __init__(self, now_ms: int):
+        self.current = 0
+        self._average = 0.0
+        self._updated_ms = now_ms
+
+    def add(self, now_ms: int, change: int) -> None:
+        """Changes the count by `change`."""
+        self._update(now_ms)
+        self.current += change
+
+    def average(self, now_ms: int) -> float:
+        """Returns the average count."""
+        self._update(now_ms)
+        return self._average
+
+    def _update(self, now_ms: int) -> None:
+        elapsed_ms = now_ms - self._updated_ms
+        if elapsed_ms > 0:
+            keep = math.exp(-elapsed_ms / TIME_CONSTANT_MS)
+            self._average = self._average * keep + self.current * (1 - keep)
+            self._updated_ms = now_ms
--- /dev/null
+++ b/figdrum/flows/messages.py
@@ -0,0 +1,156 @@
+"""Messages between balancers and agents.
+
+Explanation
+===========
+
+A packet goes with a fixed head, since there are many and each byte between
+zones counts. All other messages are msgpack arrays behind their type.
+
+Examples
+========
+
+>>> decode(encode_carry(service_tag('fieldbook'), True, b'datagram'))
+Carry(tag=1331133022, asks=True, raw=b'datagram')
+>>> decode(encode(NotHeld(b'key', ended=True)))
+NotHeld(key=b'key', ended=True)
+"""
+
+import functools
+import struct
+import typing
+
+import msgpack
+import xxhash
+
+from figdrum.core import errors
+
+
+class Carry(typing.NamedTuple):
+    """A client's packet on its way to a target.
+
+    Attributes:
+      tag: `service_tag` of the service that the packet is for.
+      asks: Whether the balancer wants `Held` or `NotHeld` in return.
+      raw: The datagram.
+    """
+    tag: int
+    asks: bool
+    raw: bytes
+
+
+class Held(typing.NamedTuple):
+    """The agent's target holds the flow.
+
+    Attributes:
+      key: Key of the flow.
+    """
+    key: bytes
+
+
+class NotHeld(typing.NamedTuple):
+    """The agent's target does not hold the flow.
+
+    Attributes:
+      key: Key of the flow.
+      ended: The flow was the target's and has ended with it.
+    """
+    key: bytes
+    ended: bool
+
+
+class Refused(typing.NamedTuple):
+    """An opening packet that no target has taken.
+
+    Attributes:
+      reason: `RefusalReason` value.
+      raw: The datagram.
+    """
+    reason: str
+    raw: bytes
+
+
+class Hello(typing.NamedTuple):
+    """A balancer asks an agent for reports.
+
+    Attributes:
+      knowledge: Store revision up to which the balancer knows the zones taken
+        out.
+      is_zone_out: The agent's zone is taken out.
+      cold_per_s: Opening packets a second that a cold target of the agent's
+        service bears.
+      warmup_ms: Time for which a target of the service stays cold.
+    """
+    knowledge: int
+    is_zone_out: bool
+    cold_per_s: float
+    warmup_ms: int
+
+
+class Report(typing.NamedTuple):
+    """State and load of an agent's target.
+
+    Attributes:
+      tag: `service_tag` of the target's service.
+      target: Identity of the target's incarnation, empty if unknown.
+      state: `target.TargetState` value.
+      is_cold: The target has started a short time ago.
+      busy: Requests in progress, averaged over about two seconds.
+      flows: Open flows.
+      slots: Requests that the target runs at once.
+    """
+    tag: int
+    target: str
+    state: str
+    is_cold: bool
+    busy: float
+    flows: int
+    slots: int
+
+
+Message = Carry | Held | NotHeld | Refused | Hello | Report
+
+_CARRY = struct.Struct('!BBI')
+_CARRY_TYPE = 1
+_TYPES: dict[int, typing.Any] = {
+    2: Held,
+    3: NotHeld,
+    4: Refused,
+    5: Hello,
+    6: Report
+}
+_CODES = {kind: code for code, kind in _TYPES.items()}
+
+
+@functools.lru_cache(maxsize=4_096)
+def service_tag(service: str) -> int:
+    """Returns the number that stands for a service in messages."""
+    return xxhash.xxh32_intdigest(service.encode())
+
+
+def encode_carry(tag: int, asks: bool, raw: bytes) -> bytes:
+    """Returns the datagram that carries a client's packet to an agent."""
+    return _CARRY.pack(_CARRY_TYPE, asks, tag) + raw
+
+
+def encode(message: Message) -> bytes:
+    """Returns the datagram of a message other than `Carry`."""
+    return bytes((_CODES[type(message)],)) + msgpack.packb(tuple(message))
+
+
+def decode(data: bytes) -> Message:
+    """Returns the message in `data`.
+
+    Raises:
+      errors.MessageError: if `data` is no message.
+    """
+    if data[:1] == b'\x01' and len(data) >= _CARRY.size:
+        _, asks, tag = _CARRY.unpack_from(data)
+        return Carry(tag, bool(asks), data[_CARRY.size:])
+    kind = _TYPES.get(data[0]) if data else None
+    if kind is None:
+        raise errors.MessageError('decode', 'peer', 'unknown message type')
+    try:
+        return kind(*msgpack.unpackb(data[1:]))
+    except (ValueError, TypeError, msgpack.UnpackException) as exc:
+        raise errors.MessageError('decode', 'peer',
+                                  f'not a {kind.__name__}: {exc}') from exc
--- /dev/null
+++ b/figdrum/flows/target_view.py
@@ -0,0 +1,141 @@
+"""A balancer's view of the targets."""
+
+import collections.abc
+
+from figdrum.core import ids
+from figdrum.flows import messages
+from figdrum.flows import target as target_module
+from figdrum.routing import rendezvous
+
+# An agent that has not reported for this time, in ms, gets no new flows while
+# others do; reports come each 250 ms, so three were lost.
+SILENT_MS = 900
+
+# Requests in progress that a new flow adds until a report shows its own.
+OPENING_LOAD = 0.3
+
+# Weight of the average of requests in progress against that of the number of
+# open flows. The first follows what clients do, the second reacts at once.
+BUSY_WEIGHT = 0.5
+
+
+class TargetView:
+    """What a balancer knows about one target and its agent.
+
+    Attributes:
+      name: Name of the registration, by which targets are ordered.
+      registration: The entry in the store.
+      report: Last report of the agent, or None.
+      heard_ms: When the agent was last heard, or None.
+      openings: Opening packets sent to it since the last report.
+      tag: `service_tag` of its service.
+    """
+    __slots__ = ('name', 'registration', 'report', 'heard_ms', 'openings',
+                 'tag', 'asked_ms')
+
+    def __init__(self, name: str, registration: target_module.Registration,
+                 now_ms: int):
+        self.name = name
+        self.registration = registration
+        self.report: messages.Report | None = None
+        self.heard_ms: int | None = None
+        self.openings = 0
+        self.tag = messages.service_tag(registration.service)
+        self.asked_ms = now_ms
+
+    @property
+    def agent(self) -> ids.Address:
+        """Packet address of the agent."""
+        return self.registration.agent
+
+    def take_report(self, now_ms: int, report: messages.Report) -> None:
+        """Replaces the last report."""
+        self.report = report
+        self.tag = report.tag
+        self.heard_ms = now_ms
+        self.openings = 0
+
+    def is_silent(self, now_ms: int) -> bool:
+        """Returns whether the agent has not answered for some time."""
+        since_ms = self.heard_ms if self.heard_ms is not None else self.asked_ms
+        return now_ms - since_ms > SILENT_MS
+
+    def is_ready(self) -> bool:
+        """Returns whether the target takes new flows by what is known."""
+        state = (self.report.state
+                 if self.report else self.registration.state.value)
+        return state == target_module.TargetState.READY.value
+
+    def is_cold(self) -> bool:
+        """Returns whether the target has started a short time ago."""
+        return (self.report.is_cold
+                if self.report else self.registration.is_cold)
+
+    def load(self, busy_per_flow: float) -> float:
+        """Returns the expected requests in progress per slot.
+
+        Args:
+          busy_per_flow: Requests in progress per open flow of the service.
+        """
+        if self.report is None:
+            return OPENING_LOAD * self.openings
+        flows = self.report.flows + self.openings
+        expected = (
+            BUSY_WEIGHT *
+            (self.report.busy + self.openings * busy_per_flow) +
+            (1 - BUSY_WEIGHT) * flows * busy_per_flow)
+        return expected / self.report.slots
+
+
+class TargetViews:
+    """All targets that a balancer knows, by name and by agent address."""
+
+    def __init__(self):
+        self._by_name: dict[str, TargetView] = {}
+        self._by_agent: dict[ids.Address, TargetView] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    def register(self, now_ms: int, name: str,
+                 registration: target_module.Registration) -> bool:
+        """Adds or updates a target; returns whether its agent is new."""
+        view = self._by_name.get(name)
+        if view is not None and view.agent == registration.agent:
+            view.registration = registration
+            if view.report is None:
+                view.tag = messages.service_tag(registration.service)
+            return False
+        view = TargetView(name, registration, now_ms)
+        self._by_name[name] = view
+        self._by_agent[registration.agent] = view
+        return True
+
+    def remove(self, name: str) -> None:
+        """Forgets a target."""
+        view = self._by_name.pop(name, None)
+        if view is not None:
+            self._by_agent.pop(view.agent, None)
+
+    def by_agent(self, agent: ids.Address) -> TargetView | None:
+        """Returns the target beside the agent at an address."""
+        return self._by_agent.get(agent)
+
+    def all(self) -> collections.abc.Iterable[TargetView]:
+        """Returns all targets."""
+        return self._by_name.values()
+
+    def in_order(self, key: bytes,
+                 tags: collections.abc.Container[int]) -> list[TargetView]:
+        """Returns the targets of some services in the order of a flow."""
+        names = [v.name for v in self._by_name.values() if v.tag in tags]
+        return [self._by_name[name] for name in rendezvous.order(key, names)]
+
+    def busy_per_flow(self, tag: int) -> float:
+        """Returns the requests in progress per open flow of a service."""
+        busy = flows = 0.0
+        for view in self._by_name.values():
+            if view.tag == tag and view.report is not None:
+                busy += view.report.busy
+                flows += view.report.flows
+        return busy / flows if flows else OPENING_LOAD
--- /dev/null
+++ b/figdrum/node/__init__.py
@@ -0,0 +1,1 @@
+"""Processes that carry packets: a balancer and an agent."""
--- /dev/null
+++ b/figdrum/node/agent_process.py
@@ -0,0 +1,139 @@
+"""The process of an agent."""
+
+import functools
+
+from figdrum.core import errors
+from figdrum.core import ids
+from figdrum.flows import actions
+from figdrum.flows import agent
+from figdrum.flows import target as target_module
+from figdrum.node import node
+from figdrum.registry import registrar
+from figdrum.registry import registrations
+from figdrum.runtime import http_client
+from figdrum.runtime import http_server
+from figdrum.runtime import udp
+
+# Time in ms in which a target that lives answers a health request; on a busy
+# target the request waits for a slot.
+PROBE_MS = 400
+
+
+class AgentProcess(node.Node):
+    """Moves packets between balancers, the target and the controller."""
+
+    def run(self) -> None:
+        """Runs until the process is told to stop."""
+        cfg = self.cfg.agent
+        assert cfg is not None
+        self._agent = agent.Agent(self.clock.now_ms(), self.around.packets,
+                                  cfg.service, int(cfg.heartbeat_ms),
+                                  cfg.first_start)
+        self._client_port = cfg.frames[1]
+        self._frames = udp.UdpPort(self.loop, cfg.frames, self._on_frame)
+        self._packets = udp.UdpPort(self.loop, cfg.target_packets,
+                                    self._on_target_packet)
+        self._to_target = udp.ConnectedPort(self.loop, cfg.frames[0],
+                                            cfg.target, self._on_refused)
+        self._registrar = registrar.Registrar(
+            self.around.store, registrations.KIND,
+            registrations.name_of(cfg.frames), self.loop, self.log, self.rng)
+        self._registrar.load(self._on_registration)
+        self.serve_ready(cfg.ready, lambda: True)
+        http_server.HttpServer(self.loop, cfg.control, self._on_control)
+        self.start(cfg.frames[0])
+        self.loop.run()
+
+    def on_tick(self) -> None:
+        self._perform(self._agent.on_tick(self.clock.now_ms()))
+
+    def on_due(self) -> None:
+        self._perform(self._agent.on_due(self.clock.now_ms()))
+
+    def on_stop(self) -> None:
+        # The target's flows go on without this process, and its successor finds
+        # them; each moment until then is lost to them.
+        self.stop()
+
+    def _on_frame(self, data: bytes, address: ids.Address) -> None:
+        self._perform(
+            self._agent.on_message(self.clock.now_ms(), address, data))
+
+    def _on_target_packet(self, data: bytes, _: ids.Address) -> None:
+        self._perform(self._agent.on_target_packet(self.clock.now_ms(), data))
+
+    def _on_refused(self) -> None:
+        self._perform(self._agent.on_target_gone(self.clock.now_ms()))
+
+    def _on_control(self, req: http_server.Request) -> http_server.Response:
+        event = self.around.decode_target_request(req)
+        if event is None:
+            self.log.write('unreadable heartbeat', path=req.path)
+            return http_server.Response(400)
+        now_ms = self.clock.now_ms()
+        if event.heartbeat is None:
+            self._perform(self._agent.on_leave(now_ms))
+        else:
+            self._perform(
+                self._agent.on_heartbeat(now_ms, event.born_ms,
+                                         event.heartbeat))
+        return http_server.Response(200, b'{}', 'application/json')
+
+    def _on_registration(self, value: object) -> None:
+        registration = registrations.decode(value) if value else None
+        if registration is None:
+            return
+        self._ask_health(functools.partial(self._take_up, registration))
+
+    def _take_up(self, registration: target_module.Registration,
+                 result: http_client.Result) -> None:
+        if isinstance(result, errors.StoreError) or result.status != 200:
+            return
+        identity = result.headers.get(self.around.health_identity_header, '')
+        self._perform(
+            self._agent.on_registration(self.clock.now_ms(), registration,
+                                        identity))
+
+    def _probe(self) -> None:
+
+        def on_result(result: http_client.Result) -> None:
+            alive: bool | None = True
+            if isinstance(result, errors.StoreError):
+                is_refused = 'connect' in result.reason
+                alive = False if is_refused else None
+            self.log.write('target probed', alive=alive)
+            self._perform(self._agent.on_probe(self.clock.now_ms(), alive))
+
+        self._ask_health(on_result)
+
+    def _ask_health(self, on_result: http_client.OnResult) -> None:
+        cfg = self.cfg.agent
+        assert cfg is not None
+        client = http_client.HttpClient(self.loop, cfg.target, 'health request')
+
+        def finish(result: http_client.Result) -> None:
+            client.close()
+            on_result(result)
+
+        client.call('GET', self.around.health_path, b'', PROBE_MS, finish)
+
+    def _register(self) -> None:
+        cfg = self.cfg.agent
+        assert cfg is not None
+        registration = target_module.Registration(
+            cfg.frames, self.cfg.zone, self._agent.service, self._agent.target,
+            self._agent.state, self._agent.is_cold(self.clock.now_ms()))
+        self._registrar.save(registrations.encode(registration))
+
+    def _perform(self, result: actions.Actions) -> None:
+        rest = self.perform(result, self._packets, self._frames,
+                            self._client_port)
+        for action in rest:
+            if isinstance(action, actions.ToTarget):
+                self._to_target.send(action.raw)
+            elif isinstance(action, actions.Probe):
+                self._probe()
+            elif isinstance(action, actions.Register):
+                self._register()
+
+
--- /dev/null
+++ b/figdrum/node/balancer_process.py
@@ -0,0 +1,160 @@
+"""The process of a balancer."""
+
+import typing
+
+from figdrum.core import ids
+from figdrum.flows import actions
+from figdrum.flows import balancer
+from figdrum.flows import routes
+from figdrum.flows import target
+from figdrum.node import node
+from figdrum.registry import mirror
+from figdrum.registry import registrations
+from figdrum.runtime import udp
+
+# Time in ms after SIGTERM for which packets are carried at least: the network
+# takes a node out after two of its questions, 500 ms apart, were answered no.
+LINGER_MS = 1_200
+
+# A stopping balancer ends once no packet has come for this time, in ms.
+QUIET_MS = 300
+
+# Part of the time to stop after which a balancer ends in any case.
+STOP_SHARE = 0.8
+
+
+class _ConfigurationObserver(mirror.Observer):
+
+    def __init__(self, process: 'BalancerProcess'):
+        self._process = process
+
+    def on_entry(self, name: str, value: typing.Any) -> None:
+        self._process.on_configuration(name, value)
+
+    def on_removed(self, name: str) -> None:
+        # A balancer keeps the last configuration that was in force.
+        self._process.log.write('configuration removed', name=name)
+
+
+class _ZonesOutObserver(mirror.Observer):
+
+    def __init__(self, process: 'BalancerProcess'):
+        self._process = process
+        self._zones: set[ids.ZoneName] = set()
+
+    def on_entry(self, name: str, value: typing.Any) -> None:
+        self._zones.add(ids.ZoneName(name))
+
+    def on_removed(self, name: str) -> None:
+        self._zones.discard(ids.ZoneName(name))
+
+    def on_synced(self, revision: int) -> None:
+        self._process.on_zones_out(frozenset(self._zones), revision)
+
+
+class _AgentObserver(mirror.Observer):
+
+    def __init__(self, process: 'BalancerProcess'):
+        self._process = process
+
+    def on_entry(self, name: str, value: typing.Any) -> None:
+        registration = registrations.decode(value)
+        if registration is None:
+            self._process.log.write('unreadable object',
+                                    kind=registrations.KIND,
+                                    name=name)
+            return
+        self._process.on_registration(name, registration)
+
+    def on_removed(self, name: str) -> None:
+        self._process.on_registration_removed(name)
+
+
+class BalancerProcess(node.Node):
+    """Moves packets between clients' network, agents and the controller."""
+
+    def run(self) -> None:
+        """Runs until the process is told to stop."""
+        cfg = self.cfg.balancer
+        assert cfg is not None
+        now_ms = self.clock.now_ms()
+        self._stopping_ms: int | None = None
+        self._last_packet_ms = now_ms
+        self._client_port = cfg.packets[1]
+        self._balancer = balancer.Balancer(now_ms, self.around.packets,
+                                           self.cfg.zone)
+        self._frames = udp.UdpPort(self.loop, cfg.frames, self._on_frame)
+        self._packets = udp.UdpPort(self.loop, cfg.packets, self._on_packet)
+        self.serve_ready(cfg.ready, self._is_ready)
+        for kind, observer in (
+            (self.around.configuration_kind, _ConfigurationObserver(self)),
+            (self.around.zones_out_kind, _ZonesOutObserver(self)),
+            (registrations.KIND, _AgentObserver(self)),
+        ):
+            mirror.Mirror(self.around.store, kind, observer, self.loop,
+                          self.log, self.rng).start()
+        self.start(cfg.packets[0])
+        self.loop.run()
+
+    def on_configuration(self, name: str, value: typing.Any) -> None:
+        """Takes an object of the configuration's kind."""
+        cfg: routes.Configuration | None = self.around.decode_configuration(
+            value)
+        if cfg is None:
+            self.log.write('unreadable configuration', name=name)
+            return
+        self._perform(self._balancer.on_configuration(cfg))
+
+    def on_zones_out(self, zones: frozenset[ids.ZoneName],
+                     revision: int) -> None:
+        """Takes the zones that operators have taken out."""
+        self._perform(
+            self._balancer.on_zones_out(self.clock.now_ms(), zones, revision))
+
+    def on_registration(self, name: str,
+                        registration: target.Registration) -> None:
+        """Takes an agent's registration."""
+        self._perform(
+            self._balancer.on_registration(self.clock.now_ms(), name,
+                                           registration))
+
+    def on_registration_removed(self, name: str) -> None:
+        """Takes the removal of an agent's registration."""
+        self._perform(self._balancer.on_registration_removed(name))
+
+    def on_tick(self) -> None:
+        now_ms = self.clock.now_ms()
+        self._perform(self._balancer.on_tick(now_ms))
+        if self._stopping_ms is not None:
+            self._end_when_quiet(now_ms)
+
+    def on_due(self) -> None:
+        self._perform(self._balancer.on_due(self.clock.now_ms()))
+
+    def on_stop(self) -> None:
+        if self._stopping_ms is None:
+            self._stopping_ms = self.clock.now_ms()
+            self.log.write('stopping')
+
+    def _end_when_quiet(self, now_ms: int) -> None:
+        cfg = self.cfg.balancer
+        assert cfg is not None and self._stopping_ms is not None
+        stopping_for_ms = now_ms - self._stopping_ms
+        quiet_for_ms = now_ms - self._last_packet_ms
+        if (stopping_for_ms > LINGER_MS and quiet_for_ms > QUIET_MS or
+                stopping_for_ms > cfg.stop_s * 1000 * STOP_SHARE):
+            self.stop()
+
+    def _is_ready(self) -> bool:
+        return self._balancer.is_ready and self._stopping_ms is None
+
+    def _on_packet(self, data: bytes, _: ids.Address) -> None:
+        now_ms = self._last_packet_ms = self.clock.now_ms()
+        self._perform(self._balancer.on_client_packet(now_ms, data))
+
+    def _on_frame(self, data: bytes, address: ids.Address) -> None:
+        self._perform(
+            self._balancer.on_message(self.clock.now_ms(), address, data))
+
+    def _perform(self, result: actions.Actions) -> None:
+        self.perform(result, self._packets, self._frames, self._client_port)
--- /dev/null
+++ b/figdrum/registry/mirror.py
@@ -0,0 +1,142 @@
+"""A copy of all objects of one kind, kept up to date by a watch."""
+
+import abc
+import collections.abc
+import random
+import typing
+
+from figdrum.core import errors
+from figdrum.core import ports
+from figdrum.registry import object_store
+from figdrum.telemetry import event_log
+
+# First and longest wait after a failed call, in ms. The store counts refused
+# calls as well, and a configuration is to be in force within 3 s.
+FIRST_RETRY_MS = 100
+LONGEST_RETRY_MS = 800
+
+
+class Backoff:
+    """Waits that double from failure to failure, with jitter.
+
+    Examples
+    ========
+
+    >>> backoff = Backoff(random.Random(1))
+    >>> [50 <= backoff.next_ms() <= 100, 100 <= backoff.next_ms() <= 200]
+    [True, True]
+    """
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._limit_ms = FIRST_RETRY_MS
+
+    def next_ms(self) -> int:
+        """Returns the next wait in ms."""
+        limit_ms = self._limit_ms
+        self._limit_ms = min(2 * limit_ms, LONGEST_RETRY_MS)
+        return self._rng.randint(limit_ms // 2, limit_ms)
+
+    def reset(self) -> None:
+        """Starts again with the first wait."""
+        self._limit_ms = FIRST_RETRY_MS
+
+
+class Observer(abc.ABC):
+    """Takes the changes of a mirror."""
+
+    @abc.abstractmethod
+    def on_entry(self, name: str, value: typing.Any) -> None:
+        """An object is new or has changed."""
+
+    @abc.abstractmethod
+    def on_removed(self, name: str) -> None:
+        """An object is gone."""
+
+    def on_synced(self, revision: int) -> None:
+        """All changes up to a revision of the store have been given."""
+
+
+class Mirror:
+    """Lists a kind, watches it and lists again where history was lost.
+
+    Attributes:
+      revision: Revision up to which the copy is complete, or -1.
+      names: Names of the objects in the copy, with their revisions.
+    """
+
+    def __init__(self, store: object_store.ObjectStore, kind: str,
+                 observer: Observer, timers: ports.Timers,
+                 log: event_log.EventLog, rng: random.Random):
+        self._store = store
+        self._kind = kind
+        self._observer = observer
+        self._timers = timers
+        self._log = log
+        self._backoff = Backoff(rng)
+        self._is_connected = True
+        self.revision = -1
+        self.names: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Reads the objects and goes on watching them."""
+        self._store.list_all(self._kind, self._on_listing)
+
+    def _on_listing(
+            self, result: object_store.Listing | errors.StoreError) -> None:
+        if isinstance(result, errors.StoreError):
+            self._retry(result, self.start)
+            return
+        self._note_contact()
+        found = {entry.name for entry in result.entries}
+        self._apply(result.entries,
+                    tuple(name for name in self.names if name not in found),
+                    result.revision)
+        self._watch()
+
+    def _watch(self) -> None:
+        self._store.watch(self._kind, self.revision, self._on_changes)
+
+    def _on_changes(
+            self, result: object_store.Changes | errors.StoreError) -> None:
+        if isinstance(result, object_store.HistoryLostError):
+            self._log.write('history lost', kind=self._kind,
+                            revision=self.revision)
+            self.start()
+            return
+        if isinstance(result, errors.StoreError):
+            self._retry(result, self._watch)
+            return
+        self._note_contact()
+        self._apply(result.changed, result.removed, result.revision)
+        self._watch()
+
+    def _apply(self, changed: collections.abc.Iterable[object_store.Entry],
+               removed: collections.abc.Iterable[str], revision: int) -> None:
+        for entry in changed:
+            if self.names.get(entry.name) == entry.revision:
+                continue
+            self.names[entry.name] = entry.revision
+            if entry.value is None:
+                self._log.write('unreadable object', kind=self._kind,
+                                name=entry.name, revision=entry.revision)
+            else:
+                self._observer.on_entry(entry.name, entry.value)
+        for name in removed:
+            if self.names.pop(name, None) is not None:
+                self._observer.on_removed(name)
+        self.revision = max(self.revision, revision)
+        self._observer.on_synced(self.revision)
+
+    def _note_contact(self) -> None:
+        self._backoff.reset()
+        if not self._is_connected:
+            self._is_connected = True
+            self._log.write('store regained', kind=self._kind)
+
+    def _retry(self, exc: errors.StoreError,
+               call: collections.abc.Callable[[], None]) -> None:
+        if self._is_connected:
+            self._is_connected = False
+            self._log.write('store lost', kind=self._kind, reason=str(exc))
+        self._timers.call_later(self._backoff.next_ms(), call)
--- /dev/null
+++ b/figdrum/registry/registrar.py
@@ -0,0 +1,112 @@
+"""Keeps one object of an agent in the store as the agent wants it."""
+
+import collections.abc
+import random
+import typing
+
+from figdrum.core import errors
+from figdrum.core import ports
+from figdrum.registry import mirror
+from figdrum.registry import object_store
+from figdrum.telemetry import event_log
+
+OnKnown = collections.abc.Callable[[typing.Any], None]
+
+
+class Registrar:
+    """Writes an object on the condition of its last known revision.
+
+    Explanation
+    ===========
+
+    A write that was not answered may have taken effect, or may do so later, so
+    the object is read before the next write. A value that the object has
+    already is not written.
+    """
+
+    def __init__(self, store: object_store.ObjectStore, kind: str, name: str,
+                 timers: ports.Timers, log: event_log.EventLog,
+                 rng: random.Random):
+        self._store = store
+        self._kind = kind
+        self._name = name
+        self._timers = timers
+        self._log = log
+        self._backoff = mirror.Backoff(rng)
+        self._wanted: typing.Any = None
+        self._stored: typing.Any = None
+        self._revision: int | None = None
+        self._is_calling = False
+        self._on_known: OnKnown | None = None
+
+    def load(self, on_known: OnKnown) -> None:
+        """Reads the object; `on_known` takes its value, or None."""
+        self._on_known = on_known
+        self._read()
+
+    def save(self, value: typing.Any) -> None:
+        """Stores `value` as soon as the store answers."""
+        self._wanted = value
+        self._go_on()
+
+    def _go_on(self) -> None:
+        if self._is_calling or self._wanted is None:
+            return
+        if self._revision is None:
+            self._read()
+        elif self._wanted != self._stored:
+            self._is_calling = True
+            self._store.write(self._kind, self._name, self._wanted,
+                              self._revision, self._on_written)
+
+    def _read(self) -> None:
+        if not self._is_calling:
+            self._is_calling = True
+            self._store.read(self._kind, self._name, self._on_read)
+
+    def _on_read(
+            self,
+            result: object_store.Entry | None | errors.StoreError) -> None:
+        self._is_calling = False
+        if isinstance(result, errors.StoreError):
+            self._retry(result)
+            return
+        self._take(result)
+        if self._on_known is not None:
+            on_known, self._on_known = self._on_known, None
+            on_known(self._stored)
+        self._go_on()
+
+    def _on_written(
+        self, result: object_store.Entry | object_store.Conflict |
+        errors.StoreError
+    ) -> None:
+        self._is_calling = False
+        if isinstance(result, errors.StoreError):
+            self._revision = None
+            self._retry(result)
+            return
+        if isinstance(result, object_store.Conflict):
+            self._log.write('registration conflict', name=self._name,
+                            revision=self._revision)
+            self._take(result.entry)
+        else:
+            self._take(result)
+            self._log.write('registered', name=self._name,
+                            revision=result.revision)
+        self._go_on()
+
+    def _take(self, entry: object_store.Entry | None) -> None:
+        self._backoff.reset()
+        self._revision = entry.revision if entry else 0
+        self._stored = entry.value if entry else None
+
+    def _retry(self, exc: errors.StoreError) -> None:
+        self._log.write('store lost', kind=self._kind, reason=str(exc))
+        self._timers.call_later(self._backoff.next_ms(), self._resume)
+
+    def _resume(self) -> None:
+        if self._on_known is not None:
+            self._read()
+        else:
+            self._go_on()
--- /dev/null
+++ b/figdrum/registry/registrations.py
@@ -0,0 +1,50 @@
+"""Agents' registrations as objects in the store.
+
+Examples
+========
+
+>>> one = target.Registration(('10.0.0.1', 7000), 'a', 'booking', 'i-1@5',
+...                           target.TargetState.READY, False)
+>>> decode(encode(one)) == one
+True
+>>> decode({'service': 'booking'}) is None
+True
+"""
+
+import typing
+
+from figdrum.core import ids
+from figdrum.flows import target
+
+KIND = 'figdrum-agents'
+
+
+def name_of(agent: ids.Address) -> str:
+    """Returns the name of an agent's object: its address, used once at a time."""
+    return f'{agent[0]}-{agent[1]}'
+
+
+def encode(registration: target.Registration) -> dict[str, typing.Any]:
+    """Returns what is stored for a registration."""
+    return {
+        'agent': list(registration.agent),
+        'zone': registration.zone,
+        'service': registration.service,
+        'target': registration.target,
+        'state': registration.state.value,
+        'is_cold': registration.is_cold,
+    }
+
+
+def decode(value: typing.Any) -> target.Registration | None:
+    """Returns the registration in a stored value, or None."""
+    try:
+        host, port = value['agent']
+        return target.Registration((str(host), int(port)),
+                                   ids.ZoneName(value['zone']),
+                                   ids.ServiceName(value['service']),
+                                   str(value['target']),
+                                   target.TargetState(value['state']),
+                                   bool(value['is_cold']))
+    except (KeyError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/figdrum/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The event loop, sockets and HTTP of processes that carry packets."""
--- /dev/null
+++ b/figdrum/runtime/http_client.py
@@ -0,0 +1,164 @@
+"""A small HTTP/1.1 client that sends one request at a time.
+
+References
+==========
+
+RFC 9112, HTTP/1.1.
+"""
+
+import collections
+import collections.abc
+import typing
+
+import httptools
+
+from figdrum.core import errors
+from figdrum.core import ids
+from figdrum.runtime import loop as loop_module
+from figdrum.runtime import stream as stream_module
+
+
+class Answer(typing.NamedTuple):
+    """An answer that has arrived whole.
+
+    Attributes:
+      status: HTTP status.
+      headers: Headers by lower-case name.
+      body: Whole body.
+    """
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+Result = Answer | errors.StoreError
+OnResult = collections.abc.Callable[[Result], None]
+
+
+class _Call:
+    """A request that waits for its answer."""
+    __slots__ = ('data', 'timeout_ms', 'on_result', 'sent')
+
+    def __init__(self, data: bytes, timeout_ms: int, on_result: OnResult):
+        self.data = data
+        self.timeout_ms = timeout_ms
+        self.on_result = on_result
+        self.sent = False
+
+
+class HttpClient(stream_module.Handler):
+    """Keeps one connection to a server and sends requests in order.
+
+    Attributes:
+      calls: Requests sent, for the metrics.
+    """
+
+    def __init__(self, loop: loop_module.Loop, address: ids.Address,
+                 name: str):
+        self._loop = loop
+        self._address = address
+        self._name = name
+        self._stream: stream_module.Stream | None = None
+        self._parser: typing.Any = None
+        self._calls: collections.deque[_Call] = collections.deque()
+        self._timer: loop_module.Timer | None = None
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+        self.calls = 0
+
+    @property
+    def peer(self) -> str:
+        """The server's address as text."""
+        return f'{self._address[0]}:{self._address[1]}'
+
+    def call(self, method: str, path: str, body: bytes, timeout_ms: int,
+             on_result: OnResult) -> None:
+        """Sends a request after those that wait.
+
+        Args:
+          method: HTTP method.
+          path: Path with its query.
+          body: JSON body, or empty for none.
+          timeout_ms: Time from the sending to the end of the answer.
+          on_result: Takes the answer, or a `StoreError` if none came.
+        """
+        head = f'{method} {path} HTTP/1.1\r\nHost: {self.peer}\r\n'
+        if body:
+            head += 'Content-Type: application/json\r\n'
+        if body or method in ('POST', 'PUT'):
+            head += f'Content-Length: {len(body)}\r\n'
+        self._calls.append(
+            _Call(head.encode() + b'\r\n' + body, timeout_ms, on_result))
+        self._send_next()
+
+    def close(self) -> None:
+        """Closes the connection and forgets waiting requests."""
+        self._calls.clear()
+        self._drop()
+
+    def _send_next(self) -> None:
+        if not self._calls or self._calls[0].sent:
+            return
+        call = self._calls[0]
+        call.sent = True
+        self.calls += 1
+        self._timer = self._loop.call_later(
+            call.timeout_ms, lambda: self.on_closed('no answer in time'))
+        if self._stream is None:
+            try:
+                self._stream = stream_module.connect(self._loop, self._address,
+                                                     self)
+            except OSError as exc:
+                reason = f'cannot connect: {exc.strerror}'
+                self._loop.call_later(0, lambda: self.on_closed(reason))
+                return
+            self._parser = httptools.HttpResponseParser(self)
+        self._stream.write(call.data)
+
+    def on_bytes(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            self.on_closed(f'unreadable answer: {exc}')
+
+    def on_closed(self, reason: str) -> None:
+        self._drop()
+        if self._calls:
+            call = self._calls.popleft()
+            call.on_result(errors.StoreError(self._name, self.peer, reason))
+        self._send_next()
+
+    def on_message_begin(self) -> None:
+        """Called by the parser at the start of an answer."""
+        self._headers = {}
+        self._body = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser for each header."""
+        self._headers[name.decode('latin-1').lower()] = value.decode('latin-1')
+
+    def on_body(self, body: bytes) -> None:
+        """Called by the parser with a part of the body."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the end of an answer."""
+        if not self._calls:
+            return
+        answer = Answer(self._parser.get_status_code(), self._headers,
+                        b''.join(self._body))
+        if self._timer:
+            self._timer.cancel()
+        call = self._calls.popleft()
+        if not self._parser.should_keep_alive():
+            self._drop()
+        call.on_result(answer)
+        self._send_next()
+
+    def _drop(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        if self._stream:
+            self._stream.close()
+            self._stream = None
--- /dev/null
+++ b/figdrum/runtime/http_server.py
@@ -0,0 +1,166 @@
+"""A small HTTP/1.1 server for readiness, heartbeats and metrics.
+
+Explanation
+===========
+
+`httptools` parses; a request is answered from one call, without waiting.
+
+References
+==========
+
+RFC 9112, HTTP/1.1.
+"""
+
+import collections.abc
+import socket
+import typing
+
+import httptools
+
+from figdrum.core import ids
+from figdrum.runtime import loop as loop_module
+from figdrum.runtime import stream as stream_module
+
+# Connections that wait to be accepted.
+BACKLOG = 64
+
+# Largest body of a request, in bytes; a heartbeat takes a few hundred.
+MAX_BODY_BYTES = 65_536
+
+REASONS = {
+    200: 'OK',
+    400: 'Bad Request',
+    404: 'Not Found',
+    413: 'Content Too Large',
+    503: 'Service Unavailable',
+}
+
+
+class Request(typing.NamedTuple):
+    """A request that has arrived whole.
+
+    Attributes:
+      method: HTTP method.
+      path: Path with its query.
+      body: Body, empty if there is none.
+    """
+    method: str
+    path: str
+    body: bytes
+
+
+class Response(typing.NamedTuple):
+    """An answer.
+
+    Attributes:
+      status: HTTP status.
+      body: Body.
+      content_type: Its media type.
+    """
+    status: int
+    body: bytes = b''
+    content_type: str = 'text/plain'
+
+    def to_bytes(self) -> bytes:
+        """Returns the answer as it goes over the connection."""
+        head = (f'HTTP/1.1 {self.status} {REASONS.get(self.status, "Other")}'
+                f'\r\nContent-Type: {self.content_type}'
+                f'\r\nContent-Length: {len(self.body)}\r\n\r\n')
+        return head.encode() + self.body
+
+
+OnRequest = collections.abc.Callable[[Request], Response]
+
+
+class _Connection(stream_module.Handler):
+    """Parses the requests of one connection."""
+
+    def __init__(self, loop: loop_module.Loop, sock: socket.socket,
+                 on_request: OnRequest,
+                 on_end: collections.abc.Callable[['_Connection'], None]):
+        self._on_request = on_request
+        self._on_end = on_end
+        self._parser = httptools.HttpRequestParser(self)
+        self._path = ''
+        self._body = b''
+        self.stream = stream_module.Stream(loop, sock, self, connected=True)
+
+    def on_bytes(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.stream.write(Response(400).to_bytes())
+            self._finish()
+
+    def on_closed(self, reason: str) -> None:
+        self._on_end(self)
+
+    def on_message_begin(self) -> None:
+        """Called by the parser at the start of a request."""
+        self._path = ''
+        self._body = b''
+
+    def on_url(self, url: bytes) -> None:
+        """Called by the parser with the path or a part of it."""
+        self._path += url.decode('latin-1')
+
+    def on_body(self, body: bytes) -> None:
+        """Called by the parser with a part of the body."""
+        self._body += body
+        if len(self._body) > MAX_BODY_BYTES:
+            self.stream.write(Response(413).to_bytes())
+            self._finish()
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the end of a request."""
+        if not self.stream.is_open:
+            return
+        req = Request(self._parser.get_method().decode(), self._path,
+                      self._body)
+        self.stream.write(self._on_request(req).to_bytes())
+        if not self._parser.should_keep_alive():
+            self._finish()
+
+    def _finish(self) -> None:
+        self.stream.close()
+        self._on_end(self)
+
+
+class HttpServer:
+    """Answers the requests that arrive at one address."""
+
+    def __init__(self, loop: loop_module.Loop, address: ids.Address,
+                 on_request: OnRequest):
+        self._loop = loop
+        self._on_request = on_request
+        self._connections: set[_Connection] = set()
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind(address)
+        self._sock.listen(BACKLOG)
+        loop.watch(self._sock, self._accept)
+
+    @property
+    def address(self) -> ids.Address:
+        """The address to which the socket is bound."""
+        return self._sock.getsockname()
+
+    def close(self) -> None:
+        """Closes the socket and all connections."""
+        self._loop.watch(self._sock)
+        self._sock.close()
+        for connection in tuple(self._connections):
+            connection.stream.close()
+
+    def _accept(self) -> None:
+        try:
+            sock, _ = self._sock.accept()
+        except OSError:
+            # The connection ended before it was accepted.
+            return
+        sock.setblocking(False)
+        stream_module.set_keepalive(sock)
+        self._connections.add(
+            _Connection(self._loop, sock, self._on_request,
+                        self._connections.discard))
--- /dev/null
+++ b/figdrum/runtime/loop.py
@@ -0,0 +1,122 @@
+"""One event loop on one thread.
+
+Explanation
+===========
+
+Twisted's reactor takes 8 MB and 0.24 s of a core to import, which a process
+with a quarter of a core pays at each restart (docs/decisions.md). This loop
+offers the few things that a node needs: readable and writable sockets, timers
+and signals.
+"""
+
+import collections.abc
+import heapq
+import selectors
+import signal
+import socket
+import typing
+
+from figdrum.core import clock as clock_module
+from figdrum.core import ports
+
+# Longest wait without an event, so that a signal is seen at the latest then.
+MAX_WAIT_MS = 100
+
+Callback = collections.abc.Callable[[], None]
+
+
+class Timer:
+    """A call that is due at a time and can be cancelled."""
+    __slots__ = ('due_ms', 'callback')
+
+    def __init__(self, due_ms: int, callback: Callback):
+        self.due_ms = due_ms
+        self.callback: Callback | None = callback
+
+    def cancel(self) -> None:
+        """Prevents the call; does nothing once it has been made."""
+        self.callback = None
+
+
+class Loop(ports.Timers):
+    """Calls back when sockets are ready, timers are due or signals came."""
+
+    def __init__(self, clock: clock_module.Clock):
+        self._clock = clock
+        self._selector = selectors.DefaultSelector()
+        self._timers: list[tuple[int, int, Timer]] = []
+        self._sequence = 0
+        self._running = False
+        self._signals: list[int] = []
+        self._handlers: dict[int, Callback] = {}
+
+    def call_later(self, delay_ms: int, fn: Callback) -> Timer:
+        timer = Timer(self._clock.now_ms() + delay_ms, fn)
+        self._sequence += 1
+        heapq.heappush(self._timers, (timer.due_ms, self._sequence, timer))
+        return timer
+
+    def call_every(self, period_ms: int, fn: Callback) -> None:
+        """Calls `fn` each `period_ms` until the loop stops."""
+
+        def repeat() -> None:
+            self.call_later(period_ms, repeat)
+            fn()
+
+        self.call_later(period_ms, repeat)
+
+    def watch(self,
+              sock: socket.socket,
+              on_readable: Callback | None = None,
+              on_writable: Callback | None = None) -> None:
+        """Calls back while `sock` is ready; without callbacks, forgets it."""
+        events = ((selectors.EVENT_READ if on_readable else 0) |
+                  (selectors.EVENT_WRITE if on_writable else 0))
+        callbacks = (on_readable, on_writable)
+        known = sock.fileno() in self._selector.get_map()
+        if not events:
+            if known:
+                self._selector.unregister(sock)
+        elif known:
+            self._selector.modify(sock, events, callbacks)
+        else:
+            self._selector.register(sock, events, callbacks)
+
+    def on_signal(self, number: int, fn: Callback) -> None:
+        """Calls `fn` from the loop after the signal `number`."""
+        self._handlers[number] = fn
+        signal.signal(number, lambda received, _: self._signals.append(received))
+
+    def run(self) -> None:
+        """Runs until `stop` is called."""
+        self._running = True
+        while self._running:
+            self._turn()
+
+    def stop(self) -> None:
+        """Ends `run` after the present turn."""
+        self._running = False
+
+    def _turn(self) -> None:
+        for key, ready in self._selector.select(self._wait_s()):
+            on_readable, on_writable = key.data
+            if ready & selectors.EVENT_WRITE and on_writable:
+                on_writable()
+            if ready & selectors.EVENT_READ and on_readable:
+                on_readable()
+        while self._signals:
+            self._handlers[self._signals.pop(0)]()
+        self._fire()
+
+    def _wait_s(self) -> float:
+        wait_ms = MAX_WAIT_MS
+        if self._timers:
+            wait_ms = min(wait_ms, self._timers[0][0] - self._clock.now_ms())
+        return max(wait_ms, 0) / clock_module.MS_PER_S
+
+    def _fire(self) -> None:
+        now_ms = self._clock.now_ms()
+        while self._timers and self._timers[0][0] <= now_ms:
+            timer = typing.cast(Timer, heapq.heappop(self._timers)[2])
+            if timer.callback is not None:
+                timer.callback()
--- /dev/null
+++ b/figdrum/runtime/udp.py
@@ -0,0 +1,108 @@
+"""A UDP socket on the loop."""
+
+import collections.abc
+import socket
+
+from figdrum.core import ids
+from figdrum.runtime import loop as loop_module
+
+# Largest datagram that a node accepts, in bytes: a client's packet is 1,232 at
+# most, and a report stays far below.
+MAX_DATAGRAM_BYTES = 4_096
+
+# Datagrams that are read in one turn, so that timers stay close to their time.
+MAX_READS_PER_TURN = 64
+
+# Kernel buffer of received datagrams, in bytes: some 800 full packets, which
+# covers a pause of half a second at the rates of the site files.
+RECEIVE_BUFFER_BYTES = 1_048_576
+
+OnDatagram = collections.abc.Callable[[bytes, ids.Address], None]
+
+
+class UdpPort:
+    """Sends and receives datagrams at one address.
+
+    Attributes:
+      unsent: Datagrams that the kernel did not take.
+      refused: Sends and reads that failed since a receiver had no socket.
+    """
+
+    def __init__(self, loop: loop_module.Loop, address: ids.Address,
+                 on_datagram: OnDatagram):
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                              RECEIVE_BUFFER_BYTES)
+        self._sock.bind(address)
+        self._on_datagram = on_datagram
+        self._loop = loop
+        self.unsent = 0
+        self.refused = 0
+        loop.watch(self._sock, self._read)
+
+    @property
+    def address(self) -> ids.Address:
+        """The address to which the socket is bound."""
+        return self._sock.getsockname()
+
+    def send(self, data: bytes, address: ids.Address) -> None:
+        """Sends a datagram; one that the kernel does not take is counted."""
+        try:
+            self._sock.sendto(data, address)
+        except ConnectionRefusedError:
+            self.refused += 1
+        except OSError:
+            # UDP may lose any datagram; the ends of a flow retransmit.
+            self.unsent += 1
+
+    def close(self) -> None:
+        """Stops receiving and closes the socket."""
+        self._loop.watch(self._sock)
+        self._sock.close()
+
+    def _read(self) -> None:
+        receive = self._sock.recvfrom
+        for _ in range(MAX_READS_PER_TURN):
+            try:
+                data, address = receive(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except ConnectionRefusedError:
+                self.refused += 1
+                continue
+            self._on_datagram(data, address)
+
+
+class ConnectedPort:
+    """Sends datagrams to one address and hears when nobody listens there."""
+
+    def __init__(self, loop: loop_module.Loop, host: str, peer: ids.Address,
+                 on_refused: collections.abc.Callable[[], None]):
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.bind((host, 0))
+        self._sock.connect(peer)
+        self._on_refused = on_refused
+        self.unsent = 0
+        loop.watch(self._sock, self._read)
+
+    def send(self, data: bytes) -> None:
+        """Sends a datagram; one that the kernel does not take is counted."""
+        try:
+            self._sock.send(data)
+        except ConnectionRefusedError:
+            self._on_refused()
+        except OSError:
+            # UDP may lose any datagram; the ends of a flow retransmit.
+            self.unsent += 1
+
+    def _read(self) -> None:
+        try:
+            while True:
+                self._sock.recv(MAX_DATAGRAM_BYTES)
+        except BlockingIOError:
+            return
+        except ConnectionRefusedError:
+            self._on_refused()
--- /dev/null
+++ b/figdrum/telemetry/figures.py
@@ -0,0 +1,92 @@
+"""Counters and latency histograms in the text form of Prometheus.
+
+Examples
+========
+
+>>> figures = Figures()
+>>> figures.observe('search_ms', 3)
+>>> print(render(figures, {'flow placed': 2}))
+figdrum_events_total{event="flow placed"} 2
+figdrum_search_ms_bucket{le="1"} 0
+figdrum_search_ms_bucket{le="2"} 0
+figdrum_search_ms_bucket{le="5"} 1
+figdrum_search_ms_bucket{le="10"} 1
+figdrum_search_ms_bucket{le="20"} 1
+figdrum_search_ms_bucket{le="50"} 1
+figdrum_search_ms_bucket{le="100"} 1
+figdrum_search_ms_bucket{le="200"} 1
+figdrum_search_ms_bucket{le="500"} 1
+figdrum_search_ms_bucket{le="1000"} 1
+figdrum_search_ms_bucket{le="2000"} 1
+figdrum_search_ms_bucket{le="5000"} 1
+figdrum_search_ms_bucket{le="+Inf"} 1
+figdrum_search_ms_sum 3
+figdrum_search_ms_count 1
+<BLANKLINE>
+
+References
+==========
+
+https://prometheus.io/docs/instrumenting/exposition_formats/
+"""
+
+import collections.abc
+
+# Upper bounds of the buckets, in ms: three a decade from a hop between zones to
+# the longest deadline of a request.
+BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
+
+
+class Histogram:
+    """Counts of values by bucket.
+
+    Attributes:
+      buckets: Values in each bucket, the last one for those above all bounds.
+      total: Sum of the values.
+    """
+
+    def __init__(self):
+        self.buckets = [0] * (len(BOUNDS_MS) + 1)
+        self.total = 0
+
+    def observe(self, value: int) -> None:
+        """Adds a value."""
+        self.total += value
+        for index, bound in enumerate(BOUNDS_MS):
+            if value <= bound:
+                self.buckets[index] += 1
+                return
+        self.buckets[-1] += 1
+
+
+class Figures:
+    """The gauges and histograms of a process."""
+
+    def __init__(self):
+        self.gauges: dict[str, float] = {}
+        self.histograms: dict[str, Histogram] = {}
+
+    def observe(self, name: str, value: int) -> None:
+        """Adds a value to the histogram `name`."""
+        self.histograms.setdefault(name, Histogram()).observe(value)
+
+
+def render(figures: Figures, counts: collections.abc.Mapping[str, int]) -> str:
+    """Returns all figures and the counts of events as text."""
+    lines = [
+        f'figdrum_events_total{{event="{event}"}} {count}'
+        for event, count in sorted(counts.items())
+    ]
+    lines += [
+        f'figdrum_{name} {value}'
+        for name, value in sorted(figures.gauges.items())
+    ]
+    for name, histogram in sorted(figures.histograms.items()):
+        bounds = [str(bound) for bound in BOUNDS_MS] + ['+Inf']
+        below = 0
+        for bound, count in zip(bounds, histogram.buckets):
+            below += count
+            lines.append(f'figdrum_{name}_bucket{{le="{bound}"}} {below}')
+        lines.append(f'figdrum_{name}_sum {histogram.total}')
+        lines.append(f'figdrum_{name}_count {below}')
+    return '\n'.join(lines) + '\n'
