Search all services for the owner of an open flow

Ruled out: late agents; each of the searches was certain after 7 answers. Change: targets of other services are asked after those of the route. Cold targets are limited by the platform's own bounds, and not where it states no rate.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -447,7 +447,7 @@
         if hello.knowledge >= self._knowledge:
             self._knowledge = hello.knowledge
             self._zone_out = hello.is_zone_out
-            self._cold.set_rate(hello.cold_per_s)
+            self._cold.set_rate(hello.cold_limit)
         if is_new:
             return self._tell((origin,), self._make_report(now_ms))
         return []
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -10,9 +10,12 @@
 """
 
 
+import typing
+
 from figdrum.core import errors
 from figdrum.core import ids
 from figdrum.flows import actions
+from figdrum.flows import cold_limit
 from figdrum.flows import messages
 from figdrum.flows import placement
 from figdrum.flows import routes
@@ -71,9 +74,10 @@
       tag: Service of the flow, for `Carry`.
       waiting: Later packets of the flow.
       is_certain: Every agent so far has denied the flow.
+      silent: Hosts of agents that did not answer.
     """
     __slots__ = ('candidates', 'asked', 'asked_ms', 'question', 'tag',
-                 'waiting', 'is_certain', 'started_ms', 'steps')
+                 'waiting', 'is_certain', 'started_ms', 'steps', 'silent')
 
     def __init__(self, now_ms: int, candidates: list[ids.Address],
                  question: segment_module.Segment, tag: int):
@@ -86,15 +90,29 @@
         self.tag = tag
         self.waiting: list[bytes] = []
         self.is_certain = True
+        self.silent: list[str] = []
+
+
+class Bounds(typing.NamedTuple):
+    """Bounds that the platform sets.
+
+    Attributes:
+      cold_overage: Factor by which a cold target may get more opening packets
+        a second than it bears.
+      cold_slack: Opening packets beyond that.
+    """
+    cold_overage: float
+    cold_slack: float
 
 
 class Balancer:
     """Decides on the packets of clients."""
 
     def __init__(self, now_ms: int, packets: segment_module.PacketFormat,
-                 zone: ids.ZoneName):
+                 zone: ids.ZoneName, bounds: Bounds):
         self._packets = packets
         self._zone = zone
+        self._bounds = bounds
         self._started_ms = now_ms
         self._cfg: routes.Configuration | None = None
         self._tags: dict[bytes, frozenset[int]] = {}
@@ -116,7 +134,8 @@
         """Whether a configuration is in force."""
         return self._cfg is not None
 
-    def on_configuration(self, cfg: routes.Configuration) -> actions.Actions:
+    def on_configuration(self, now_ms: int,
+                         cfg: routes.Configuration) -> actions.Actions:
         """Puts a configuration in force unless a newer one is."""
         if self._cfg is not None and cfg.version <= self._cfg.version:
             return []
@@ -126,12 +145,16 @@
                 messages.service_tag(share.service) for share in route.shares)
             for address, route in cfg.routes.items()
         }
-        return [
-            actions.Note('configuration', {
+        note = actions.Note(
+            'configuration', {
                 'version': cfg.version,
-                'routes': len(cfg.routes)
+                'routes': len(cfg.routes),
+                'cold_per_s': {
+                    name: limits.cold_per_s
+                    for name, limits in cfg.services.items()
+                }
             })
-        ]
+        return [note] + self._greet(now_ms)
 
     def on_zones_out(self, now_ms: int, zones: frozenset[ids.ZoneName],
                      knowledge: int) -> actions.Actions:
@@ -220,7 +243,8 @@
         """Goes on with searches whose agent has not answered in time."""
         result: actions.Actions = []
         for key, search in tuple(self._searches.items()):
-            if now_ms - search.asked_ms >= ANSWER_MS:
+            if now_ms - search.asked_ms >= ANSWER_MS and search.asked:
+                search.silent.append(search.asked[0])
                 search.is_certain = False
                 result += self._ask_next(now_ms, key, search)
         if self._searches:
@@ -253,7 +277,7 @@
                flow: _Flow | None) -> actions.Actions:
         service = routes.pick_service(route, segment.key)
         tag = messages.service_tag(service)
-        ordered = self.targets.in_order(segment.key, (tag,))
+        ordered = self.targets.in_order(segment.key, tag)
         tried = flow.tried if flow is not None else ()
         candidates = placement.eligible(now_ms, ordered, self._zones_out,
                                         tried)
@@ -309,7 +333,8 @@
         if len(self._searches) >= MAX_SEARCHES:
             return []
         address = self._packets.service_address(segment.key)
-        ordered = self.targets.in_order(segment.key, self._tags[address])
+        ordered = self.targets.owners_in_order(segment.key,
+                                               self._tags[address])
         answering = [v.agent for v in ordered if not v.is_silent(now_ms)]
         silent = [v.agent for v in ordered if v.is_silent(now_ms)]
         tag = messages.service_tag(routes.pick_service(route, segment.key))
@@ -336,6 +361,7 @@
                 'flow': self._packets.describe(key),
                 'asked': search.steps,
                 'certain': search.is_certain,
+                'silent': search.silent,
                 'ms': now_ms - search.started_ms
             })
         if not search.is_certain or not search.steps:
@@ -411,14 +437,20 @@
         return [self._hello(view) for view in self.targets.all()]
 
     def _hello(self, view: target_view.TargetView) -> actions.ToPeer:
-        limits = routes.ServiceLimits(0, 0.0)
-        if self._cfg is not None:
-            limits = self._cfg.services.get(view.registration.service, limits)
         hello = messages.Hello(self._knowledge,
                                view.registration.zone in self._zones_out,
-                               limits.cold_per_s, limits.warmup_ms)
+                               self._cold_limit(view.registration.service))
         return actions.ToPeer(view.agent, messages.encode(hello))
 
+    def _cold_limit(self, service: ids.ServiceName) -> int | None:
+        limits = self._cfg.services.get(service) if self._cfg else None
+        if limits is None:
+            return cold_limit.UNKNOWN_PER_S
+        if not limits.cold_per_s:
+            return None
+        return int(limits.cold_per_s * self._bounds.cold_overage +
+                   self._bounds.cold_slack)
+
     def _expire(self, now_ms: int) -> None:
         for key, flow in tuple(self._flows.items()):
             if (now_ms - flow.last_ms > IDLE_MS or
--- a/figdrum/flows/cold_limit.py
+++ b/figdrum/flows/cold_limit.py
@@ -4,7 +4,7 @@
 ========
 
 >>> limit = ColdLimit()
->>> limit.set_rate(2.0)
+>>> limit.set_rate(2)
 >>> [limit.take(now_ms) for now_ms in (0, 10, 20, 30, 1100)]
 [True, True, False, False, True]
 """
@@ -13,9 +13,9 @@
 
 from figdrum.core import clock
 
-# Opening packets a second that a cold target gets at least, so that it warms
-# up; the platform's rules allow `warmupSlack` = 5 beside its rate.
-FLOOR_PER_S = 2
+# Opening packets a second before a balancer has told the service's limit: what
+# the platform allows beyond any rate (`warmupSlack`).
+UNKNOWN_PER_S = 5
 
 # The window is longer than a second by this, in ms, since packets that leave
 # within one second may arrive within a shorter span.
@@ -26,15 +26,17 @@
     """Counts opening packets in a sliding window of a second."""
 
     def __init__(self):
-        self._per_s = FLOOR_PER_S
+        self._per_s: int | None = UNKNOWN_PER_S
         self._taken_ms: collections.deque[int] = collections.deque()
 
-    def set_rate(self, per_s: float) -> None:
-        """Sets the requests a second that the target bears while cold."""
-        self._per_s = max(FLOOR_PER_S, int(per_s))
+    def set_rate(self, per_s: int | None) -> None:
+        """Sets the most opening packets in a second; None for no limit."""
+        self._per_s = per_s
 
     def take(self, now_ms: int) -> bool:
         """Counts an opening packet and returns True if it is within bounds."""
+        if self._per_s is None:
+            return True
         start_ms = now_ms - clock.MS_PER_S - WINDOW_MARGIN_MS
         while self._taken_ms and self._taken_ms[0] <= start_ms:
             self._taken_ms.popleft()
--- a/figdrum/flows/messages.py
+++ b/figdrum/flows/messages.py
@@ -10,7 +10,7 @@
 ========
 
 >>> decode(encode_carry(service_tag('fieldbook'), True, b'datagram'))
-Carry(tag=1331133022, asks=True, raw=b'datagram')
+Carry(tag=3219963083, asks=True, raw=b'datagram')
 >>> decode(encode(NotHeld(b'key', ended=True)))
 NotHeld(key=b'key', ended=True)
 """
@@ -76,14 +76,12 @@
       knowledge: Store revision up to which the balancer knows the zones taken
         out.
       is_zone_out: The agent's zone is taken out.
-      cold_per_s: Opening packets a second that a cold target of the agent's
-        service bears.
-      warmup_ms: Time for which a target of the service stays cold.
+      cold_limit: Opening packets that a cold target of the agent's service may
+        get within a second; None for no limit.
     """
     knowledge: int
     is_zone_out: bool
-    cold_per_s: float
-    warmup_ms: int
+    cold_limit: int | None
 
 
 class Report(typing.NamedTuple):
--- a/figdrum/flows/routes.py
+++ b/figdrum/flows/routes.py
@@ -4,7 +4,7 @@
 ========
 
 >>> one = Route('r', 'safe', (Share('booking', 90), Share('catalogue', 10)))
->>> pick_service(one, b'some flow')
+>>> pick_service(one, b'a flow')
 'booking'
 """
 
@@ -43,10 +43,9 @@
     """What a target of a service bears after its start.
 
     Attributes:
-      warmup_ms: Time for which it is cold.
-      cold_per_s: Requests a second that it bears then.
+      cold_per_s: Requests a second that it bears while it is cold; 0 if the
+        operators have set no limit.
     """
-    warmup_ms: int
     cold_per_s: float
 
 
--- a/figdrum/flows/target_view.py
+++ b/figdrum/flows/target_view.py
@@ -125,12 +125,26 @@
         """Returns all targets."""
         return self._by_name.values()
 
-    def in_order(self, key: bytes,
-                 tags: collections.abc.Container[int]) -> list[TargetView]:
-        """Returns the targets of some services in the order of a flow."""
-        names = [v.name for v in self._by_name.values() if v.tag in tags]
+    def in_order(self, key: bytes, tag: int) -> list[TargetView]:
+        """Returns the targets of a service in the order of a flow."""
+        names = [v.name for v in self._by_name.values() if v.tag == tag]
         return [self._by_name[name] for name in rendezvous.order(key, names)]
 
+    def owners_in_order(
+            self, key: bytes,
+            tags: collections.abc.Container[int]) -> list[TargetView]:
+        """Returns all targets in the order in which a flow's owner is sought.
+
+        Those of the services `tags` come first. An open flow stays at a target
+        of another service when a new configuration sends its route elsewhere.
+        """
+        ordered = [
+            self._by_name[name]
+            for name in rendezvous.order(key, self._by_name)
+        ]
+        return ([v for v in ordered if v.tag in tags] +
+                [v for v in ordered if v.tag not in tags])
+
     def busy_per_flow(self, tag: int) -> float:
         """Returns the requests in progress per open flow of a service."""
         busy = flows = 0.0
--- /dev/null
+++ b/figdrum/flows/tests/world.py
@@ -0,0 +1,371 @@
+"""Balancers, agents and targets in virtual time, without a network.
+
+Explanation
+===========
+
+The real controllers run; messages between them take a fixed delay. A scripted
+client opens flows and sends requests. Everything that reaches a target or a
+client is recorded.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+
+from figdrum.core import ids
+from figdrum.flows import actions
+from figdrum.flows import agent as agent_module
+from figdrum.flows import balancer as balancer_module
+from figdrum.flows import routes
+from figdrum.flows import target as target_module
+from figdrum.flows.tests import packets
+
+HOP_MS = 1
+TICK_MS = 250
+HEARTBEAT_MS = 1_200
+BOUNDS = balancer_module.Bounds(cold_overage=1.5, cold_slack=5)
+
+
+class Target:
+    """A server with slots, a queue and the flows that it holds."""
+
+    def __init__(self, world: 'World', name: str, service: str, zone: str,
+                 slots: int, work_ms: int):
+        self.world = world
+        self.name = name
+        self.service = ids.ServiceName(service)
+        self.zone = ids.ZoneName(zone)
+        self.slots = slots
+        self.work_ms = work_ms
+        self.state = target_module.TargetState.READY
+        self.alive = True
+        self.born_ms = 1
+        self.sequence = 0
+        self.warmup_left_ms = 0
+        self.first_seq: dict[bytes, int] = {}
+        self.open: set[bytes] = set()
+        self.queue: collections.deque[bytes] = collections.deque()
+        self.running = 0
+        self.served = 0
+        self.longest_queue = 0
+        self.opened_at: list[int] = []
+        self.strays: collections.Counter[bytes] = collections.Counter()
+
+    def receive(self, raw: bytes) -> None:
+        """Takes a packet as a server does."""
+        if not self.alive:
+            return
+        segment = self.world.format.parse_client(raw)
+        key = segment.key
+        if segment.is_opening:
+            self.opened_at.append(self.world.now_ms)
+            seq = self.first_seq.setdefault(key, self.world.rng.getrandbits(31))
+            self._send(packets.build(packets.ACCEPTING, key, seq, 0))
+            return
+        first = self.first_seq.get(key)
+        if first is None or not 0 < segment.ack - first < 1_000_000:
+            self.strays[key] += 1
+            self._send(
+                bytes((raw[0] | packets.RETURNED,)) + raw[1:])
+            return
+        self.open.add(key)
+        if segment.length:
+            self.queue.append(key)
+            self.longest_queue = max(self.longest_queue, len(self.queue))
+            self._work()
+
+    def restart(self) -> None:
+        """Crashes and starts again without its flows."""
+        self.born_ms = self.world.now_ms
+        self.first_seq.clear()
+        self.open.clear()
+        self.queue.clear()
+        self.sequence = 0
+
+    def heartbeat(self) -> target_module.Heartbeat:
+        """Returns what the target says about itself."""
+        self.sequence += 1
+        return target_module.Heartbeat(self.name, self.service, self.state,
+                                       self.slots, self.warmup_left_ms,
+                                       self.sequence)
+
+    def _work(self) -> None:
+        if self.queue and self.running < self.slots:
+            self.running += 1
+            key, born_ms = self.queue.popleft(), self.born_ms
+            self.world.after(
+                max(1, int(self.world.rng.expovariate(1 / self.work_ms))),
+                lambda: self._finish(key, born_ms))
+
+    def _finish(self, key: bytes, born_ms: int) -> None:
+        self.running -= 1
+        if self.alive and self.born_ms == born_ms and key in self.open:
+            self.served += 1
+            self._send(
+                packets.build(0, key, self.first_seq[key] + 1, 0, length=100))
+        self._work()
+
+    def _send(self, raw: bytes) -> None:
+        self.world.after(0, lambda: self.world.from_target(self, raw))
+
+
+class World:
+    """All processes of an installation, and the time."""
+
+    def __init__(self, seed: int = 1):
+        self.now_ms = 100_000
+        self.rng = random.Random(seed)
+        self.format = packets.TestFormat()
+        self.balancers: dict[ids.Address, balancer_module.Balancer] = {}
+        self.agents: dict[ids.Address, agent_module.Agent] = {}
+        self.targets: dict[ids.Address, Target] = {}
+        self.to_client: dict[bytes, list[tuple[int, bytes]]] = (
+            collections.defaultdict(list))
+        self.notes: list[actions.Note] = []
+        self.silent: set[ids.Address] = set()
+        self.cfg: routes.Configuration | None = None
+        self._due: list[tuple[int, int, object]] = []
+        self._sequence = itertools.count()
+
+    def after(self, delay_ms: int, fn) -> None:
+        """Calls `fn` after `delay_ms`."""
+        heapq.heappush(self._due,
+                       (self.now_ms + delay_ms, next(self._sequence), fn))
+
+    def run(self, for_ms: int) -> None:
+        """Lets time pass."""
+        end_ms = self.now_ms + for_ms
+        while self._due and self._due[0][0] <= end_ms:
+            self.now_ms, _, fn = heapq.heappop(self._due)
+            fn()
+        self.now_ms = end_ms
+
+    def configure(self,
+                  version: int,
+                  by_service: dict[int, list[tuple[str, float]]],
+                  cold_per_s: float = 0.0) -> None:
+        """Gives all balancers a configuration of routes and their shares."""
+        names = {name for shares in by_service.values() for name, _ in shares}
+        self.cfg = routes.Configuration(
+            version, {
+                packets.address_of(number):
+                    routes.Route(
+                        f'route-{number}', 'safe',
+                        tuple(
+                            routes.Share(ids.ServiceName(name), weight)
+                            for name, weight in shares))
+                for number, shares in by_service.items()
+            }, {
+                ids.ServiceName(name): routes.ServiceLimits(cold_per_s)
+                for name in names
+            })
+        for address, balancer in self.balancers.items():
+            self._do(address,
+                     balancer.on_configuration(self.now_ms, self.cfg))
+
+    def add_balancer(self, name: str, zone: str = 'a') -> ids.Address:
+        """Starts a balancer that knows all targets and the configuration."""
+        address = (name, 1)
+        balancer = balancer_module.Balancer(self.now_ms, self.format,
+                                            ids.ZoneName(zone), BOUNDS)
+        self.balancers[address] = balancer
+        if self.cfg is not None:
+            self._do(address, balancer.on_configuration(self.now_ms, self.cfg))
+        for agent_address in self.targets:
+            self._register(address, agent_address)
+        self._tick(address, balancer)
+        return address
+
+    def add_target(self,
+                   name: str,
+                   service: str = 'one',
+                   zone: str = 'a',
+                   slots: int = 1,
+                   work_ms: int = 15) -> ids.Address:
+        """Starts a target and its agent."""
+        address = (name, 2)
+        self.targets[address] = Target(self, name, service, zone, slots,
+                                       work_ms)
+        self.start_agent(address, is_first_start=True)
+        for balancer_address in self.balancers:
+            self._register(balancer_address, address)
+        self.after(0, lambda: self._beat(address))
+        return address
+
+    def start_agent(self,
+                    address: ids.Address,
+                    is_first_start: bool = False) -> None:
+        """Starts the agent of a target, without the memory of an earlier one."""
+        target = self.targets[address]
+        agent = agent_module.Agent(self.now_ms, self.format, target.service,
+                                   HEARTBEAT_MS, is_first_start)
+        self.agents[address] = agent
+        self._tick(address, agent)
+
+    def restart_agent(self, address: ids.Address) -> None:
+        """Kills an agent and starts it; its registration is in the store."""
+        target = self.targets[address]
+        self.start_agent(address)
+        self._do(
+            address, self.agents[address].on_registration(
+                self.now_ms,
+                target_module.Registration(
+                    address, target.zone, target.service,
+                    f'{target.name}@{target.born_ms}', target.state, False),
+                target.name))
+
+    def restart_balancer(self, address: ids.Address, zone: str = 'a') -> None:
+        """Kills a balancer and starts it."""
+        del self.balancers[address]
+        self.add_balancer(address[0], zone)
+
+    def take_zones_out(self, zones: set[str], revision: int) -> None:
+        """Tells all balancers which zones are out."""
+        for address, balancer in self.balancers.items():
+            self._do(
+                address,
+                balancer.on_zones_out(
+                    self.now_ms,
+                    frozenset(ids.ZoneName(zone) for zone in zones), revision))
+
+    def send(self, address: ids.Address, raw: bytes) -> None:
+        """Sends a client's packet to a balancer."""
+        if address in self.balancers:
+            self._do(
+                address, self.balancers[address].on_client_packet(
+                    self.now_ms, raw))
+
+    def from_target(self, target: Target, raw: bytes) -> None:
+        """Takes a packet that a target has sent."""
+        address = (target.name, 2)
+        if address not in self.silent:
+            self._do(address,
+                     self.agents[address].on_target_packet(self.now_ms, raw))
+
+    def beat(self, address: ids.Address) -> None:
+        """Has a target send its heartbeat now."""
+        target = self.targets[address]
+        self._do(
+            address, self.agents[address].on_heartbeat(self.now_ms,
+                                                       target.born_ms,
+                                                       target.heartbeat()))
+
+    def events(self, name: str) -> list[actions.Note]:
+        """Returns the log lines of an event."""
+        return [note for note in self.notes if note.event == name]
+
+    def resets(self, key: bytes) -> int:
+        """Returns how many resets the client of a flow got."""
+        return sum(1 for _, raw in self.to_client[key]
+                   if raw[0] & packets.RESET)
+
+    def _beat(self, address: ids.Address) -> None:
+        if self.targets[address].alive:
+            self.beat(address)
+        self.after(HEARTBEAT_MS, lambda: self._beat(address))
+
+    def _register(self, balancer: ids.Address, agent: ids.Address) -> None:
+        target = self.targets[agent]
+        self._do(
+            balancer, self.balancers[balancer].on_registration(
+                self.now_ms, target.name,
+                target_module.Registration(agent, target.zone, target.service,
+                                           target.name, target.state, False)))
+
+    def _controller(self, address: ids.Address):
+        return self.balancers.get(address) or self.agents.get(address)
+
+    def _tick(self, address: ids.Address, controller) -> None:
+        if self._controller(address) is controller:
+            self._do(address, controller.on_tick(self.now_ms))
+            self.after(TICK_MS, lambda: self._tick(address, controller))
+
+    def _do(self, address: ids.Address, result: actions.Actions) -> None:
+        for action in result:
+            if isinstance(action, actions.ToPeer):
+                self._carry(address, action)
+            elif isinstance(action, actions.ToClient):
+                key = self.format.parse_client(action.raw).key
+                self.to_client[key].append((self.now_ms, action.raw))
+            elif isinstance(action, actions.ToTarget):
+                self.targets[address].receive(action.raw)
+            elif isinstance(action, actions.Wake):
+                controller = self._controller(address)
+                self.after(action.delay_ms,
+                           lambda c=controller: self._wake(address, c))
+            elif isinstance(action, actions.Note):
+                self.notes.append(action)
+            elif isinstance(action, actions.Probe):
+                self._probe(address)
+
+    def _wake(self, address: ids.Address, controller) -> None:
+        if self._controller(address) is controller:
+            self._do(address, controller.on_due(self.now_ms))
+
+    def _probe(self, address: ids.Address) -> None:
+        alive = self.targets[address].alive
+        agent = self.agents[address]
+        self._do(address, agent.on_probe(self.now_ms, alive))
+
+    def _carry(self, origin: ids.Address, action: actions.ToPeer) -> None:
+        if origin in self.silent or action.address in self.silent:
+            return
+
+        def deliver() -> None:
+            controller = self._controller(action.address)
+            if controller is not None and action.address not in self.silent:
+                self._do(
+                    action.address,
+                    controller.on_message(self.now_ms, origin, action.data))
+
+        self.after(HOP_MS, deliver)
+
+
+class Client:
+    """One flow of a client."""
+
+    def __init__(self, world: World, balancer: ids.Address, number: int,
+                 service: int = 1):
+        self.world = world
+        self.balancer = balancer
+        self.key = packets.flow_key(number, service)
+        self._seq = 1
+        self._ack = 0
+
+    def open(self, copies: int = 0) -> None:
+        """Sends the opening packet."""
+        self.world.send(
+            self.balancer,
+            packets.build(packets.OPENING, self.key, 0, copies))
+
+    def request(self) -> None:
+        """Sends a request that fits in one packet."""
+        self._note_ack()
+        self.world.send(self.balancer,
+                        packets.build(0, self.key, self._seq, self._ack, 50))
+        self._seq += 50
+
+    def acknowledge(self) -> None:
+        """Acknowledges what has arrived."""
+        self._note_ack()
+        self.world.send(self.balancer,
+                        packets.build(0, self.key, self._seq, self._ack))
+
+    @property
+    def answers(self) -> int:
+        """Answers that the client got."""
+        return sum(1 for _, raw in self.world.to_client[self.key]
+                   if self.world.format.parse_client(raw).length)
+
+    @property
+    def owner(self) -> Target:
+        """The target that holds the flow."""
+        return next(t for t in self.world.targets.values()
+                    if self.key in t.open)
+
+    def _note_ack(self) -> None:
+        for _, raw in self.world.to_client[self.key]:
+            segment = self.world.format.parse_client(raw)
+            if segment.is_accepting and not self._ack:
+                self._ack = segment.seq + 1
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -82,7 +82,10 @@
         self._last_packet_ms = now_ms
         self._client_port = cfg.packets[1]
         self._balancer = balancer.Balancer(now_ms, self.around.packets,
-                                           self.cfg.zone)
+                                           self.cfg.zone,
+                                           balancer.Bounds(
+                                               cfg.cold_overage,
+                                               cfg.cold_slack))
         self._frames = udp.UdpPort(self.loop, cfg.frames, self._on_frame)
         self._packets = udp.UdpPort(self.loop, cfg.packets, self._on_packet)
         self.serve_ready(cfg.ready, self._is_ready)
@@ -103,7 +106,8 @@
         if cfg is None:
             self.log.write('unreadable configuration', name=name)
             return
-        self._perform(self._balancer.on_configuration(cfg))
+        self._perform(
+            self._balancer.on_configuration(self.clock.now_ms(), cfg))
 
     def on_zones_out(self, zones: frozenset[ids.ZoneName],
                      revision: int) -> None:
