--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -9,7 +9,6 @@
 packet; further packets of the flow wait for the outcome.
 """
 
-
 import typing
 
 from figdrum.core import errors
@@ -141,8 +140,10 @@
             return []
         self._cfg = cfg
         self._tags = {
-            address: frozenset(
-                messages.service_tag(share.service) for share in route.shares)
+            address:
+                frozenset(
+                    messages.service_tag(share.service)
+                    for share in route.shares)
             for address, route in cfg.routes.items()
         }
         note = actions.Note(
@@ -279,8 +280,7 @@
         tag = messages.service_tag(service)
         ordered = self.targets.in_order(segment.key, tag)
         tried = flow.tried if flow is not None else ()
-        candidates = placement.eligible(now_ms, ordered, self._zones_out,
-                                        tried)
+        candidates = placement.eligible(now_ms, ordered, self._zones_out, tried)
         view = placement.choose(candidates, self._zone,
                                 self.targets.busy_per_flow(tag))
         if view is None:
@@ -297,8 +297,9 @@
                 'route': route.name,
                 'target': view.name,
                 'load': round(view.load(0.0), 2),
-                'report_age_ms': (now_ms - view.heard_ms
-                                  if view.heard_ms is not None else None),
+                'report_age_ms':
+                    (now_ms -
+                     view.heard_ms if view.heard_ms is not None else None),
                 'copies': segment.ack
             })
         data = messages.encode_carry(tag, False, segment.raw)
@@ -309,8 +310,7 @@
         segment = self._packets.parse_client(message.raw)
         if segment is None or self._cfg is None:
             return []
-        route = self._cfg.routes.get(
-            self._packets.service_address(segment.key))
+        route = self._cfg.routes.get(self._packets.service_address(segment.key))
         flow = self._flows.get(segment.key)
         if route is None or flow is None or flow.agent != view.agent:
             return []
@@ -333,8 +333,7 @@
         if len(self._searches) >= MAX_SEARCHES:
             return []
         address = self._packets.service_address(segment.key)
-        ordered = self.targets.owners_in_order(segment.key,
-                                               self._tags[address])
+        ordered = self.targets.owners_in_order(segment.key, self._tags[address])
         answering = [v.agent for v in ordered if not v.is_silent(now_ms)]
         silent = [v.agent for v in ordered if v.is_silent(now_ms)]
         tag = messages.service_tag(routes.pick_service(route, segment.key))
@@ -416,8 +415,7 @@
         return []
 
     def _carry(self, agent: ids.Address, route: routes.Route,
-               segment: segment_module.Segment,
-               asks: bool) -> actions.ToPeer:
+               segment: segment_module.Segment, asks: bool) -> actions.ToPeer:
         tag = messages.service_tag(route.shares[0].service)
         return actions.ToPeer(agent,
                               messages.encode_carry(tag, asks, segment.raw))
@@ -437,8 +435,8 @@
         return [self._hello(view) for view in self.targets.all()]
 
     def _hello(self, view: target_view.TargetView) -> actions.ToPeer:
-        hello = messages.Hello(self._knowledge,
-                               view.registration.zone in self._zones_out,
+        hello = messages.Hello(self._knowledge, view.registration.zone
+                               in self._zones_out,
                                self._cold_limit(view.registration.service))
         return actions.ToPeer(view.agent, messages.encode(hello))
 
@@ -456,5 +454,3 @@
             if (now_ms - flow.last_ms > IDLE_MS or
                     len(self._flows) > MAX_FLOWS):
                 del self._flows[key]
-
-
--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -34,8 +34,8 @@
       server_closed: The server has sent its last byte.
     """
     __slots__ = ('key', 'opened_ms', 'last_ms', 'target', 'server_first',
-                 'server_next', 'client_next', 'client_ack', 'is_open', 'is_busy',
-                 'client_closed', 'server_closed')
+                 'server_next', 'client_next', 'client_ack', 'is_open',
+                 'is_busy', 'client_closed', 'server_closed')
 
     def __init__(self, key: bytes, now_ms: int, target: str):
         self.key = key
@@ -128,8 +128,7 @@
         if segment.is_accepting and flow.server_first is None:
             flow.server_first = segment.seq
             flow.server_next = (segment.seq + 1) % (1 << 32)
-        end = (segment.seq + segment.length +
-               segment.is_closing) % (1 << 32)
+        end = (segment.seq + segment.length + segment.is_closing) % (1 << 32)
         if segment_module.follows(flow.server_next, end):
             flow.server_next = end
         if segment.length:
--- a/figdrum/flows/placement.py
+++ b/figdrum/flows/placement.py
@@ -33,10 +33,9 @@
 
 
 def eligible(
-    now_ms: int, ordered: collections.abc.Iterable[target_view.TargetView],
-    zones_out: collections.abc.Container[ids.ZoneName],
-    tried: collections.abc.Container[str]
-) -> list[target_view.TargetView]:
+        now_ms: int, ordered: collections.abc.Iterable[target_view.TargetView],
+        zones_out: collections.abc.Container[ids.ZoneName],
+        tried: collections.abc.Container[str]) -> list[target_view.TargetView]:
     """Returns the targets that may get a new flow, in the given order.
 
     Targets whose agents are silent are left out unless only such are left.
@@ -48,8 +47,8 @@
       tried: Names of targets that have refused the flow.
     """
     ready = [
-        view for view in ordered if view.is_ready() and view.name not in tried
-        and view.registration.zone not in zones_out
+        view for view in ordered if view.is_ready() and
+        view.name not in tried and view.registration.zone not in zones_out
     ]
     answering = [view for view in ready if not view.is_silent(now_ms)]
     return answering or ready
--- a/figdrum/flows/segment.py
+++ b/figdrum/flows/segment.py
@@ -17,7 +17,6 @@
 
 import abc
 
-
 SEQUENCE_MODULUS = 1 << 32
 
 
@@ -94,5 +93,3 @@
     @abc.abstractmethod
     def describe(self, key: bytes) -> str:
         """Returns the flow's addresses for people."""
-
-
--- /dev/null
+++ b/figdrum/flows/target_status.py
@@ -0,0 +1,128 @@
+"""What an agent knows about its target.
+
+Examples
+========
+
+>>> status = TargetStatus(ids.ServiceName('booking'), 1200)
+>>> beat = target.Heartbeat('i-1', ids.ServiceName('booking'),
+...                         TargetState.READY, 2, 0, 1)
+>>> status.take_heartbeat(1000, 7, beat)
+True
+>>> status.state.value, status.identity, status.is_cold(1000)
+('ready', 'i-1@7', False)
+>>> status.has_missed_heartbeats(5000)
+True
+"""
+
+from figdrum.core import ids
+from figdrum.flows import target
+
+TargetState = target.TargetState
+
+# Heartbeats that a target may miss before it counts as down.
+MISSED_HEARTBEATS = 3
+
+# Time in ms between two probes of one target: each takes a slot.
+PROBE_PERIOD_MS = 500
+
+
+def identity_of(name: str, born_ms: int) -> str:
+    """Returns the identity of an incarnation: a name may be used again."""
+    return f'{name}@{born_ms}'
+
+
+def name_in(identity: str) -> str:
+    """Returns the name in an identity.
+
+    >>> name_in(identity_of('i-1', 7))
+    'i-1'
+    """
+    return identity.rpartition('@')[0]
+
+
+class TargetStatus:
+    """State, incarnation and signs of life of a target.
+
+    Attributes:
+      service: Service that the target is to serve.
+      identity: Identity of the incarnation, empty if unknown.
+      state: Whether the target takes new flows.
+      slots: Requests that it runs at once.
+      heartbeat_ms: When the last heartbeat of this incarnation came, or None.
+      heard_ms: When the target was last heard in any way, or None.
+    """
+
+    def __init__(self, service: ids.ServiceName, heartbeat_period_ms: int):
+        self.service = service
+        self.identity = ''
+        self.state = TargetState.UNKNOWN
+        self.slots = 1
+        self.heartbeat_ms: int | None = None
+        self.heard_ms: int | None = None
+        self._silence_ms = MISSED_HEARTBEATS * heartbeat_period_ms
+        self._born_ms = 0
+        self._sequence = -1
+        self._cold_until_ms: int | None = None
+        self._probed_ms: int | None = None
+
+    def is_stale(self, born_ms: int, heartbeat: target.Heartbeat) -> bool:
+        """Returns whether a heartbeat was overtaken by a later one."""
+        if identity_of(heartbeat.target, born_ms) == self.identity:
+            return heartbeat.sequence < self._sequence
+        return born_ms < self._born_ms
+
+    def take_heartbeat(self, now_ms: int, born_ms: int,
+                       heartbeat: target.Heartbeat) -> bool:
+        """Takes a heartbeat that is not stale.
+
+        Returns:
+          Whether identity, state or coldness have changed.
+        """
+        before = (self.identity, self.state, self.is_cold(now_ms))
+        self.identity = identity_of(heartbeat.target, born_ms)
+        self._born_ms = born_ms
+        self._sequence = heartbeat.sequence
+        self.slots = max(1, heartbeat.slots)
+        self.heartbeat_ms = self.heard_ms = now_ms
+        self._cold_until_ms = now_ms + heartbeat.warmup_left_ms
+        self.state = (heartbeat.state if heartbeat.service == self.service else
+                      TargetState.UNKNOWN)
+        return (self.identity, self.state, self.is_cold(now_ms)) != before
+
+    def take_registration(self, now_ms: int,
+                          registration: target.Registration) -> None:
+        """Takes what an earlier process has registered, once it is confirmed."""
+        self.identity = registration.target
+        self.state = registration.state
+        self.heard_ms = now_ms
+        if not registration.is_cold:
+            self._cold_until_ms = now_ms
+
+    def is_cold(self, now_ms: int) -> bool:
+        """Returns whether the target may have started a short time ago."""
+        return self._cold_until_ms is None or now_ms < self._cold_until_ms
+
+    def is_alive(self, now_ms: int) -> bool:
+        """Returns whether the target was heard lately."""
+        return (self.state is not TargetState.DOWN and
+                self.heard_ms is not None and
+                now_ms - self.heard_ms < self._silence_ms)
+
+    def has_missed_heartbeats(self, now_ms: int) -> bool:
+        """Returns whether a target that takes packets has fallen silent."""
+        return (self.state in (TargetState.READY, TargetState.DRAINING) and
+                self.heartbeat_ms is not None and
+                now_ms - self.heartbeat_ms > self._silence_ms)
+
+    def may_probe(self, now_ms: int) -> bool:
+        """Returns whether a probe is due, and counts it if so."""
+        if (self._probed_ms is not None and
+                now_ms - self._probed_ms < PROBE_PERIOD_MS):
+            return False
+        self._probed_ms = now_ms
+        return True
+
+    def was_heard_since_probe(self) -> bool:
+        """Returns whether the target was heard after the last probe began."""
+        return (self._probed_ms is not None and self.heard_ms is not None and
+                self.heard_ms >= self._probed_ms)
--- a/figdrum/flows/target_view.py
+++ b/figdrum/flows/target_view.py
@@ -80,10 +80,9 @@
         if self.report is None:
             return OPENING_LOAD * self.openings
         flows = self.report.flows + self.openings
-        expected = (
-            BUSY_WEIGHT *
-            (self.report.busy + self.openings * busy_per_flow) +
-            (1 - BUSY_WEIGHT) * flows * busy_per_flow)
+        expected = (BUSY_WEIGHT *
+                    (self.report.busy + self.openings * busy_per_flow) +
+                    (1 - BUSY_WEIGHT) * flows * busy_per_flow)
         return expected / self.report.slots
 
 
--- /dev/null
+++ b/figdrum/flows/tests/test_agent.py
@@ -0,0 +1,265 @@
+"""The agent's limits, trials and knowledge of its target."""
+
+import pytest
+
+from figdrum.core import ids
+from figdrum.flows import actions
+from figdrum.flows import agent as agent_module
+from figdrum.flows import messages
+from figdrum.flows import target as target_module
+from figdrum.flows.tests import packets
+
+FRONT = ('front', 1)
+OTHER_FRONT = ('other', 1)
+SERVICE = ids.ServiceName('booking')
+TAG = messages.service_tag(SERVICE)
+KEY = packets.flow_key(1)
+HEARTBEAT_MS = 1_200
+
+
+def _agent(is_first_start: bool = True) -> agent_module.Agent:
+    return agent_module.Agent(0, packets.TestFormat(), SERVICE, HEARTBEAT_MS,
+                              is_first_start)
+
+
+def _beat(agent: agent_module.Agent,
+          now_ms: int,
+          sequence: int = 1,
+          born_ms: int = 1,
+          state: target_module.TargetState = target_module.TargetState.READY,
+          service: str = SERVICE,
+          warmup_left_ms: int = 0) -> actions.Actions:
+    return agent.on_heartbeat(
+        now_ms, born_ms,
+        target_module.Heartbeat('i-1', ids.ServiceName(service), state, 1,
+                                warmup_left_ms, sequence))
+
+
+def _carry(agent: agent_module.Agent,
+           now_ms: int,
+           raw: bytes,
+           asks: bool = False,
+           tag: int = TAG,
+           origin: ids.Address = FRONT) -> actions.Actions:
+    return agent.on_message(now_ms, origin,
+                            messages.encode_carry(tag, asks, raw))
+
+
+def _opening(number: int = 1) -> bytes:
+    return packets.build(packets.OPENING, packets.flow_key(number), 7, 0)
+
+
+def _sent(result: actions.Actions) -> list[messages.Message]:
+    return [
+        messages.decode(action.data)
+        for action in result
+        if isinstance(action, actions.ToPeer)
+    ]
+
+
+def _delivered(result: actions.Actions) -> list[bytes]:
+    return [a.raw for a in result if isinstance(a, actions.ToTarget)]
+
+
+def _open_flow(agent: agent_module.Agent,
+               now_ms: int,
+               key: bytes = KEY) -> None:
+    _carry(agent, now_ms, packets.build(packets.OPENING, key, 7, 0))
+    agent.on_target_packet(now_ms, packets.build(packets.ACCEPTING, key, 1000,
+                                                 8))
+    _carry(agent, now_ms, packets.build(0, key, 8, 1001))
+
+
+@pytest.mark.parametrize('prepare, tag, reason', [
+    (lambda agent: None, TAG, 'not-ready'),
+    (lambda agent: _beat(agent, 0), TAG + 1, 'other-service'),
+    (lambda agent: _beat(agent, 0, service='catalogue'), TAG, 'not-ready'),
+    (lambda agent: _beat(agent, 0, state=target_module.TargetState.DRAINING),
+     TAG, 'not-ready'),
+])
+def test_opening_packet_is_refused(prepare, tag, reason):
+    agent = _agent()
+    prepare(agent)
+    result = _carry(agent, 10, _opening(), tag=tag)
+    assert not _delivered(result)
+    assert _sent(result) == [messages.Refused(reason, _opening())]
+
+
+def test_zone_out_is_refused_by_the_newest_knowledge():
+    agent = _agent()
+    _beat(agent, 0)
+    agent.on_message(0, FRONT, messages.encode(messages.Hello(5, True, None)))
+    agent.on_message(1, OTHER_FRONT,
+                     messages.encode(messages.Hello(4, False, None)))
+    result = _carry(agent, 10, _opening())
+    assert [m.reason for m in _sent(result)] == ['zone-out']
+    agent.on_message(20, OTHER_FRONT,
+                     messages.encode(messages.Hello(6, False, None)))
+    assert _delivered(_carry(agent, 30, _opening()))
+
+
+def test_cold_target_gets_at_most_the_limit_in_any_second():
+    agent = _agent()
+    _beat(agent, 0, warmup_left_ms=10_000)
+    agent.on_message(0, FRONT, messages.encode(messages.Hello(1, False, 8)))
+    arrived = [
+        now_ms for now_ms in range(0, 5_000, 20)
+        if _delivered(_carry(agent, now_ms, _opening(now_ms)))
+    ]
+    assert arrived
+    for start_ms in arrived:
+        assert sum(
+            start_ms <= now_ms < start_ms + 1_000 for now_ms in arrived) <= 8
+
+
+def test_cold_target_is_limited_before_a_balancer_tells_the_limit():
+    agent = _agent(is_first_start=False)
+    _beat(agent, 0, warmup_left_ms=2_000)
+    taken = sum(
+        bool(_delivered(_carry(agent, 10, _opening(n)))) for n in range(30))
+    assert taken == 5
+
+
+def test_registration_counts_only_for_the_same_healthy_target():
+    registration = target_module.Registration(
+        ('agent', 2), ids.ZoneName('a'), SERVICE, 'i-1@1',
+        target_module.TargetState.READY, False)
+    for healthy, state in (('i-1', 'ready'), ('i-2', 'unknown'), ('',
+                                                                  'unknown')):
+        agent = _agent(is_first_start=False)
+        agent.on_registration(0, registration, healthy)
+        assert agent.status.state.value == state
+
+
+def test_registration_of_a_draining_target_admits_nothing():
+    registration = target_module.Registration(
+        ('agent', 2), ids.ZoneName('a'), SERVICE, 'i-1@1',
+        target_module.TargetState.DRAINING, False)
+    agent = _agent(is_first_start=False)
+    agent.on_registration(0, registration, 'i-1')
+    assert not _delivered(_carry(agent, 10, _opening()))
+
+
+def test_late_heartbeat_of_an_earlier_incarnation_changes_nothing():
+    agent = _agent()
+    _beat(agent, 0, sequence=9, born_ms=1)
+    _beat(agent, 100, sequence=1, born_ms=50)
+    _beat(agent, 200, sequence=10, born_ms=1)
+    assert agent.status.identity == 'i-1@50'
+
+
+def test_heartbeat_that_was_overtaken_changes_nothing():
+    agent = _agent()
+    _beat(agent, 0, sequence=5, state=target_module.TargetState.DRAINING)
+    _beat(agent, 100, sequence=4)
+    assert agent.status.state is target_module.TargetState.DRAINING
+
+
+def test_flow_opened_at_another_server_is_denied_without_delivery():
+    agent = _agent()
+    _beat(agent, 0)
+    _carry(agent, 10, _opening())
+    agent.on_target_packet(11, packets.build(packets.ACCEPTING, KEY, 1000, 8))
+    result = _carry(agent, 20, packets.build(0, KEY, 8, 777_001))
+    assert not _delivered(result)
+    assert _sent(result) == [messages.NotHeld(KEY, False)]
+
+
+def test_agent_without_memory_lets_its_target_answer():
+    agent = _agent(is_first_start=False)
+    _beat(agent, 0)
+    data = packets.build(0, KEY, 8, 1001, 50)
+    assert _delivered(_carry(agent, 10, data, asks=True)) == [data]
+    returned = bytes((data[0] | packets.RETURNED,)) + data[1:]
+    assert _sent(agent.on_target_packet(
+        11, returned)) == [messages.NotHeld(KEY, False)]
+    # A denied flow does not reach the target again.
+    assert not _delivered(_carry(agent, 300, data, asks=True))
+
+
+def test_packets_of_a_flow_wait_for_the_outcome_of_its_trial():
+    agent = _agent(is_first_start=False)
+    _beat(agent, 0)
+    first = packets.build(0, KEY, 8, 1001, 50)
+    second = packets.build(0, KEY, 58, 1001, 50)
+    _carry(agent, 10, first, asks=True)
+    assert not _delivered(_carry(agent, 11, second))
+    result = agent.on_target_packet(12, packets.build(0, KEY, 1001, 58))
+    assert _delivered(result) == [second]
+    assert _sent(result) == [messages.Held(KEY)]
+
+
+def test_silence_of_a_live_target_means_that_it_holds_the_flow():
+    agent = _agent(is_first_start=False)
+    _beat(agent, 0)
+    _carry(agent, 10, packets.build(0, KEY, 8, 1001), asks=True)
+    assert messages.Held(KEY) in _sent(agent.on_due(10 + agent_module.TRIAL_MS))
+
+
+def test_silence_of_an_unknown_target_means_nothing():
+    agent = _agent(is_first_start=False)
+    _carry(agent, 10, packets.build(0, KEY, 8, 1001), asks=True)
+    result = agent.on_due(10 + agent_module.TRIAL_LIMIT_MS)
+    assert not _sent(result)
+    assert any(isinstance(action, actions.Probe) for action in result)
+
+
+def test_unanswered_opening_packet_goes_back_and_the_target_is_probed():
+    agent = _agent()
+    _beat(agent, 0)
+    _carry(agent, 10, _opening())
+    result = agent.on_due(10 + agent_module.ACCEPT_MS)
+    assert messages.Refused('not-ready', _opening()) in _sent(result)
+    assert any(isinstance(action, actions.Probe) for action in result)
+
+
+def test_flows_of_a_target_that_is_gone_are_reset():
+    agent = _agent()
+    _beat(agent, 0)
+    _open_flow(agent, 10)
+    result = agent.on_target_gone(100)
+    assert [a.raw for a in result if isinstance(a, actions.ToClient)
+           ] == [packets.build(packets.RESET, KEY, 1001, 0)]
+    later = _carry(agent, 150, packets.build(0, KEY, 8, 1001, 50))
+    assert _sent(later) == [messages.NotHeld(KEY, True)]
+
+
+def test_flow_that_opened_elsewhere_is_not_reset_with_the_target():
+    agent = _agent()
+    _beat(agent, 0)
+    _carry(agent, 10, _opening())
+    agent.on_target_packet(11, packets.build(packets.ACCEPTING, KEY, 1000, 8))
+    result = agent.on_target_gone(100)
+    assert not [a for a in result if isinstance(a, actions.ToClient)]
+
+
+def test_flows_since_the_last_heartbeat_survive_a_new_incarnation():
+    agent = _agent()
+    _beat(agent, 0)
+    _open_flow(agent, 1_500)
+    result = _beat(agent, 1_600, born_ms=1_400)
+    assert not [a for a in result if isinstance(a, actions.ToClient)]
+
+
+def test_silent_target_counts_as_down_after_three_heartbeats():
+    agent = _agent()
+    _beat(agent, 0)
+    agent.on_tick(3 * HEARTBEAT_MS)
+    assert agent.status.state is target_module.TargetState.READY
+    agent.on_tick(3 * HEARTBEAT_MS + 1)
+    assert agent.status.state is target_module.TargetState.DOWN
+
+
+def test_requests_in_progress_are_reported():
+    agent = _agent()
+    _beat(agent, 0)
+    _open_flow(agent, 10)
+    _carry(agent, 20, packets.build(0, KEY, 8, 1001, 50))
+    report, = _sent(agent.on_tick(2_020))
+    assert 0.5 < report.busy < 0.7 and report.flows == 1
+    agent.on_target_packet(2_030, packets.build(0, KEY, 1001, 58, 100))
+    _beat(agent, 6_000, sequence=2)
+    agent.on_message(6_000, FRONT,
+                     messages.encode(messages.Hello(1, False, None)))
+    report, = _sent(agent.on_tick(8_030))
+    assert report.busy < 0.1
--- a/figdrum/flows/tests/test_owner_search.py
+++ b/figdrum/flows/tests/test_owner_search.py
@@ -58,7 +58,8 @@
     assert [client.answers for client in clients] == [2] * 30
     assert not any(world.resets(client.key) for client in clients)
     strays = [
-        sum(t.strays[client.key] for t in world.targets.values())
+        sum(t.strays[client.key]
+            for t in world.targets.values())
         for client in clients
     ]
     # A flow's target is one of its first three candidates.
@@ -87,8 +88,10 @@
     world.beat((owner.name, 2))
     world.run(50)
     assert world.resets(clients[0].key) == 1
-    others = [c for c in clients if c.key not in owner.first_seq and
-              any(c.key in t.open for t in world.targets.values())]
+    others = [
+        c for c in clients if c.key not in owner.first_seq and any(
+            c.key in t.open for t in world.targets.values())
+    ]
     assert others and not any(world.resets(c.key) for c in others)
 
 
--- /dev/null
+++ b/figdrum/flows/tests/test_placement.py
@@ -0,0 +1,110 @@
+"""Where new flows go, under the load patterns of the sites."""
+
+import collections
+
+from figdrum.core import ids
+from figdrum.flows import messages
+from figdrum.flows import placement
+from figdrum.flows import target as target_module
+from figdrum.flows import target_view
+from figdrum.flows.tests import packets
+from figdrum.flows.tests import world as world_module
+
+TAG = messages.service_tag('one')
+READY = target_module.TargetState.READY
+
+
+def _views(count: int) -> target_view.TargetViews:
+    views = target_view.TargetViews()
+    for number in range(count):
+        views.register(
+            0, f't{number}',
+            target_module.Registration((f't{number}', 2),
+                                       ids.ZoneName('ab'[number % 2]),
+                                       ids.ServiceName('one'), f'i-{number}@1',
+                                       READY, False))
+    return views
+
+
+def _report(views: target_view.TargetViews, name: str, **changes) -> None:
+    view = views.by_agent((name, 2))
+    report = messages.Report(TAG, '', READY.value, False, 0.0, 0, 1)
+    view.take_report(0, report._replace(**changes))
+
+
+def test_least_loaded_candidate_of_the_own_zone_is_chosen():
+    views = _views(3)
+    _report(views, 't0', busy=0.9, flows=9)
+    _report(views, 't1', busy=0.1, flows=1)
+    _report(views, 't2', busy=0.1, flows=1)
+    for number in range(20):
+        ordered = views.in_order(packets.flow_key(number), TAG)
+        chosen = placement.choose(ordered, ids.ZoneName('a'), 0.1)
+        assert chosen.name == 't2'
+
+
+def test_draining_cold_and_silent_targets_are_left_to_the_last():
+    views = _views(4)
+    _report(views, 't0', state='draining')
+    _report(views, 't1', is_cold=True)
+    _report(views, 't2')
+    ordered = views.in_order(packets.flow_key(1), TAG)
+    now_ms = target_view.SILENT_MS + 1
+    views.by_agent(('t1', 2)).heard_ms = now_ms
+    views.by_agent(('t2', 2)).heard_ms = now_ms
+    names = {v.name for v in placement.eligible(now_ms, ordered, (), ())}
+    assert names == {'t1', 't2'}
+    chosen = placement.choose(placement.eligible(now_ms, ordered, (), ()),
+                              ids.ZoneName('b'), 0.1)
+    assert chosen.name == 't2'
+    only_silent = placement.eligible(now_ms, ordered, (), ('t1', 't2'))
+    assert [v.name for v in only_silent] == ['t3']
+
+
+def test_zone_out_and_refusing_targets_get_nothing():
+    views = _views(2)
+    ordered = views.in_order(packets.flow_key(1), TAG)
+    names = [v.name for v in placement.eligible(0, ordered, ('a',), ())]
+    assert names == ['t1']
+    assert not placement.eligible(0, ordered, ('a',), ('t1',))
+
+
+def test_long_flows_spread_evenly():
+    """Pattern: clients keep flows open and send a few requests a second."""
+    world = world_module.World(seed=3)
+    world.configure(1, {1: [('one', 1.0)]})
+    for number in range(7):
+        world.add_target(f'target-{number}', zone='abcd'[number % 4])
+    fronts = [world.add_balancer(f'front-{zone}', zone) for zone in 'abcd']
+    world.run(2_000)
+    clients = []
+    for number in range(280):
+        client = world_module.Client(world, fronts[number % 4], number)
+        clients.append(client)
+        client.open()
+        world.run(20)
+    for _ in range(10):
+        for client in clients:
+            client.request()
+            world.run(5)
+    world.run(2_000)
+    served = sorted(t.served for t in world.targets.values())
+    assert sum(served) == 2_800
+    # The sheet's servers are 43 % busy on average and must stay below 75 %,
+    # beyond which requests wait for longer than they run.
+    assert served[-1] / (sum(served) / 7) < 0.75 / 0.43
+
+
+def test_burst_of_openings_between_two_reports_is_spread():
+    """Pattern: `burst`, and the wave of new flows after a mass restart."""
+    views = _views(7)
+    for number in range(7):
+        _report(views, f't{number}')
+    counts: collections.Counter[str] = collections.Counter()
+    for number in range(140):
+        ordered = views.in_order(packets.flow_key(number), TAG)
+        view = placement.choose(placement.eligible(0, ordered, (), ()),
+                                ids.ZoneName('a'), 0.1)
+        view.openings += 1
+        counts[view.name] += 1
+    assert max(counts.values()) <= 1.5 * 20
--- a/figdrum/flows/tests/world.py
+++ b/figdrum/flows/tests/world.py
@@ -66,8 +66,7 @@
         first = self.first_seq.get(key)
         if first is None or not 0 < segment.ack - first < 1_000_000:
             self.strays[key] += 1
-            self._send(
-                bytes((raw[0] | packets.RETURNED,)) + raw[1:])
+            self._send(bytes((raw[0] | packets.RETURNED,)) + raw[1:])
             return
         self.open.add(key)
         if segment.length:
@@ -161,8 +160,7 @@
                 for name in names
             })
         for address, balancer in self.balancers.items():
-            self._do(address,
-                     balancer.on_configuration(self.now_ms, self.cfg))
+            self._do(address, balancer.on_configuration(self.now_ms, self.cfg))
 
     def add_balancer(self, name: str, zone: str = 'a') -> ids.Address:
         """Starts a balancer that knows all targets and the configuration."""
@@ -210,10 +208,9 @@
         self._do(
             address, self.agents[address].on_registration(
                 self.now_ms,
-                target_module.Registration(
-                    address, target.zone, target.service,
-                    f'{target.name}@{target.born_ms}', target.state, False),
-                target.name))
+                target_module.Registration(address, target.zone, target.service,
+                                           f'{target.name}@{target.born_ms}',
+                                           target.state, False), target.name))
 
     def restart_balancer(self, address: ids.Address, zone: str = 'a') -> None:
         """Kills a balancer and starts it."""
@@ -232,9 +229,8 @@
     def send(self, address: ids.Address, raw: bytes) -> None:
         """Sends a client's packet to a balancer."""
         if address in self.balancers:
-            self._do(
-                address, self.balancers[address].on_client_packet(
-                    self.now_ms, raw))
+            self._do(address,
+                     self.balancers[address].on_client_packet(self.now_ms, raw))
 
     def from_target(self, target: Target, raw: bytes) -> None:
         """Takes a packet that a target has sent."""
@@ -257,8 +253,8 @@
 
     def resets(self, key: bytes) -> int:
         """Returns how many resets the client of a flow got."""
-        return sum(1 for _, raw in self.to_client[key]
-                   if raw[0] & packets.RESET)
+        return sum(
+            1 for _, raw in self.to_client[key] if raw[0] & packets.RESET)
 
     def _beat(self, address: ids.Address) -> None:
         if self.targets[address].alive:
@@ -325,7 +321,10 @@
 class Client:
     """One flow of a client."""
 
-    def __init__(self, world: World, balancer: ids.Address, number: int,
+    def __init__(self,
+                 world: World,
+                 balancer: ids.Address,
+                 number: int,
                  service: int = 1):
         self.world = world
         self.balancer = balancer
@@ -335,9 +334,8 @@
 
     def open(self, copies: int = 0) -> None:
         """Sends the opening packet."""
-        self.world.send(
-            self.balancer,
-            packets.build(packets.OPENING, self.key, 0, copies))
+        self.world.send(self.balancer,
+                        packets.build(packets.OPENING, self.key, 0, copies))
 
     def request(self) -> None:
         """Sends a request that fits in one packet."""
@@ -361,8 +359,8 @@
     @property
     def owner(self) -> Target:
         """The target that holds the flow."""
-        return next(t for t in self.world.targets.values()
-                    if self.key in t.open)
+        return next(
+            t for t in self.world.targets.values() if self.key in t.open)
 
     def _note_ack(self) -> None:
         for _, raw in self.world.to_client[self.key]:
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -1,6 +1,7 @@
 """The process of an agent."""
 
 import functools
+import typing
 
 from figdrum.core import errors
 from figdrum.core import ids
@@ -22,22 +23,28 @@
 class AgentProcess(node.Node):
     """Moves packets between balancers, the target and the controller."""
 
-    def run(self) -> None:
-        """Runs until the process is told to stop."""
+    def __init__(self, *args: typing.Any):
+        super().__init__(*args)
         cfg = self.cfg.agent
         assert cfg is not None
-        self._agent = agent.Agent(self.clock.now_ms(), self.around.packets,
-                                  cfg.service, int(cfg.heartbeat_ms),
-                                  cfg.first_start)
+        self._agent = agent.Agent(self.clock.now_ms(),
+                                  self.around.packets, cfg.service,
+                                  int(cfg.heartbeat_ms), cfg.first_start)
         self._client_port = cfg.frames[1]
         self._frames = udp.UdpPort(self.loop, cfg.frames, self._on_frame)
         self._packets = udp.UdpPort(self.loop, cfg.target_packets,
                                     self._on_target_packet)
         self._to_target = udp.ConnectedPort(self.loop, cfg.frames[0],
                                             cfg.target, self._on_refused)
-        self._registrar = registrar.Registrar(
-            self.around.store, registrations.KIND,
-            registrations.name_of(cfg.frames), self.loop, self.log, self.rng)
+        self._registrar = registrar.Registrar(self.around.store,
+                                              registrations.KIND,
+                                              registrations.name_of(cfg.frames),
+                                              self.loop, self.log, self.rng)
+
+    def run(self) -> None:
+        """Runs until the process is told to stop."""
+        cfg = self.cfg.agent
+        assert cfg is not None
         self._registrar.load(self._on_registration)
         self.serve_ready(cfg.ready, lambda: True)
         http_server.HttpServer(self.loop, cfg.control, self._on_control)
@@ -56,8 +63,8 @@
         self.stop()
 
     def _on_frame(self, data: bytes, address: ids.Address) -> None:
-        self._perform(
-            self._agent.on_message(self.clock.now_ms(), address, data))
+        self._perform(self._agent.on_message(self.clock.now_ms(), address,
+                                             data))
 
     def _on_target_packet(self, data: bytes, _: ids.Address) -> None:
         self._perform(self._agent.on_target_packet(self.clock.now_ms(), data))
@@ -121,8 +128,9 @@
         cfg = self.cfg.agent
         assert cfg is not None
         registration = target_module.Registration(
-            cfg.frames, self.cfg.zone, self._agent.service, self._agent.target,
-            self._agent.state, self._agent.is_cold(self.clock.now_ms()))
+            cfg.frames, self.cfg.zone, self._agent.status.service,
+            self._agent.status.identity, self._agent.status.state,
+            self._agent.status.is_cold(self.clock.now_ms()))
         self._registrar.save(registrations.encode(registration))
 
     def _perform(self, result: actions.Actions) -> None:
@@ -135,5 +143,3 @@
                 self._probe()
             elif isinstance(action, actions.Register):
                 self._register()
-
-
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -73,21 +73,24 @@
 class BalancerProcess(node.Node):
     """Moves packets between clients' network, agents and the controller."""
 
-    def run(self) -> None:
-        """Runs until the process is told to stop."""
+    def __init__(self, *args: typing.Any):
+        super().__init__(*args)
         cfg = self.cfg.balancer
         assert cfg is not None
         now_ms = self.clock.now_ms()
         self._stopping_ms: int | None = None
         self._last_packet_ms = now_ms
         self._client_port = cfg.packets[1]
-        self._balancer = balancer.Balancer(now_ms, self.around.packets,
-                                           self.cfg.zone,
-                                           balancer.Bounds(
-                                               cfg.cold_overage,
-                                               cfg.cold_slack))
+        self._balancer = balancer.Balancer(
+            now_ms, self.around.packets, self.cfg.zone,
+            balancer.Bounds(cfg.cold_overage, cfg.cold_slack))
         self._frames = udp.UdpPort(self.loop, cfg.frames, self._on_frame)
         self._packets = udp.UdpPort(self.loop, cfg.packets, self._on_packet)
+
+    def run(self) -> None:
+        """Runs until the process is told to stop."""
+        cfg = self.cfg.balancer
+        assert cfg is not None
         self.serve_ready(cfg.ready, self._is_ready)
         for kind, observer in (
             (self.around.configuration_kind, _ConfigurationObserver(self)),
@@ -106,8 +109,7 @@
         if cfg is None:
             self.log.write('unreadable configuration', name=name)
             return
-        self._perform(
-            self._balancer.on_configuration(self.clock.now_ms(), cfg))
+        self._perform(self._balancer.on_configuration(self.clock.now_ms(), cfg))
 
     def on_zones_out(self, zones: frozenset[ids.ZoneName],
                      revision: int) -> None:
--- a/figdrum/node/surroundings.py
+++ b/figdrum/node/surroundings.py
@@ -43,11 +43,11 @@
     health_identity_header: str
 
     @abc.abstractmethod
-    def decode_configuration(
-            self, value: typing.Any) -> routes.Configuration | None:
+    def decode_configuration(self,
+                             value: typing.Any) -> routes.Configuration | None:
         """Returns the configuration in a stored value, or None."""
 
     @abc.abstractmethod
-    def decode_target_request(
-            self, req: http_server.Request) -> TargetEvent | None:
+    def decode_target_request(self,
+                              req: http_server.Request) -> TargetEvent | None:
         """Returns what a target tells its agent, or None."""
--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -82,8 +82,8 @@
         """Reads the objects and goes on watching them."""
         self._store.list_all(self._kind, self._on_listing)
 
-    def _on_listing(
-            self, result: object_store.Listing | errors.StoreError) -> None:
+    def _on_listing(self,
+                    result: object_store.Listing | errors.StoreError) -> None:
         if isinstance(result, errors.StoreError):
             self._retry(result, self.start)
             return
@@ -97,10 +97,11 @@
     def _watch(self) -> None:
         self._store.watch(self._kind, self.revision, self._on_changes)
 
-    def _on_changes(
-            self, result: object_store.Changes | errors.StoreError) -> None:
+    def _on_changes(self,
+                    result: object_store.Changes | errors.StoreError) -> None:
         if isinstance(result, object_store.HistoryLostError):
-            self._log.write('history lost', kind=self._kind,
+            self._log.write('history lost',
+                            kind=self._kind,
                             revision=self.revision)
             self.start()
             return
@@ -118,8 +119,10 @@
                 continue
             self.names[entry.name] = entry.revision
             if entry.value is None:
-                self._log.write('unreadable object', kind=self._kind,
-                                name=entry.name, revision=entry.revision)
+                self._log.write('unreadable object',
+                                kind=self._kind,
+                                name=entry.name,
+                                revision=entry.revision)
             else:
                 self._observer.on_entry(entry.name, entry.value)
         for name in removed:
--- a/figdrum/registry/registrar.py
+++ b/figdrum/registry/registrar.py
@@ -64,9 +64,8 @@
             self._is_calling = True
             self._store.read(self._kind, self._name, self._on_read)
 
-    def _on_read(
-            self,
-            result: object_store.Entry | None | errors.StoreError) -> None:
+    def _on_read(self,
+                 result: object_store.Entry | None | errors.StoreError) -> None:
         self._is_calling = False
         if isinstance(result, errors.StoreError):
             self._retry(result)
@@ -78,8 +77,8 @@
         self._go_on()
 
     def _on_written(
-        self, result: object_store.Entry | object_store.Conflict |
-        errors.StoreError
+        self,
+        result: object_store.Entry | object_store.Conflict | errors.StoreError
     ) -> None:
         self._is_calling = False
         if isinstance(result, errors.StoreError):
@@ -87,12 +86,14 @@
             self._retry(result)
             return
         if isinstance(result, object_store.Conflict):
-            self._log.write('registration conflict', name=self._name,
+            self._log.write('registration conflict',
+                            name=self._name,
                             revision=self._revision)
             self._take(result.entry)
         else:
             self._take(result)
-            self._log.write('registered', name=self._name,
+            self._log.write('registered',
+                            name=self._name,
                             revision=result.revision)
         self._go_on()
 
--- /dev/null
+++ b/figdrum/registry/tests/fake_store.py
@@ -0,0 +1,142 @@
+"""An object store in memory whose answers the test gives."""
+
+import collections
+
+from figdrum.core import clock
+from figdrum.core import errors
+from figdrum.core import ports
+from figdrum.registry import object_store
+
+
+class ManualTimers(ports.Timers):
+    """Timers that run when the test lets time pass."""
+
+    def __init__(self):
+        self.clock = clock.ManualClock()
+        self._due: list[tuple[int, int, object]] = []
+
+    def call_later(self, delay_ms, fn):
+        self._due.append((self.clock.now_ms() + delay_ms, len(self._due), fn))
+
+    def advance(self, delta_ms: int) -> None:
+        """Lets time pass and makes the calls that are due."""
+        self.clock.advance(delta_ms)
+        due = sorted(t for t in self._due if t[0] <= self.clock.now_ms())
+        self._due = [t for t in self._due if t[0] > self.clock.now_ms()]
+        for _, _, fn in due:
+            fn()
+
+
+class FakeStore(object_store.ObjectStore):
+    """Answers at once, unless it is down or loses answers.
+
+    Attributes:
+      calls: Calls by method.
+      down: Calls fail and have no effect.
+      lost: The next writes have their effect and fail.
+    """
+
+    def __init__(self):
+        self.objects: dict[tuple[str, str], object_store.Entry] = {}
+        self.revision = 1
+        self.oldest = 0
+        self.history: list[tuple[int, str, str, bool]] = []
+        self.watches: list[tuple[str, int, object]] = []
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.down = False
+        self.lost = 0
+
+    def put(self, kind: str, name: str, value) -> int:
+        """Stores a value as another writer does."""
+        self.revision += 1
+        entry = object_store.Entry(name, self.revision, value)
+        self.objects[kind, name] = entry
+        self.history.append((self.revision, kind, name, False))
+        self._wake(kind)
+        return self.revision
+
+    def delete(self, kind: str, name: str) -> None:
+        """Removes an object as another writer does."""
+        self.revision += 1
+        del self.objects[kind, name]
+        self.history.append((self.revision, kind, name, True))
+        self._wake(kind)
+
+    def cut_watches(self) -> None:
+        """Ends all watches without an answer."""
+        watches, self.watches = self.watches, []
+        for _, _, on_result in watches:
+            on_result(self._error('watch'))
+
+    def forget_history(self) -> None:
+        """Makes watches from before now fail."""
+        self.oldest = self.revision
+        self.cut_watches()
+
+    def list_all(self, kind, on_result):
+        self.calls['list'] += 1
+        if self.down:
+            on_result(self._error('list'))
+            return
+        entries = tuple(
+            entry for (its, _), entry in self.objects.items() if its == kind)
+        on_result(object_store.Listing(entries, self.revision))
+
+    def watch(self, kind, revision, on_result):
+        self.calls['watch'] += 1
+        if self.down:
+            on_result(self._error('watch'))
+        elif revision < self.oldest:
+            on_result(object_store.HistoryLostError('watch', 'store',
+                                                    'history'))
+        else:
+            self.watches.append((kind, revision, on_result))
+            self._wake(kind)
+
+    def read(self, kind, name, on_result):
+        self.calls['read'] += 1
+        on_result(
+            self._error('read') if self.down else self.objects.get((kind,
+                                                                    name)))
+
+    def write(self, kind, name, value, revision, on_result):
+        self.calls['write'] += 1
+        if self.down:
+            on_result(self._error('write'))
+            return
+        entry = self.objects.get((kind, name))
+        if (entry.revision if entry else 0) != revision:
+            on_result(object_store.Conflict(entry))
+            return
+        self.put(kind, name, value)
+        if self.lost:
+            self.lost -= 1
+            on_result(self._error('write'))
+        else:
+            on_result(self.objects[kind, name])
+
+    def remove(self, kind, name, revision, on_result):
+        self.calls['remove'] += 1
+        entry = self.objects.get((kind, name))
+        if entry is None or entry.revision != revision:
+            on_result(object_store.Conflict(entry))
+            return
+        self.delete(kind, name)
+        on_result(entry)
+
+    def _error(self, step: str) -> errors.StoreError:
+        return errors.StoreError(step, 'store', 'down')
+
+    def _wake(self, kind: str) -> None:
+        for watch in tuple(self.watches):
+            its, since, on_result = watch
+            news = [h for h in self.history if h[0] > since and h[1] == kind]
+            if its != kind or not news:
+                continue
+            self.watches.remove(watch)
+            removed = tuple(h[2] for h in news if h[3])
+            names = dict.fromkeys(h[2] for h in news if not h[3])
+            changed = tuple(self.objects[kind, name]
+                            for name in names
+                            if (kind, name) in self.objects)
+            on_result(object_store.Changes(changed, removed, self.revision))
--- a/figdrum/runtime/http_client.py
+++ b/figdrum/runtime/http_client.py
@@ -53,8 +53,7 @@
       calls: Requests sent, for the metrics.
     """
 
-    def __init__(self, loop: loop_module.Loop, address: ids.Address,
-                 name: str):
+    def __init__(self, loop: loop_module.Loop, address: ids.Address, name: str):
         self._loop = loop
         self._address = address
         self._name = name
--- a/figdrum/runtime/loop.py
+++ b/figdrum/runtime/loop.py
@@ -85,7 +85,8 @@
     def on_signal(self, number: int, fn: Callback) -> None:
         """Calls `fn` from the loop after the signal `number`."""
         self._handlers[number] = fn
-        signal.signal(number, lambda received, _: self._signals.append(received))
+        signal.signal(number,
+                      lambda received, _: self._signals.append(received))
 
     def run(self) -> None:
         """Runs until `stop` is called."""
--- a/figdrum/runtime/stream.py
+++ b/figdrum/runtime/stream.py
@@ -69,8 +69,7 @@
 
     def _update(self) -> None:
         waits = bool(self._output) or not self._connected
-        self._loop.watch(self._sock, self._read,
-                         self._write if waits else None)
+        self._loop.watch(self._sock, self._read, self._write if waits else None)
 
     def _write(self) -> None:
         if not self._connected:
--- /dev/null
+++ b/figdrum/runtime/tests/test_loop.py
@@ -0,0 +1,71 @@
+"""Timers, signals and datagrams of the loop."""
+
+import os
+import signal
+import socket
+
+from figdrum.core import clock
+from figdrum.runtime import loop as loop_module
+from figdrum.runtime import udp
+
+DEADLINE_MS = 20_000
+
+
+def test_timers_run_in_order_and_can_be_cancelled():
+    loop = loop_module.Loop(clock.SystemClock())
+    seen = []
+    loop.call_later(10, lambda: seen.append('second'))
+    loop.call_later(1, lambda: seen.append('first'))
+    loop.call_later(5, lambda: seen.append('never')).cancel()
+    loop.call_later(20, loop.stop)
+    loop.run()
+    assert seen == ['first', 'second']
+
+
+def test_signal_is_handled_by_the_loop():
+    loop = loop_module.Loop(clock.SystemClock())
+    before = signal.getsignal(signal.SIGUSR1)
+    try:
+        loop.on_signal(signal.SIGUSR1, loop.stop)
+        loop.call_later(1, lambda: os.kill(os.getpid(), signal.SIGUSR1))
+        guard = loop.call_later(DEADLINE_MS, lambda: os._exit(1))
+        loop.run()
+        guard.cancel()
+    finally:
+        signal.signal(signal.SIGUSR1, before)
+
+
+def test_datagrams_arrive_with_their_sender():
+    loop = loop_module.Loop(clock.SystemClock())
+    seen = []
+
+    def take(data, address):
+        seen.append((data, address))
+        loop.stop()
+
+    receiver = udp.UdpPort(loop, ('127.0.0.1', 0), take)
+    sender = udp.UdpPort(loop, ('127.0.0.1', 0), take)
+    sender.send(b'hello', receiver.address)
+    loop.call_later(DEADLINE_MS, loop.stop)
+    loop.run()
+    assert seen == [(b'hello', sender.address)]
+    receiver.close()
+    sender.close()
+
+
+def test_connected_port_hears_that_nobody_listens():
+    loop = loop_module.Loop(clock.SystemClock())
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as unused:
+        unused.bind(('127.0.0.1', 0))
+        address = unused.getsockname()
+    refused = []
+
+    def note():
+        refused.append(True)
+        loop.stop()
+
+    port = udp.ConnectedPort(loop, '127.0.0.1', address, note)
+    port.send(b'hello')
+    loop.call_later(DEADLINE_MS, loop.stop)
+    loop.run()
+    assert refused
--- a/figdrum/settings/node.py
+++ b/figdrum/settings/node.py
@@ -210,5 +210,5 @@
         with open(path, encoding='utf-8') as file:
             return parse(file.read(), path, role)
     except OSError as exc:
-        raise errors.SettingsError('read settings', path,
-                                   exc.strerror or str(exc)) from exc
+        raise errors.SettingsError('read settings', path, exc.strerror or
+                                   str(exc)) from exc
