Pass the newest version and zones that anyone knows on by the agents

Change: greetings carry version and zones out, reports return the newest that the agent has heard, and a balancer behind reads again beside its watch.

--- a/figdrum/flows/actions.py
+++ b/figdrum/flows/actions.py
@@ -49,6 +49,10 @@
     """Bring the agent's registration in the store up to date."""
 
 
+class Refresh(typing.NamedTuple):
+    """Read the configuration again: others have a newer one."""
+
+
 class Note(typing.NamedTuple):
     """Write a line to the log.
 
@@ -60,5 +64,6 @@
     fields: dict[str, typing.Any]
 
 
-Action = ToTarget | ToClient | ToPeer | Wake | Probe | Register | Note
+Action = (ToTarget | ToClient | ToPeer | Wake | Probe | Register | Refresh |
+          Note)
 Actions = list[Action]
--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -53,8 +53,8 @@
     """
 
     def __init__(self, now_ms: int, packets: segment_module.PacketFormat,
-                 service: ids.ServiceName, heartbeat_period_ms: int,
-                 is_first_start: bool):
+                 zone: ids.ZoneName, service: ids.ServiceName,
+                 heartbeat_period_ms: int, is_first_start: bool):
         self.status = target_status.TargetStatus(service, heartbeat_period_ms)
         self._packets = packets
         self._tag = messages.service_tag(service)
@@ -66,8 +66,8 @@
         self._cold = cold_limit.ColdLimit()
         self._trials = trials_module.Trials()
         self._balancers: dict[ids.Address, int] = {}
-        self._knowledge = -1
-        self._zone_out = False
+        self._zone = zone
+        self._knowledge = messages.NO_KNOWLEDGE
 
     @property
     def flows(self) -> int:
@@ -229,7 +229,7 @@
             return Reason.OTHER_SERVICE
         if self.status.state is not TargetState.READY:
             return Reason.NOT_READY
-        if self._zone_out:
+        if self._zone in self._knowledge.zones_out:
             return Reason.ZONE_OUT
         if self.status.is_cold(now_ms) and not self._cold.take(now_ms):
             return Reason.COLD
@@ -344,10 +344,9 @@
                   hello: messages.Hello) -> actions.Actions:
         is_new = origin not in self._balancers
         self._balancers[origin] = now_ms
-        if hello.knowledge >= self._knowledge:
-            self._knowledge = hello.knowledge
-            self._zone_out = hello.is_zone_out
+        if hello.knowledge.version >= self._knowledge.version:
             self._cold.set_rate(hello.cold_limit)
+        self._knowledge = messages.newest(self._knowledge, hello.knowledge)
         if is_new:
             return self._tell((origin,), self._make_report(now_ms))
         return []
@@ -365,7 +364,8 @@
                                self.status.state.value,
                                self.status.is_cold(now_ms),
                                round(self._table.meter.average(now_ms), 2),
-                               len(self._table), self.status.slots)
+                               len(self._table), self.status.slots,
+                               self._knowledge)
 
     def _report(self, now_ms: int) -> actions.Actions:
         for origin, heard_ms in tuple(self._balancers.items()):
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -232,11 +232,12 @@
         view.heard_ms = now_ms
         if isinstance(message, messages.Report):
             view.take_report(now_ms, message)
-        elif isinstance(message, messages.Held):
+            return self._compare(now_ms, message.knowledge)
+        if isinstance(message, messages.Held):
             return self._on_held(now_ms, origin, message.key)
-        elif isinstance(message, messages.NotHeld):
+        if isinstance(message, messages.NotHeld):
             return self._on_not_held(now_ms, origin, message)
-        elif isinstance(message, messages.Refused):
+        if isinstance(message, messages.Refused):
             return self._on_refused(now_ms, view, message)
         return []
 
@@ -435,11 +436,27 @@
         return [self._hello(view) for view in self.targets.all()]
 
     def _hello(self, view: target_view.TargetView) -> actions.ToPeer:
-        hello = messages.Hello(self._knowledge, view.registration.zone
-                               in self._zones_out,
+        hello = messages.Hello(self._known(),
                                self._cold_limit(view.registration.service))
         return actions.ToPeer(view.agent, messages.encode(hello))
 
+    def _known(self) -> messages.Knowledge:
+        return messages.Knowledge(self._cfg.version if self._cfg else -1,
+                                  self._knowledge,
+                                  tuple(sorted(self._zones_out)))
+
+    def _compare(self, now_ms: int,
+                 heard: messages.Knowledge) -> actions.Actions:
+        known = self._known()
+        result: actions.Actions = []
+        if heard.revision > known.revision >= 0:
+            result += self.on_zones_out(
+                now_ms, frozenset(ids.ZoneName(z) for z in heard.zones_out),
+                heard.revision)
+        if heard.version > known.version >= 0:
+            result.append(actions.Refresh())
+        return result
+
     def _cold_limit(self, service: ids.ServiceName) -> int | None:
         limits = self._cfg.services.get(service) if self._cfg else None
         if limits is None:
--- a/figdrum/flows/messages.py
+++ b/figdrum/flows/messages.py
@@ -69,18 +69,48 @@
     raw: bytes
 
 
+class Knowledge(typing.NamedTuple):
+    """What a node knows of the operators' wishes.
+
+    Explanation
+    ===========
+
+    Agents pass the newest that they have heard on to all balancers, so that one
+    whose watch has gone deaf notices.
+
+    Attributes:
+      version: Version of the configuration, or -1.
+      revision: Store revision at which the zones taken out were read, or -1.
+      zones_out: Zones taken out then, sorted.
+    """
+    version: int
+    revision: int
+    zones_out: tuple[str, ...]
+
+
+NO_KNOWLEDGE = Knowledge(-1, -1, ())
+
+
+def newest(one: Knowledge, other: Knowledge) -> Knowledge:
+    """Returns the newer of each part.
+
+    >>> newest(Knowledge(3, 9, ('a',)), Knowledge(4, 8, ()))
+    Knowledge(version=4, revision=9, zones_out=('a',))
+    """
+    zones = one if one.revision >= other.revision else other
+    return Knowledge(max(one.version, other.version), zones.revision,
+                     zones.zones_out)
+
+
 class Hello(typing.NamedTuple):
     """A balancer asks an agent for reports.
 
     Attributes:
-      knowledge: Store revision up to which the balancer knows the zones taken
-        out.
-      is_zone_out: The agent's zone is taken out.
+      knowledge: What the balancer knows.
       cold_limit: Opening packets that a cold target of the agent's service may
         get within a second; None for no limit.
     """
-    knowledge: int
-    is_zone_out: bool
+    knowledge: Knowledge
     cold_limit: int | None
 
 
@@ -95,6 +125,7 @@
       busy: Requests in progress, averaged over about two seconds.
       flows: Open flows.
       slots: Requests that the target runs at once.
+      knowledge: The newest that the agent has heard from balancers.
     """
     tag: int
     target: str
@@ -103,6 +134,7 @@
     busy: float
     flows: int
     slots: int
+    knowledge: Knowledge
 
 
 Message = Carry | Held | NotHeld | Refused | Hello | Report
@@ -148,7 +180,12 @@
     if kind is None:
         raise errors.MessageError('decode', 'peer', 'unknown message type')
     try:
-        return kind(*msgpack.unpackb(data[1:]))
+        fields = msgpack.unpackb(data[1:], use_list=False)
+        if kind in (Hello, Report):
+            position = kind._fields.index('knowledge')
+            knowledge = Knowledge(*fields[position])
+            fields = (*fields[:position], knowledge, *fields[position + 1:])
+        return kind(*fields)
     except (ValueError, TypeError, msgpack.UnpackException) as exc:
         raise errors.MessageError('decode', 'peer',
                                   f'not a {kind.__name__}: {exc}') from exc
--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -18,8 +18,12 @@
 
 
 def _agent(is_first_start: bool = True) -> agent_module.Agent:
-    return agent_module.Agent(0, packets.TestFormat(), SERVICE, HEARTBEAT_MS,
-                              is_first_start)
+    return agent_module.Agent(0, packets.TestFormat(), ids.ZoneName('a'),
+                              SERVICE, HEARTBEAT_MS, is_first_start)
+
+
+def _knowledge(revision: int, *zones_out: str) -> messages.Knowledge:
+    return messages.Knowledge(1, revision, zones_out)
 
 
 def _beat(agent: agent_module.Agent,
@@ -88,20 +92,22 @@
 def test_zone_out_is_refused_by_the_newest_knowledge():
     agent = _agent()
     _beat(agent, 0)
-    agent.on_message(0, FRONT, messages.encode(messages.Hello(5, True, None)))
+    agent.on_message(0, FRONT,
+                     messages.encode(messages.Hello(_knowledge(5, 'a'), None)))
     agent.on_message(1, OTHER_FRONT,
-                     messages.encode(messages.Hello(4, False, None)))
+                     messages.encode(messages.Hello(_knowledge(4), None)))
     result = _carry(agent, 10, _opening())
     assert [m.reason for m in _sent(result)] == ['zone-out']
     agent.on_message(20, OTHER_FRONT,
-                     messages.encode(messages.Hello(6, False, None)))
+                     messages.encode(messages.Hello(_knowledge(6), None)))
     assert _delivered(_carry(agent, 30, _opening()))
 
 
 def test_cold_target_gets_at_most_the_limit_in_any_second():
     agent = _agent()
     _beat(agent, 0, warmup_left_ms=10_000)
-    agent.on_message(0, FRONT, messages.encode(messages.Hello(1, False, 8)))
+    agent.on_message(0, FRONT, messages.encode(messages.Hello(_knowledge(1),
+                                                              8)))
     arrived = [
         now_ms for now_ms in range(0, 5_000, 20)
         if _delivered(_carry(agent, now_ms, _opening(now_ms)))
@@ -260,6 +266,6 @@
     agent.on_target_packet(2_030, packets.build(0, KEY, 1001, 58, 100))
     _beat(agent, 6_000, sequence=2)
     agent.on_message(6_000, FRONT,
-                     messages.encode(messages.Hello(1, False, None)))
+                     messages.encode(messages.Hello(_knowledge(1), None)))
     report, = _sent(agent.on_tick(8_030))
     assert report.busy < 0.1
--- a/figdrum/flows/tests/test_placement.py
+++ b/figdrum/flows/tests/test_placement.py
@@ -28,7 +28,8 @@
 
 def _report(views: target_view.TargetViews, name: str, **changes) -> None:
     view = views.by_agent((name, 2))
-    report = messages.Report(TAG, '', READY.value, False, 0.0, 0, 1)
+    report = messages.Report(TAG, '', READY.value, False, 0.0, 0, 1,
+                             messages.NO_KNOWLEDGE)
     view.take_report(0, report._replace(**changes))
 
 
--- a/figdrum/flows/tests/world.py
+++ b/figdrum/flows/tests/world.py
@@ -122,6 +122,7 @@
         self.to_client: dict[bytes, list[tuple[int, bytes]]] = (
             collections.defaultdict(list))
         self.notes: list[actions.Note] = []
+        self.refreshes: list[ids.Address] = []
         self.silent: set[ids.Address] = set()
         self.cfg: routes.Configuration | None = None
         self._due: list[tuple[int, int, object]] = []
@@ -196,8 +197,8 @@
                     is_first_start: bool = False) -> None:
         """Starts the agent of a target, without the memory of an earlier one."""
         target = self.targets[address]
-        agent = agent_module.Agent(self.now_ms, self.format, target.service,
-                                   HEARTBEAT_MS, is_first_start)
+        agent = agent_module.Agent(self.now_ms, self.format, target.zone,
+                                   target.service, HEARTBEAT_MS, is_first_start)
         self.agents[address] = agent
         self._tick(address, agent)
 
@@ -292,6 +293,8 @@
                            lambda c=controller: self._wake(address, c))
             elif isinstance(action, actions.Note):
                 self.notes.append(action)
+            elif isinstance(action, actions.Refresh):
+                self.refreshes.append(address)
             elif isinstance(action, actions.Probe):
                 self._probe(address)
 
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -27,8 +27,8 @@
         super().__init__(*args)
         cfg = self.cfg.agent
         assert cfg is not None
-        self._agent = agent.Agent(self.clock.now_ms(),
-                                  self.around.packets, cfg.service,
+        self._agent = agent.Agent(self.clock.now_ms(), self.around.packets,
+                                  self.cfg.zone, cfg.service,
                                   int(cfg.heartbeat_ms), cfg.first_start)
         self._client_port = cfg.frames[1]
         self._frames = udp.UdpPort(self.loop, cfg.frames, self._on_frame)
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -86,19 +86,20 @@
             balancer.Bounds(cfg.cold_overage, cfg.cold_slack))
         self._frames = udp.UdpPort(self.loop, cfg.frames, self._on_frame)
         self._packets = udp.UdpPort(self.loop, cfg.packets, self._on_packet)
+        self._configuration = self._mirror(self.around.configuration_kind,
+                                           _ConfigurationObserver(self))
 
     def run(self) -> None:
         """Runs until the process is told to stop."""
         cfg = self.cfg.balancer
         assert cfg is not None
         self.serve_ready(cfg.ready, self._is_ready)
+        self._configuration.start()
         for kind, observer in (
-            (self.around.configuration_kind, _ConfigurationObserver(self)),
             (self.around.zones_out_kind, _ZonesOutObserver(self)),
             (registrations.KIND, _AgentObserver(self)),
         ):
-            mirror.Mirror(self.around.store, kind, observer, self.loop,
-                          self.log, self.rng).start()
+            self._mirror(kind, observer).start()
         self.start(cfg.packets[0])
         self.loop.run()
 
@@ -142,6 +143,10 @@
             self._stopping_ms = self.clock.now_ms()
             self.log.write('stopping')
 
+    def _mirror(self, kind: str, observer: mirror.Observer) -> mirror.Mirror:
+        return mirror.Mirror(self.around.store, kind, observer, self.loop,
+                             self.log, self.rng)
+
     def _end_when_quiet(self, now_ms: int) -> None:
         cfg = self.cfg.balancer
         assert cfg is not None and self._stopping_ms is not None
@@ -163,4 +168,8 @@
             self._balancer.on_message(self.clock.now_ms(), address, data))
 
     def _perform(self, result: actions.Actions) -> None:
-        self.perform(result, self._packets, self._frames, self._client_port)
+        rest = self.perform(result, self._packets, self._frames,
+                            self._client_port)
+        for action in rest:
+            if isinstance(action, actions.Refresh):
+                self._configuration.refresh()
--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -15,6 +15,10 @@
 FIRST_RETRY_MS = 100
 LONGEST_RETRY_MS = 800
 
+# Time between two refreshes beside the watch, in ms: other nodes report four
+# times a second what they know.
+REFRESH_PERIOD_MS = 500
+
 
 class Backoff:
     """Waits that double from failure to failure, with jitter.
@@ -75,6 +79,7 @@
         self._log = log
         self._backoff = Backoff(rng)
         self._is_connected = True
+        self._is_refreshing = False
         self.revision = -1
         self.names: dict[str, int] = {}
 
@@ -82,6 +87,24 @@
         """Reads the objects and goes on watching them."""
         self._store.list_all(self._kind, self._on_listing)
 
+    def refresh(self) -> None:
+        """Reads the objects beside the watch, unless that was done just now."""
+        if self._is_refreshing:
+            return
+        self._is_refreshing = True
+        self._log.write('refresh', kind=self._kind, revision=self.revision)
+        self._timers.call_later(REFRESH_PERIOD_MS, self._end_refresh)
+        self._store.list_all(self._kind, self._on_refreshed)
+
+    def _end_refresh(self) -> None:
+        self._is_refreshing = False
+
+    def _on_refreshed(self,
+                      result: object_store.Listing | errors.StoreError) -> None:
+        if not isinstance(result, errors.StoreError):
+            # Removals are left to the watch, which goes on from its revision.
+            self._apply(result.entries, (), self.revision)
+
     def _on_listing(self,
                     result: object_store.Listing | errors.StoreError) -> None:
         if isinstance(result, errors.StoreError):
@@ -115,7 +138,7 @@
     def _apply(self, changed: collections.abc.Iterable[object_store.Entry],
                removed: collections.abc.Iterable[str], revision: int) -> None:
         for entry in changed:
-            if self.names.get(entry.name) == entry.revision:
+            if self.names.get(entry.name, 0) >= entry.revision:
                 continue
             self.names[entry.name] = entry.revision
             if entry.value is None:
