Space agents' reports by the number of balancers

Change: an agent sends 25 reports a second in all, and says when the next comes; greetings come each 2.5 s; an agent that leaves a packet unanswered is passed over until it is heard.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -41,8 +41,34 @@
 # (`maxFlowS`). An agent that has run for so long has seen all open flows.
 FLOW_LIFETIME_MS = 60_000
 
-# A balancer that has sent nothing for this time, in ms, gets no reports.
-BALANCER_SILENCE_MS = 3_000
+# A balancer that has sent nothing for this time, in ms, gets no reports. It
+# greets the agent each 2.5 s.
+BALANCER_SILENCE_MS = 8_000
+
+# Shortest time between two reports to one balancer, in ms. It is half of the
+# time over which requests in progress are averaged, and half again.
+REPORT_MS = 250
+
+# Time in ms by which a tick may be early for a report.
+TICK_SLACK_MS = 25
+
+# Time between the reports of one agent, in ms: with more balancers, each gets
+# fewer. 25 reports of 90 bytes a second are 2.2 KB/s of the 5 KB/s for control.
+REPORT_SPACING_MS = 40
+
+
+class _Balancer:
+    """A balancer that wants reports.
+
+    Attributes:
+      heard_ms: When it was last heard.
+      report_ms: When it is to get the next report.
+    """
+    __slots__ = ('heard_ms', 'report_ms')
+
+    def __init__(self, now_ms: int):
+        self.heard_ms = now_ms
+        self.report_ms = now_ms
 
 
 class Agent:
@@ -65,7 +91,7 @@
         self._table = flow_table.FlowTable(now_ms)
         self._cold = cold_limit.ColdLimit()
         self._trials = trials_module.Trials()
-        self._balancers: dict[ids.Address, int] = {}
+        self._balancers: dict[ids.Address, _Balancer] = {}
         self._zone = zone
         self._knowledge = messages.NO_KNOWLEDGE
 
@@ -82,7 +108,7 @@
         except errors.MessageError as exc:
             return [actions.Note('unreadable message', {'reason': exc.reason})]
         if isinstance(message, messages.Carry):
-            self._balancers[origin] = now_ms
+            self._note_balancer(now_ms, origin)
             segment = self._packets.parse_client(message.raw)
             if segment is None:
                 return []
@@ -206,7 +232,7 @@
         return result
 
     def on_tick(self, now_ms: int) -> actions.Actions:
-        """Reports to the balancers; called each 250 ms."""
+        """Reports to balancers that are due; called each 250 ms."""
         result: actions.Actions = []
         if self.status.has_missed_heartbeats(now_ms):
             self.status.state = TargetState.DOWN
@@ -342,14 +368,17 @@
 
     def _on_hello(self, now_ms: int, origin: ids.Address,
                   hello: messages.Hello) -> actions.Actions:
-        is_new = origin not in self._balancers
-        self._balancers[origin] = now_ms
+        self._note_balancer(now_ms, origin)
         if hello.knowledge.version >= self._knowledge.version:
             self._cold.set_rate(hello.cold_limit)
         self._knowledge = messages.newest(self._knowledge, hello.knowledge)
-        if is_new:
-            return self._tell((origin,), self._make_report(now_ms))
-        return []
+        return self._report(now_ms)
+
+    def _note_balancer(self, now_ms: int, origin: ids.Address) -> None:
+        balancer = self._balancers.get(origin)
+        if balancer is None:
+            balancer = self._balancers[origin] = _Balancer(now_ms)
+        balancer.heard_ms = now_ms
 
     def _tell(self, origins: typing.Iterable[ids.Address],
               message: messages.Message) -> actions.Actions:
@@ -365,13 +394,22 @@
                                self.status.is_cold(now_ms),
                                round(self._table.meter.average(now_ms), 2),
                                len(self._table), self.status.slots,
-                               self._knowledge)
+                               self._report_period_ms(), self._knowledge)
+
+    def _report_period_ms(self) -> int:
+        return max(REPORT_MS, REPORT_SPACING_MS * len(self._balancers))
 
     def _report(self, now_ms: int) -> actions.Actions:
-        for origin, heard_ms in tuple(self._balancers.items()):
-            if now_ms - heard_ms > BALANCER_SILENCE_MS:
+        due: list[ids.Address] = []
+        period_ms = self._report_period_ms()
+        for origin, balancer in tuple(self._balancers.items()):
+            if now_ms - balancer.heard_ms > BALANCER_SILENCE_MS:
                 del self._balancers[origin]
-        return self._tell(self._balancers, self._make_report(now_ms))
+            elif balancer.report_ms <= now_ms:
+                # Ticks that come late must not delay the reports after them.
+                balancer.report_ms = now_ms + period_ms - TICK_SLACK_MS
+                due.append(origin)
+        return self._tell(due, self._make_report(now_ms)) if due else []
 
     def _announce(self, now_ms: int, cause: str) -> actions.Actions:
         note = actions.Note(
@@ -381,4 +419,6 @@
                 'cold': self.status.is_cold(now_ms),
                 'cause': cause
             })
+        for balancer in self._balancers.values():
+            balancer.report_ms = now_ms
         return [note, actions.Register()] + self._report(now_ms)
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -46,8 +46,8 @@
 # A flow without packets for this time, in ms, is forgotten (`maxFlowS` is 60).
 IDLE_MS = 65_000
 
-# Time in ms between greetings to each agent. An agent reports for 3 s after one.
-HELLO_MS = 1_000
+# Time in ms between greetings to each agent, which reports for 8 s after one.
+HELLO_MS = 2_500
 
 
 class _Flow:
@@ -235,7 +235,7 @@
             message = messages.decode(data)
         except errors.MessageError as exc:
             return [actions.Note('unreadable message', {'reason': exc.reason})]
-        view.heard_ms = now_ms
+        view.note_heard(now_ms)
         if isinstance(message, messages.Report):
             view.take_report(now_ms, message)
             return self._compare(now_ms, message.knowledge)
@@ -253,6 +253,9 @@
         for key, search in tuple(self._searches.items()):
             if now_ms - search.asked_ms >= ANSWER_MS and search.asked:
                 search.silent.append(search.asked[0])
+                view = self.targets.by_agent(search.asked)
+                if view is not None:
+                    view.note_unanswered(search.asked_ms)
                 search.is_certain = False
                 result += self._ask_next(now_ms, key, search)
         if self._searches:
@@ -278,6 +281,7 @@
             view = self.targets.by_agent(flow.agent)
             if view is not None:
                 flow.tried.add(view.name)
+                view.note_unanswered(flow.last_ms)
         return self._place(now_ms, route, segment, flow)
 
     def _place(self, now_ms: int, route: routes.Route,
--- a/figdrum/flows/messages.py
+++ b/figdrum/flows/messages.py
@@ -125,6 +125,7 @@
       busy: Requests in progress, averaged over about two seconds.
       flows: Open flows.
       slots: Requests that the target runs at once.
+      period_ms: Time until the next report, unless something changes.
       knowledge: The newest that the agent has heard from balancers.
     """
     tag: int
@@ -134,6 +135,7 @@
     busy: float
     flows: int
     slots: int
+    period_ms: int
     knowledge: Knowledge
 
 
--- a/figdrum/flows/target_view.py
+++ b/figdrum/flows/target_view.py
@@ -7,9 +7,12 @@
 from figdrum.flows import target as target_module
 from figdrum.routing import rendezvous
 
-# An agent that has not reported for this time, in ms, gets no new flows while
-# others do; reports come each 250 ms, so three were lost.
-SILENT_MS = 900
+# Reports that may be missing before an agent counts as silent and gets no new
+# flows while others do.
+MISSED_REPORTS = 3
+
+# Time in ms until an agent's first report is expected after a greeting.
+FIRST_REPORT_MS = 300
 
 # Requests in progress that a new flow adds until a report shows its own.
 OPENING_LOAD = 0.3
@@ -27,11 +30,12 @@
       registration: The entry in the store.
       report: Last report of the agent, or None.
       heard_ms: When the agent was last heard, or None.
+      is_unanswered: A packet went to the agent, and nothing came since.
       openings: Opening packets sent to it since the last report.
       tag: `service_tag` of its service.
     """
     __slots__ = ('name', 'registration', 'report', 'heard_ms', 'openings',
-                 'tag', 'asked_ms')
+                 'tag', 'asked_ms', 'is_unanswered')
 
     def __init__(self, name: str, registration: target_module.Registration,
                  now_ms: int):
@@ -42,6 +46,7 @@
         self.openings = 0
         self.tag = messages.service_tag(registration.service)
         self.asked_ms = now_ms
+        self.is_unanswered = False
 
     @property
     def agent(self) -> ids.Address:
@@ -52,13 +57,26 @@
         """Replaces the last report."""
         self.report = report
         self.tag = report.tag
-        self.heard_ms = now_ms
+        self.note_heard(now_ms)
         self.openings = 0
 
+    def note_heard(self, now_ms: int) -> None:
+        """Notes that something came from the agent."""
+        self.heard_ms = now_ms
+        self.is_unanswered = False
+
+    def note_unanswered(self, sent_ms: int) -> None:
+        """Notes that a packet of a time was not answered in time."""
+        if self.heard_ms is None or self.heard_ms < sent_ms:
+            self.is_unanswered = True
+
     def is_silent(self, now_ms: int) -> bool:
         """Returns whether the agent has not answered for some time."""
+        if self.is_unanswered:
+            return True
+        period_ms = self.report.period_ms if self.report else FIRST_REPORT_MS
         since_ms = self.heard_ms if self.heard_ms is not None else self.asked_ms
-        return now_ms - since_ms > SILENT_MS
+        return now_ms - since_ms > MISSED_REPORTS * period_ms
 
     def is_ready(self) -> bool:
         """Returns whether the target takes new flows by what is known."""
--- a/figdrum/flows/tests/test_placement.py
+++ b/figdrum/flows/tests/test_placement.py
@@ -28,7 +28,7 @@
 
 def _report(views: target_view.TargetViews, name: str, **changes) -> None:
     view = views.by_agent((name, 2))
-    report = messages.Report(TAG, '', READY.value, False, 0.0, 0, 1,
+    report = messages.Report(TAG, '', READY.value, False, 0.0, 0, 1, 250,
                              messages.NO_KNOWLEDGE)
     view.take_report(0, report._replace(**changes))
 
@@ -50,7 +50,7 @@
     _report(views, 't1', is_cold=True)
     _report(views, 't2')
     ordered = views.in_order(packets.flow_key(1), TAG)
-    now_ms = target_view.SILENT_MS + 1
+    now_ms = 3 * 300 + 1
     views.by_agent(('t1', 2)).heard_ms = now_ms
     views.by_agent(('t2', 2)).heard_ms = now_ms
     names = {v.name for v in placement.eligible(now_ms, ordered, (), ())}
--- /dev/null
+++ b/standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of the real balancers and agents under faults."""
--- /dev/null
+++ b/standins/soak/layout.py
@@ -0,0 +1,111 @@
+"""Addresses of a soak's machines on loopback, and their settings files."""
+
+import pathlib
+import re
+import typing
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+PACKET_PORT = 21_001
+READY_PORT = 21_002
+CONTROL_PORT = 21_003
+OUTBOUND_PORT = 21_004
+TARGET_PORT = 21_005
+INTERNAL_PORT = 21_006
+
+ZONES = ('a', 'b', 'c')
+
+# Bounds of the users' pages, in ms.
+DRAIN_MS = 3_000
+ZONE_OUT_MS = 5_000
+CONFIGURATION_MS = 3_000
+RECOVERY_MS = 12_000
+CONTACT_MS = 4_000
+HEARTBEAT_MS = 1_200
+GRACE_S = 6
+
+
+class Machine(typing.NamedTuple):
+    """A machine of the soak.
+
+    Attributes:
+      name: Its name.
+      role: 'balancer' or 'agent'.
+      zone: Its availability zone.
+      host: Its loopback address.
+      service: Service of its target, empty for a balancer.
+    """
+    name: str
+    role: str
+    zone: str
+    host: str
+    service: str
+
+
+def plan(network: int, balancers: int, by_service: dict[str, int],
+         zones: int) -> list[Machine]:
+    """Returns the machines of a soak.
+
+    Args:
+      network: Second number of all addresses, so that soaks can run at once.
+      balancers: Balancers in all zones.
+      by_service: Targets of each service.
+      zones: Zones in use.
+    """
+    machines = []
+    for number in range(balancers):
+        machines.append(
+            Machine(f'front-{number}', 'balancer', ZONES[number % zones],
+                    f'127.{network}.1.{number + 1}', ''))
+    number = 0
+    for service, count in by_service.items():
+        for _ in range(count):
+            machines.append(
+                Machine(f'side-{number}', 'agent', ZONES[number % zones],
+                        f'127.{network}.2.{number + 1}', service))
+            number += 1
+    return machines
+
+
+def settings_of(machine: Machine, store: str,
+                first_start: bool) -> dict[str, typing.Any]:
+    """Returns the platform's fields that the templates name."""
+    host = machine.host
+    return {
+        'nodeName': machine.name,
+        'zone': machine.zone,
+        'ip': host,
+        'service': machine.service,
+        'app': f'{host}:{TARGET_PORT}',
+        'heartbeatMs': HEARTBEAT_MS,
+        'bootstrap': first_start,
+        'internalPorts': [INTERNAL_PORT, INTERNAL_PORT + 1],
+        'listen': {
+            'datagramAddr': f'{host}:{PACKET_PORT}',
+            'ready': f'{host}:{READY_PORT}',
+            'control': f'{host}:{CONTROL_PORT}',
+            'outbound': f'{host}:{OUTBOUND_PORT}',
+        },
+        'platform': {
+            'address': store
+        },
+        'bounds': {
+            'graceS': GRACE_S,
+            'evacuateMs': ZONE_OUT_MS,
+            'warmupOverage': 1.5,
+            'warmupSlack': 5,
+        },
+    }
+
+
+def render(role: str, fields: dict[str, typing.Any]) -> str:
+    """Returns the role's settings file, as the platform fills its template."""
+
+    def value(match: re.Match) -> str:
+        found: typing.Any = fields
+        for name in match.group(1).split('.'):
+            found = found[int(name)] if name.isdigit() else found[name]
+        return str(found).lower() if isinstance(found, bool) else str(found)
+
+    template = (ROOT / 'platform' / f'{role}.ini').read_text()
+    return re.sub(r'\{\{([\w.]+)\}\}', value, template)
--- /dev/null
+++ b/standins/soak/ledger.py
@@ -0,0 +1,68 @@
+"""What callers and back ends have seen, and the promises it is held against."""
+
+import collections
+import typing
+
+from standins.soak import layout
+
+
+class Broken(typing.NamedTuple):
+    """A promise that was broken."""
+    rule: str
+    at_ms: int
+    what: str
+
+
+class Ledger:
+    """Collects observations; a broken promise is noted where it shows.
+
+    Attributes:
+      broken: Promises broken so far.
+      asked: Requests asked, by second.
+      served: Requests served, by the second in which they were asked.
+      runs: How often each unsafe request ran.
+      disturbed_ms: When each machine was disturbed last.
+    """
+
+    def __init__(self):
+        self.broken: list[Broken] = []
+        self.asked: collections.Counter[int] = collections.Counter()
+        self.served: collections.Counter[int] = collections.Counter()
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.disturbed_ms: dict[str, int] = {}
+        self.outcomes: collections.Counter[str] = collections.Counter()
+
+    def note_broken(self, rule: str, at_ms: int, what: str) -> None:
+        """Notes a broken promise."""
+        self.broken.append(Broken(rule, at_ms, what))
+
+    def disturb(self, name: str, until_ms: int) -> None:
+        """Notes that a machine is disturbed until a time."""
+        self.disturbed_ms[name] = max(until_ms, self.disturbed_ms.get(name, 0))
+
+    def is_calm(self, name: str, now_ms: int) -> bool:
+        """Returns whether a machine counts as in touch."""
+        return now_ms - self.disturbed_ms.get(
+            name, -layout.CONTACT_MS) >= layout.CONTACT_MS
+
+    def note_run(self, request: str, is_unsafe: bool, at_ms: int) -> None:
+        """Notes that a server begins to work on a request."""
+        self.runs[request] += 1
+        if is_unsafe and self.runs[request] > 1:
+            self.note_broken('run twice', at_ms, request)
+
+    def note_asked(self, at_ms: int) -> None:
+        """Notes that a client has a request."""
+        self.asked[at_ms // 1_000] += 1
+
+    def note_outcome(self, at_ms: int, outcome: str) -> None:
+        """Notes how a request asked at a time ended."""
+        self.outcomes[outcome] += 1
+        if outcome == 'served':
+            self.served[at_ms // 1_000] += 1
+
+    def served_share(self, from_ms: int, to_ms: int) -> float:
+        """Returns the share of the requests of a span that were served."""
+        seconds = range(from_ms // 1_000, to_ms // 1_000)
+        asked = sum(self.asked[s] for s in seconds)
+        return sum(self.served[s] for s in seconds) / asked if asked else 1.0
--- /dev/null
+++ b/standins/soak/store.py
@@ -0,0 +1,210 @@
+"""The platform's metadata store, with faults.
+
+It speaks the paths and bodies of the platform's page, written independently of
+the adapter.
+"""
+
+import json
+import random
+import typing
+import urllib.parse
+
+from twisted.internet import interfaces
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+
+ANSWER_S = 0.004
+
+
+class Faults(typing.NamedTuple):
+    """What is wrong with the store.
+
+    Attributes:
+      down: How it fails: '' (it works), 'busy', 'reset' or 'silent'.
+      refused: Hosts to which it is down; empty for all.
+      delay_s: Time until it answers.
+      lost: Share of the writes that are done and not answered.
+    """
+    down: str = ''
+    refused: frozenset[str] = frozenset()
+    delay_s: float = ANSWER_S
+    lost: float = 0.0
+
+
+class Store(resource.Resource):
+    """Objects by kind and name, with revisions and watches."""
+    isLeaf = True
+
+    def __init__(self, reactor: typing.Any, rng: random.Random):
+        super().__init__()
+        self._reactor = reactor
+        self._rng = rng
+        self._objects: dict[tuple[str, str], dict[str, typing.Any]] = {}
+        self._history: list[tuple[int, str, dict[str, typing.Any], bool]] = []
+        self._watches: list[tuple[str, int, server.Request]] = []
+        self._oldest = 0
+        self.revision = 1
+        self.faults = Faults()
+        self.calls = 0
+
+    def put(self, kind: str, name: str, spec: typing.Any) -> None:
+        """Stores an object, as the operator does."""
+        self._change(kind, name, spec, False)
+
+    def delete(self, kind: str, name: str) -> None:
+        """Removes an object, as the operator does."""
+        if (kind, name) in self._objects:
+            self._change(kind, name, None, True)
+
+    def names(self, kind: str) -> list[str]:
+        """Returns the names of all objects of a kind."""
+        return [name for its, name in self._objects if its == kind]
+
+    def compact(self) -> None:
+        """Forgets the history and cuts the watches."""
+        self._oldest = self.revision
+        self._history.clear()
+        self.cut()
+
+    def cut(self) -> None:
+        """Resets the connections of all waiting watches."""
+        watches, self._watches = self._watches, []
+        for _, _, req in watches:
+            _reset(req)
+
+    def render(self, request: server.Request) -> typing.Any:
+        """Answers a call, or fails as the present faults say."""
+        self.calls += 1
+        faults = self.faults
+        host = request.getClientAddress().host
+        request.notifyFinish().addErrback(lambda _: self._forget(request))
+        if faults.down and (not faults.refused or host in faults.refused):
+            if faults.down == 'busy':
+                request.setResponseCode(http.SERVICE_UNAVAILABLE)
+                return b''
+            if faults.down == 'reset':
+                _reset(request)
+        else:
+            self._reactor.callLater(faults.delay_s, self._answer, request)
+        return server.NOT_DONE_YET
+
+    def _answer(self, req: server.Request) -> None:
+        if req.channel is None:
+            return
+        parts = req.path.decode().split('/')[3:]
+        method = req.method.decode()
+        if method == 'GET':
+            if b'watch' in req.args:
+                self._watch(parts[0], int(req.args[b'watch'][0]), req)
+            elif len(parts) == 1:
+                items = [
+                    item for (kind, _), item in self._objects.items()
+                    if kind == parts[0]
+                ]
+                self._send(
+                    req, 200, {
+                        'items': items,
+                        'hasMore': False,
+                        'storeRevision': self.revision
+                    })
+            else:
+                item = self._objects.get((parts[0], _unquote(parts[1])))
+                self._send(req, 200 if item else 404, item or {})
+            return
+        is_lost = self._rng.random() < self.faults.lost
+        status, item = self._write(method, parts, req)
+        if is_lost:
+            _reset(req)
+        else:
+            self._send(req, status, item)
+
+    def _write(self, method: str, parts: list[str],
+               req: server.Request) -> tuple[int, typing.Any]:
+        kind = parts[0]
+        if method == 'DELETE':
+            item = self._objects.get((kind, _unquote(parts[1])))
+            if item is None:
+                return 404, {}
+            if item['meta']['revision'] != int(req.args[b'revision'][0]):
+                return 409, item
+            self._change(kind, _unquote(parts[1]), None, True)
+            return 200, item
+        body = json.loads(req.content.read())
+        name = _unquote(parts[1]) if method == 'PUT' else body['meta']['name']
+        item = self._objects.get((kind, name))
+        if method == 'POST':
+            if item is not None:
+                return 409, item
+        elif item is None:
+            return 404, {}
+        elif body['meta'].get('revision') != item['meta']['revision']:
+            return 409, item
+        if item is None or item['spec'] != body['spec']:
+            self._change(kind, name, body['spec'], False)
+        return 200, self._objects[kind, name]
+
+    def _change(self, kind: str, name: str, spec: typing.Any,
+                removed: bool) -> None:
+        self.revision += 1
+        if removed:
+            item = self._objects.pop((kind, name))
+        else:
+            item = {
+                'meta': {
+                    'name': name,
+                    'revision': self.revision
+                },
+                'spec': spec
+            }
+            self._objects[kind, name] = item
+        self._history.append((self.revision, kind, item, removed))
+        watches, self._watches = self._watches, []
+        for its, since, req in watches:
+            self._watch(its, since, req)
+
+    def _watch(self, kind: str, since: int, req: server.Request) -> None:
+        if since < self._oldest:
+            self._send(req, 410, {})
+            return
+        events = [{
+            'object': item,
+            'removed': removed
+        }
+                  for revision, its, item, removed in self._history
+                  if its == kind and revision > since]
+        if events:
+            self._send(req, 200, {
+                'events': events,
+                'storeRevision': self.revision
+            })
+        else:
+            self._watches.append((kind, since, req))
+
+    def _forget(self, req: server.Request) -> None:
+        self._watches = [w for w in self._watches if w[2] is not req]
+
+    def _send(self, req: server.Request, status: int, body: typing.Any) -> None:
+        if req.channel is None:
+            return
+        req.setResponseCode(status)
+        req.setHeader(b'Content-Type', b'application/json')
+        req.write(json.dumps(body).encode())
+        req.finish()
+
+
+def _unquote(name: str) -> str:
+    return urllib.parse.unquote(name)
+
+
+def _reset(req: server.Request) -> None:
+    if req.channel is not None:
+        transport = req.channel.transport
+        if interfaces.ITCPTransport.providedBy(transport):
+            transport.abortConnection()
+
+
+def listen(reactor: typing.Any, store: Store, host: str) -> int:
+    """Serves the store at a port of the kernel's choice; returns the port."""
+    return reactor.listenTCP(0, server.Site(store),
+                             interface=host).getHost().port
