Ask agents about a flow by a small question, four first and then all

Change: Search asks by key and acknowledgement, and hands over the packet only to agents that cannot tell; registrations are collected for 1 s, versions for 0.25 s between watches. Test: the doctest of Search and the tests of the owner search.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -115,6 +115,9 @@
             if segment.is_opening:
                 return self._on_opening(now_ms, origin, message.tag, segment)
             return self._on_client(now_ms, origin, message.asks, segment)
+        if isinstance(message, messages.Ask):
+            self._note_balancer(now_ms, origin)
+            return self._on_ask(now_ms, origin, message)
         if isinstance(message, messages.Hello):
             return self._on_hello(now_ms, origin, message)
         return []
@@ -208,6 +211,8 @@
         if self.status.state is TargetState.DOWN and not self.flows:
             return []
         self.status.state = TargetState.DOWN
+        # No process holds flows, and those of the next one pass here.
+        self._complete_since_ms = now_ms - FLOW_LIFETIME_MS
         return (self._announce(now_ms, 'target gone') +
                 self._end_flows(now_ms, now_ms, 'target gone'))
 
@@ -271,22 +276,41 @@
         key = segment.key
         flow = self._table.get(key)
         if flow is not None and flow.target == self.status.identity:
-            if not flow.acknowledges(segment):
+            if not flow.acknowledges(segment.ack):
                 return self._tell((origin,), messages.NotHeld(key, False))
             self._table.note_client(now_ms, flow, segment)
             result: actions.Actions = [actions.ToTarget(segment.raw)]
             if asks:
                 result += self._tell((origin,), messages.Held(key))
             return result
-        ended = self._trials.denial(now_ms, key)
-        if ended is None and flow is None and self._remembers_all(now_ms):
-            ended = False
+        ended = self._denied(now_ms, key)
         if ended is not None:
             return self._tell((origin,), messages.NotHeld(key, ended))
         if self._trials.start(now_ms, key, False, segment.raw, origin):
             return [actions.ToTarget(segment.raw), actions.Wake(TRIAL_MS)]
         return []
 
+    def _on_ask(self, now_ms: int, origin: ids.Address,
+                ask: messages.Ask) -> actions.Actions:
+        flow = self._table.get(ask.key)
+        answer: messages.Message = messages.Unsure(ask.key)
+        if flow is not None and flow.target == self.status.identity:
+            answer = (messages.Held(ask.key) if flow.acknowledges(ask.ack) else
+                      messages.NotHeld(ask.key, False))
+        else:
+            ended = self._denied(now_ms, ask.key)
+            if ended is not None:
+                answer = messages.NotHeld(ask.key, ended)
+        return self._tell((origin,), answer)
+
+    def _denied(self, now_ms: int, key: bytes) -> bool | None:
+        """Returns whether a flow that is not held had ended, or None."""
+        ended = self._trials.denial(now_ms, key)
+        if (ended is None and self._table.get(key) is None and
+                self._remembers_all(now_ms)):
+            return False
+        return ended
+
     def _confirm(self, key: bytes,
                  trial: trials_module.Trial) -> actions.Actions:
         result: actions.Actions = [
@@ -326,6 +350,7 @@
                         last_heartbeat_ms: int | None) -> actions.Actions:
         note = actions.Note('target started', {
             'target': self.status.identity,
+            'sequence': self.status.sequence,
             'before': before
         })
         if before and last_heartbeat_ms is not None:
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -5,8 +5,8 @@
 
 An opening packet goes to the target that `placement` chooses. Later packets go
 to the agent that is known to hold the flow. If none is known, the balancer asks
-agents one after the other, in the flow's rendezvous order, by handing them the
-packet; further packets of the flow wait for the outcome.
+agents, in the flow's rendezvous order; further packets of the flow wait for the
+outcome.
 """
 
 import typing
@@ -18,17 +18,11 @@
 from figdrum.flows import messages
 from figdrum.flows import placement
 from figdrum.flows import routes
+from figdrum.flows import search as search_module
 from figdrum.flows import segment as segment_module
 from figdrum.flows import target as target_module
 from figdrum.flows import target_view
 
-# Time in ms in which an agent answers a question about a flow: it may try its
-# target for 15 ms first, and both processes may be waiting for their core.
-ANSWER_MS = 40
-
-# Packets of one flow that wait for a search; an end has 16 in flight at most.
-WAITING_PACKETS = 16
-
 # Searches at one time; packets beyond are dropped, and clients retransmit.
 MAX_SEARCHES = 512
 
@@ -66,36 +60,6 @@
         self.tried: set[str] = set()
 
 
-class _Search:
-    """A question about a flow's owner that goes from agent to agent.
-
-    Attributes:
-      candidates: Agents that are still to be asked.
-      asked: The agent that is being asked.
-      asked_ms: When it was asked.
-      question: The packet that is handed to the agents.
-      tag: Service of the flow, for `Carry`.
-      waiting: Later packets of the flow.
-      is_certain: Every agent so far has denied the flow.
-      silent: Hosts of agents that did not answer.
-    """
-    __slots__ = ('candidates', 'asked', 'asked_ms', 'question', 'tag',
-                 'waiting', 'is_certain', 'started_ms', 'steps', 'silent')
-
-    def __init__(self, now_ms: int, candidates: list[ids.Address],
-                 question: segment_module.Segment, tag: int):
-        self.candidates = candidates
-        self.asked: ids.Address | None = None
-        self.asked_ms = now_ms
-        self.started_ms = now_ms
-        self.steps = 0
-        self.question = question
-        self.tag = tag
-        self.waiting: list[bytes] = []
-        self.is_certain = True
-        self.silent: list[str] = []
-
-
 class Bounds(typing.NamedTuple):
     """Bounds that the platform sets.
 
@@ -124,7 +88,7 @@
         self._knowledge = -1
         self._flows: dict[bytes, _Flow] = {}
         self._ended: dict[bytes, int] = {}
-        self._searches: dict[bytes, _Search] = {}
+        self._searches: dict[bytes, search_module.Search] = {}
         self._greeted_ms = now_ms - HELLO_MS
         self.targets = target_view.TargetViews()
 
@@ -243,23 +207,24 @@
             return self._on_held(now_ms, origin, message.key)
         if isinstance(message, messages.NotHeld):
             return self._on_not_held(now_ms, origin, message)
+        if isinstance(message, messages.Unsure):
+            return self._on_unsure(now_ms, origin, message.key)
         if isinstance(message, messages.Refused):
             return self._on_refused(now_ms, view, message)
         return []
 
     def on_due(self, now_ms: int) -> actions.Actions:
-        """Goes on with searches whose agent has not answered in time."""
+        """Goes on with searches whose agents have not answered in time."""
         result: actions.Actions = []
         for key, search in tuple(self._searches.items()):
-            if now_ms - search.asked_ms >= ANSWER_MS and search.asked:
-                search.silent.append(search.asked[0])
-                view = self.targets.by_agent(search.asked)
+            search.on_time(now_ms)
+            for agent in search.silent:
+                view = self.targets.by_agent(agent)
                 if view is not None:
-                    view.note_unanswered(search.asked_ms)
-                search.is_certain = False
-                result += self._ask_next(now_ms, key, search)
+                    view.note_unanswered(search.started_ms)
+            result += self._go_on(now_ms, key, search)
         if self._searches:
-            result.append(actions.Wake(ANSWER_MS))
+            result.append(actions.Wake(search_module.ANSWER_MS))
         return result
 
     def on_tick(self, now_ms: int) -> actions.Actions:
@@ -338,8 +303,7 @@
                   segment: segment_module.Segment) -> actions.Actions:
         search = self._searches.get(segment.key)
         if search is not None:
-            if len(search.waiting) < WAITING_PACKETS:
-                search.waiting.append(segment.raw)
+            search.hold(segment.raw)
             return []
         if len(self._searches) >= MAX_SEARCHES:
             return []
@@ -348,36 +312,36 @@
         answering = [v.agent for v in ordered if not v.is_silent(now_ms)]
         silent = [v.agent for v in ordered if v.is_silent(now_ms)]
         tag = messages.service_tag(routes.pick_service(route, segment.key))
-        search = _Search(now_ms, answering + silent, segment, tag)
+        search = search_module.Search(now_ms, answering + silent, segment.raw,
+                                      segment.ack, tag)
         self._searches[segment.key] = search
-        return self._ask_next(now_ms, segment.key,
-                              search) + [actions.Wake(ANSWER_MS)]
-
-    def _ask_next(self, now_ms: int, key: bytes,
-                  search: _Search) -> actions.Actions:
-        if not search.candidates:
-            return self._give_up(now_ms, key, search)
-        search.asked = search.candidates.pop(0)
-        search.asked_ms = now_ms
-        search.steps += 1
-        data = messages.encode_carry(search.tag, True, search.question.raw)
-        return [actions.ToPeer(search.asked, data)]
-
-    def _give_up(self, now_ms: int, key: bytes,
-                 search: _Search) -> actions.Actions:
+        return self._go_on(now_ms, segment.key,
+                           search) + [actions.Wake(search_module.ANSWER_MS)]
+
+    def _go_on(self, now_ms: int, key: bytes,
+               search: search_module.Search) -> actions.Actions:
+        result: actions.Actions = []
+        for step in search.steps(now_ms):
+            if isinstance(step, search_module.Question):
+                data = messages.encode(messages.Ask(key, search.ack))
+            else:
+                data = messages.encode_carry(search.tag, True, search.raw)
+            result.append(actions.ToPeer(step.agent, data))
+        if search.verdict is search_module.Verdict.OPEN:
+            return result
         del self._searches[key]
-        note = actions.Note(
-            'owner not found', {
-                'flow': self._packets.describe(key),
-                'asked': search.steps,
-                'certain': search.is_certain,
-                'silent': search.silent,
-                'ms': now_ms - search.started_ms
-            })
-        if not search.is_certain or not search.steps:
-            return [note]
-        self._ended[key] = now_ms + ENDED_MS
-        return [note] + self._reset(key, search.question.ack, 'no owner')
+        result.append(
+            actions.Note(
+                'owner not found', {
+                    'flow': self._packets.describe(key),
+                    'asked': search.asked,
+                    'silent': [agent[0] for agent in search.silent],
+                    'ms': now_ms - search.started_ms
+                }))
+        if search.verdict is search_module.Verdict.NO_OWNER:
+            self._ended[key] = now_ms + ENDED_MS
+            result += self._reset(key, search.ack, 'no owner')
+        return result
 
     def _on_held(self, now_ms: int, origin: ids.Address,
                  key: bytes) -> actions.Actions:
@@ -393,14 +357,16 @@
             'owner found', {
                 'flow': self._packets.describe(key),
                 'agent': origin[0],
-                'asked': search.steps,
+                'asked': search.asked,
                 'ms': now_ms - search.started_ms
             })
-        result: actions.Actions = [note]
-        for raw in search.waiting:
-            data = messages.encode_carry(search.tag, False, raw)
-            result.append(actions.ToPeer(origin, data))
-        return result
+        packets = search.waiting
+        if not search.has_handed_to(origin):
+            packets = [search.raw] + packets
+        return [note] + [
+            actions.ToPeer(origin, messages.encode_carry(
+                search.tag, False, raw)) for raw in packets
+        ]
 
     def _on_not_held(self, now_ms: int, origin: ids.Address,
                      message: messages.NotHeld) -> actions.Actions:
@@ -412,18 +378,25 @@
                 return []
             self._flows.pop(key, None)
             self._searches.pop(key, None)
-            ack = search.question.ack if search else 0
+            self._ended[key] = now_ms + ENDED_MS
             if search is None:
-                # The reset needs the client's next acknowledgement.
-                self._ended[key] = now_ms + ENDED_MS
+                # The next packet has the acknowledgement that a reset needs.
                 return []
-            self._ended[key] = now_ms + ENDED_MS
-            return self._reset(key, ack, 'owner ended')
+            return self._reset(key, search.ack, 'owner ended')
         if flow is not None and flow.agent == origin:
             del self._flows[key]
-        if search is not None and search.asked == origin:
-            return self._ask_next(now_ms, key, search)
-        return []
+        if search is None:
+            return []
+        search.on_denied(origin)
+        return self._go_on(now_ms, key, search)
+
+    def _on_unsure(self, now_ms: int, origin: ids.Address,
+                   key: bytes) -> actions.Actions:
+        search = self._searches.get(key)
+        if search is None:
+            return []
+        search.on_unsure(origin)
+        return self._go_on(now_ms, key, search)
 
     def _carry(self, agent: ids.Address, route: routes.Route,
                segment: segment_module.Segment, asks: bool) -> actions.ToPeer:
--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -56,8 +56,8 @@
         """Whether both ends have closed the flow."""
         return self.client_closed and self.server_closed
 
-    def acknowledges(self, segment: segment_module.Segment) -> bool:
-        """Returns whether a client's packet can belong to this flow.
+    def acknowledges(self, ack: int) -> bool:
+        """Returns whether a client's acknowledgement can be of this flow.
 
         The client acknowledges the sequence numbers of the server at which
         the flow opened, so a packet that acknowledges others is for another
@@ -66,7 +66,7 @@
         if self.server_first is None:
             return True
         sent = (self.server_next - self.server_first) % (1 << 32)
-        return 0 < (segment.ack - self.server_first) % (1 << 32) <= sent
+        return 0 < (ack - self.server_first) % (1 << 32) <= sent
 
 
 class FlowTable:
--- a/figdrum/flows/messages.py
+++ b/figdrum/flows/messages.py
@@ -38,6 +38,26 @@
     raw: bytes
 
 
+class Ask(typing.NamedTuple):
+    """Does the agent's target hold a flow?
+
+    Attributes:
+      key: Key of the flow.
+      ack: The client's last acknowledgement.
+    """
+    key: bytes
+    ack: int
+
+
+class Unsure(typing.NamedTuple):
+    """The agent cannot tell whether its target holds the flow.
+
+    Attributes:
+      key: Key of the flow.
+    """
+    key: bytes
+
+
 class Held(typing.NamedTuple):
     """The agent's target holds the flow.
 
@@ -139,7 +159,7 @@
     knowledge: Knowledge
 
 
-Message = Carry | Held | NotHeld | Refused | Hello | Report
+Message = Carry | Ask | Unsure | Held | NotHeld | Refused | Hello | Report
 
 _CARRY = struct.Struct('!BBI')
 _CARRY_TYPE = 1
@@ -148,7 +168,9 @@
     3: NotHeld,
     4: Refused,
     5: Hello,
-    6: Report
+    6: Report,
+    7: Ask,
+    8: Unsure
 }
 _CODES = {kind: code for code, kind in _TYPES.items()}
 
--- /dev/null
+++ b/figdrum/flows/search.py
@@ -0,0 +1,146 @@
+"""The search for the target that holds an open flow.
+
+Explanation
+===========
+
+The agents of the flow's first candidates are asked at the same time, then all
+others. A question is small. An agent that knows answers at once; one that has
+lost its memory cannot tell, and is handed the packet, so that its target
+answers. Targets are tried one after the other, since a flow's packets should
+not reach many servers that do not hold it.
+
+Examples
+========
+
+>>> search = Search(0, [('a', 1), ('b', 1)], b'packet', 9, 1)
+>>> search.steps(0)
+[Question(agent=('a', 1)), Question(agent=('b', 1))]
+>>> search.on_unsure(('a', 1)); search.on_denied(('b', 1))
+>>> search.steps(1)
+[Attempt(agent=('a', 1))]
+>>> search.on_denied(('a', 1))
+>>> search.steps(2), search.verdict
+([], <Verdict.NO_OWNER: 'no owner'>)
+"""
+
+import collections
+import enum
+import typing
+
+from figdrum.core import ids
+
+# Agents that are asked first: a flow's candidates at its opening, and one for a
+# candidate that took no new flows then.
+FIRST_ASKED = 4
+
+# Targets that are tried one by one; further ones are tried together, when the
+# flow is probably not held by any.
+TRIED_SINGLY = 8
+
+# Time in ms in which an agent answers: it may try its target for 15 ms, and
+# both processes may be waiting for their core.
+ANSWER_MS = 40
+
+# Packets of one flow that wait for a search; an end has 16 in flight at most.
+WAITING_PACKETS = 16
+
+
+class Verdict(enum.Enum):
+    """What a search has found so far."""
+    OPEN = 'open'
+    NO_OWNER = 'no owner'
+    UNKNOWN = 'unknown'
+
+
+class Question(typing.NamedTuple):
+    """Ask an agent whether its target holds the flow."""
+    agent: ids.Address
+
+
+class Attempt(typing.NamedTuple):
+    """Hand the packet to an agent that cannot tell."""
+    agent: ids.Address
+
+
+class Search:
+    """A question about one flow.
+
+    Attributes:
+      started_ms: When the search began.
+      raw: The packet that started it.
+      ack: The client's acknowledgement in that packet.
+      tag: Service of the flow's route, for `Carry`.
+      waiting: Later packets of the flow.
+      silent: Agents that did not answer in time.
+      asked: Agents asked so far.
+      verdict: What has been found.
+    """
+
+    def __init__(self, now_ms: int, order: list[ids.Address], raw: bytes,
+                 ack: int, tag: int):
+        self.started_ms = now_ms
+        self.raw = raw
+        self.ack = ack
+        self.tag = tag
+        self.waiting: list[bytes] = []
+        self.silent: list[ids.Address] = []
+        self.asked = 0
+        self.verdict = Verdict.OPEN
+        self._remaining = order
+        self._pending: dict[ids.Address, int] = {}
+        self._unsure: collections.deque[ids.Address] = collections.deque()
+        self._tried: set[ids.Address] = set()
+
+    def hold(self, raw: bytes) -> None:
+        """Keeps a later packet of the flow, if there is room."""
+        if len(self.waiting) < WAITING_PACKETS:
+            self.waiting.append(raw)
+
+    def on_denied(self, agent: ids.Address) -> None:
+        """Notes that an agent's target does not hold the flow."""
+        self._pending.pop(agent, None)
+
+    def on_unsure(self, agent: ids.Address) -> None:
+        """Notes that an agent cannot tell."""
+        if self._pending.pop(agent, None) is not None:
+            self._unsure.append(agent)
+
+    def on_time(self, now_ms: int) -> None:
+        """Notes agents that have not answered in time."""
+        for agent, asked_ms in tuple(self._pending.items()):
+            if now_ms - asked_ms >= ANSWER_MS:
+                del self._pending[agent]
+                self.silent.append(agent)
+
+    def steps(self, now_ms: int) -> list[Question | Attempt]:
+        """Returns what to do next; none while answers are awaited."""
+        if self._pending:
+            return []
+        if self._unsure:
+            count = 1
+            if len(self._tried) >= TRIED_SINGLY:
+                count = len(self._unsure)
+            return [
+                self._begin(now_ms, Attempt(self._unsure.popleft()))
+                for _ in range(count)
+            ]
+        if self._remaining:
+            count = len(self._remaining) if self.asked else FIRST_ASKED
+            batch = self._remaining[:count]
+            self._remaining = self._remaining[count:]
+            self.asked += len(batch)
+            return [self._begin(now_ms, Question(agent)) for agent in batch]
+        self.verdict = (Verdict.UNKNOWN
+                        if self.silent or not self.asked else Verdict.NO_OWNER)
+        return []
+
+    def has_handed_to(self, agent: ids.Address) -> bool:
+        """Returns whether an agent has the packet that started the search."""
+        return agent in self._tried
+
+    def _begin(self, now_ms: int,
+               step: Question | Attempt) -> Question | Attempt:
+        if isinstance(step, Attempt):
+            self._tried.add(step.agent)
+        self._pending[step.agent] = now_ms
+        return step
--- a/figdrum/flows/target_status.py
+++ b/figdrum/flows/target_status.py
@@ -48,6 +48,7 @@
       identity: Identity of the incarnation, empty if unknown.
       state: Whether the target takes new flows.
       slots: Requests that it runs at once.
+      sequence: Number of the incarnation's last heartbeat, or -1.
       heartbeat_ms: When the last heartbeat of this incarnation came, or None.
       heard_ms: When the target was last heard in any way, or None.
     """
@@ -61,14 +62,14 @@
         self.heard_ms: int | None = None
         self._silence_ms = MISSED_HEARTBEATS * heartbeat_period_ms
         self._born_ms = 0
-        self._sequence = -1
+        self.sequence = -1
         self._cold_until_ms: int | None = None
         self._probed_ms: int | None = None
 
     def is_stale(self, born_ms: int, heartbeat: target.Heartbeat) -> bool:
         """Returns whether a heartbeat was overtaken by a later one."""
         if identity_of(heartbeat.target, born_ms) == self.identity:
-            return heartbeat.sequence < self._sequence
+            return heartbeat.sequence < self.sequence
         return born_ms < self._born_ms
 
     def take_heartbeat(self, now_ms: int, born_ms: int,
@@ -81,7 +82,7 @@
         before = (self.identity, self.state, self.is_cold(now_ms))
         self.identity = identity_of(heartbeat.target, born_ms)
         self._born_ms = born_ms
-        self._sequence = heartbeat.sequence
+        self.sequence = heartbeat.sequence
         self.slots = max(1, heartbeat.slots)
         self.heartbeat_ms = self.heard_ms = now_ms
         self._cold_until_ms = now_ms + heartbeat.warmup_left_ms
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -19,6 +19,14 @@
 # A stopping balancer ends once no packet has come for this time, in ms.
 QUIET_MS = 300
 
+# Time in ms for which changes of the configuration are collected before the next
+# watch. A version is to be in force within 3 s (`configApplyMs`).
+CONFIGURATION_PAUSE_MS = 250
+
+# Time in ms for which registrations are collected. A new target takes flows
+# later by this; states of known targets come with reports.
+REGISTRATION_PAUSE_MS = 1_000
+
 # Part of the time to stop after which a balancer ends in any case.
 STOP_SHARE = 0.8
 
@@ -87,7 +95,8 @@
         self._frames = udp.UdpPort(self.loop, cfg.frames, self._on_frame)
         self._packets = udp.UdpPort(self.loop, cfg.packets, self._on_packet)
         self._configuration = self._mirror(self.around.configuration_kind,
-                                           _ConfigurationObserver(self))
+                                           _ConfigurationObserver(self),
+                                           CONFIGURATION_PAUSE_MS)
 
     def run(self) -> None:
         """Runs until the process is told to stop."""
@@ -95,11 +104,10 @@
         assert cfg is not None
         self.serve_ready(cfg.ready, self._is_ready)
         self._configuration.start()
-        for kind, observer in (
-            (self.around.zones_out_kind, _ZonesOutObserver(self)),
-            (registrations.KIND, _AgentObserver(self)),
-        ):
-            self._mirror(kind, observer).start()
+        self._mirror(self.around.zones_out_kind, _ZonesOutObserver(self),
+                     0).start()
+        self._mirror(registrations.KIND, _AgentObserver(self),
+                     REGISTRATION_PAUSE_MS).start()
         self.start(cfg.packets[0])
         self.loop.run()
 
@@ -143,9 +151,10 @@
             self._stopping_ms = self.clock.now_ms()
             self.log.write('stopping')
 
-    def _mirror(self, kind: str, observer: mirror.Observer) -> mirror.Mirror:
+    def _mirror(self, kind: str, observer: mirror.Observer,
+                pause_ms: int) -> mirror.Mirror:
         return mirror.Mirror(self.around.store, kind, observer, self.loop,
-                             self.log, self.rng)
+                             self.log, self.rng, pause_ms)
 
     def _end_when_quiet(self, now_ms: int) -> None:
         cfg = self.cfg.balancer
--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -64,6 +64,8 @@
 class Mirror:
     """Lists a kind, watches it and lists again where history was lost.
 
+    After a change, the next watch begins after `pause_ms`.
+
     Attributes:
       revision: Revision up to which the copy is complete, or -1.
       names: Names of the objects in the copy, with their revisions.
@@ -71,9 +73,10 @@
 
     def __init__(self, store: object_store.ObjectStore, kind: str,
                  observer: Observer, timers: ports.Timers,
-                 log: event_log.EventLog, rng: random.Random):
+                 log: event_log.EventLog, rng: random.Random, pause_ms: int):
         self._store = store
         self._kind = kind
+        self._pause_ms = pause_ms
         self._observer = observer
         self._timers = timers
         self._log = log
@@ -133,7 +136,8 @@
             return
         self._note_contact()
         self._apply(result.changed, result.removed, result.revision)
-        self._watch()
+        # Changes that come close together arrive with one call.
+        self._timers.call_later(self._pause_ms, self._watch)
 
     def _apply(self, changed: collections.abc.Iterable[object_store.Entry],
                removed: collections.abc.Iterable[str], revision: int) -> None:
--- a/figdrum/registry/tests/test_mirror.py
+++ b/figdrum/registry/tests/test_mirror.py
@@ -37,7 +37,7 @@
         self.lines = []
         log = event_log.EventLog('node', clock.ManualClock(), self.lines.append)
         self.mirror = mirror.Mirror(self.store, 'config', self.recorder,
-                                    self.timers, log, random.Random(1))
+                                    self.timers, log, random.Random(1), 0)
 
 
 @pytest.fixture(name='case')
@@ -48,9 +48,12 @@
 def test_changes_arrive_in_order(case):
     case.store.put('config', 'main', 1)
     case.mirror.start()
+    case.timers.advance(1)
     case.store.put('config', 'main', 2)
     case.store.put('other', 'main', 9)
+    case.timers.advance(1)
     case.store.delete('config', 'main')
+    case.timers.advance(1)
     assert case.recorder.seen == [('main', 1), ('main', 2)]
     assert not case.recorder.values
 
