Let agents know that they have seen all flows of a new target

Change: a target that warms up gets flows only once the store names it, so an agent that finds another target named there knows that it has seen all flows. Test: test_flows_lost_with_all_machines_are_reset_without_trying_targets, test_searches_of_many_flows_share_their_questions and those of the agent.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -93,6 +93,8 @@
         self._trials = trials_module.Trials()
         self._balancers: dict[ids.Address, _Balancer] = {}
         self._zone = zone
+        self._predecessor: str | None = None
+        self._registered = ''
         self._knowledge = messages.NO_KNOWLEDGE
 
     @property
@@ -169,6 +171,39 @@
         self.status.state = TargetState.DOWN
         return self._announce(now_ms, 'leave')
 
+    def on_predecessor(self, now_ms: int, identity: str) -> None:
+        """Takes the target that the store names, before this agent writes.
+
+        Explanation
+        ===========
+
+        An agent admits flows to a target that is warming up only once the store
+        names it. So if the store names another one while the target is still
+        warming up, no earlier process has admitted flows to it, and this one
+        has seen them all.
+
+        Args:
+          now_ms: Time.
+          identity: Identity that the store names, empty for none.
+        """
+        self._predecessor = self._registered = identity
+        self._judge_memory(now_ms)
+
+    def on_registered(self, identity: str) -> None:
+        """Notes that the store names an incarnation of the target."""
+        self._registered = identity
+
+    def _judge_memory(self, now_ms: int) -> None:
+        status = self.status
+        if (self._predecessor is not None and status.identity and
+                status.identity != self._predecessor and
+                status.is_warming_up(now_ms)):
+            self._complete_since_ms = now_ms - FLOW_LIFETIME_MS
+
+    def _is_admitted(self, now_ms: int) -> bool:
+        return (self._registered == self.status.identity or
+                not self.status.is_warming_up(now_ms))
+
     def on_registration(self, now_ms: int,
                         registration: target_module.Registration,
                         healthy_target: str) -> actions.Actions:
@@ -260,6 +295,8 @@
             return Reason.OTHER_SERVICE
         if self.status.state is not TargetState.READY:
             return Reason.NOT_READY
+        if not self._is_admitted(now_ms):
+            return Reason.NOT_REGISTERED
         if self._zone in self._knowledge.zones_out:
             return Reason.ZONE_OUT
         if self.status.is_cold(now_ms) and not self._cold.take(now_ms):
@@ -292,16 +329,26 @@
 
     def _on_ask(self, now_ms: int, origin: ids.Address,
                 ask: messages.Ask) -> actions.Actions:
-        flow = self._table.get(ask.key)
-        answer: messages.Message = messages.Unsure(ask.key)
-        if flow is not None and flow.target == self.status.identity:
-            answer = (messages.Held(ask.key) if flow.acknowledges(ask.ack) else
-                      messages.NotHeld(ask.key, False))
-        else:
-            ended = self._denied(now_ms, ask.key)
-            if ended is not None:
-                answer = messages.NotHeld(ask.key, ended)
-        return self._tell((origin,), answer)
+        result: actions.Actions = []
+        not_held: list[bytes] = []
+        unsure: list[bytes] = []
+        for key, ack in ask.flows:
+            flow = self._table.get(key)
+            if flow is not None and flow.target == self.status.identity:
+                if flow.acknowledges(ack):
+                    result += self._tell((origin,), messages.Held(key))
+                else:
+                    not_held.append(key)
+                continue
+            ended = self._denied(now_ms, key)
+            if ended:
+                result += self._tell((origin,), messages.NotHeld(key, True))
+            else:
+                (unsure if ended is None else not_held).append(key)
+        if not_held or unsure:
+            denial = messages.Denial(tuple(not_held), tuple(unsure))
+            result += self._tell((origin,), denial)
+        return result
 
     def _denied(self, now_ms: int, key: bytes) -> bool | None:
         """Returns whether a flow that is not held had ended, or None."""
@@ -348,20 +395,20 @@
 
     def _on_incarnation(self, now_ms: int, before: str,
                         last_heartbeat_ms: int | None) -> actions.Actions:
-        note = actions.Note('target started', {
-            'target': self.status.identity,
-            'sequence': self.status.sequence,
-            'before': before
-        })
+        self._judge_memory(now_ms)
+        note = actions.Note(
+            'target started', {
+                'target': self.status.identity,
+                'sequence': self.status.sequence,
+                'before': before
+            })
         if before and last_heartbeat_ms is not None:
             # Flows from before the last heartbeat of the earlier incarnation
             # were held by it and ended with it. Later ones are tried.
             self._complete_since_ms = now_ms - FLOW_LIFETIME_MS
             return [note] + self._end_flows(now_ms, last_heartbeat_ms,
                                             'target started again')
-        if before:
-            self._complete_since_ms = now_ms
-        else:
+        if not before:
             # Flows that were seen before the first heartbeat are this target's.
             for flow in self._table.flows():
                 flow.target = self.status.identity
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -26,6 +26,11 @@
 # Searches at one time; packets beyond are dropped, and clients retransmit.
 MAX_SEARCHES = 512
 
+# Time in ms for which questions to one agent are collected, when a flow was not
+# found at its first candidates, and the most in one message of 600 bytes.
+COLLECT_MS = 10
+MAX_QUESTIONS = 32
+
 # Time in ms for which a flow stays known as ended. Clients that were reset
 # need it for packets that were under way.
 ENDED_MS = 2_000
@@ -89,6 +94,7 @@
         self._flows: dict[bytes, _Flow] = {}
         self._ended: dict[bytes, int] = {}
         self._searches: dict[bytes, search_module.Search] = {}
+        self._questions: dict[ids.Address, list[tuple[bytes, int]]] = {}
         self._greeted_ms = now_ms - HELLO_MS
         self.targets = target_view.TargetViews()
 
@@ -207,15 +213,15 @@
             return self._on_held(now_ms, origin, message.key)
         if isinstance(message, messages.NotHeld):
             return self._on_not_held(now_ms, origin, message)
-        if isinstance(message, messages.Unsure):
-            return self._on_unsure(now_ms, origin, message.key)
+        if isinstance(message, messages.Denial):
+            return self._on_denial(now_ms, origin, message)
         if isinstance(message, messages.Refused):
             return self._on_refused(now_ms, view, message)
         return []
 
     def on_due(self, now_ms: int) -> actions.Actions:
         """Goes on with searches whose agents have not answered in time."""
-        result: actions.Actions = []
+        result = self._send_questions()
         for key, search in tuple(self._searches.items()):
             search.on_time(now_ms)
             for agent in search.silent:
@@ -224,7 +230,7 @@
                     view.note_unanswered(search.started_ms)
             result += self._go_on(now_ms, key, search)
         if self._searches:
-            result.append(actions.Wake(search_module.ANSWER_MS))
+            result.append(actions.Wake(search_module.CHECK_MS))
         return result
 
     def on_tick(self, now_ms: int) -> actions.Actions:
@@ -322,11 +328,14 @@
                search: search_module.Search) -> actions.Actions:
         result: actions.Actions = []
         for step in search.steps(now_ms):
-            if isinstance(step, search_module.Question):
-                data = messages.encode(messages.Ask(key, search.ack))
-            else:
+            if isinstance(step, search_module.Attempt):
                 data = messages.encode_carry(search.tag, True, search.raw)
-            result.append(actions.ToPeer(step.agent, data))
+                result.append(actions.ToPeer(step.agent, data))
+            elif step.is_urgent:
+                data = messages.encode(messages.Ask(((key, search.ack),)))
+                result.append(actions.ToPeer(step.agent, data))
+            else:
+                result += self._collect(step.agent, key, search.ack)
         if search.verdict is search_module.Verdict.OPEN:
             return result
         del self._searches[key]
@@ -390,13 +399,42 @@
         search.on_denied(origin)
         return self._go_on(now_ms, key, search)
 
-    def _on_unsure(self, now_ms: int, origin: ids.Address,
-                   key: bytes) -> actions.Actions:
-        search = self._searches.get(key)
-        if search is None:
-            return []
-        search.on_unsure(origin)
-        return self._go_on(now_ms, key, search)
+    def _collect(self, agent: ids.Address, key: bytes,
+                 ack: int) -> actions.Actions:
+        """Puts a question beside others to the same agent."""
+        is_first = not self._questions
+        flows = self._questions.setdefault(agent, [])
+        flows.append((key, ack))
+        if len(flows) >= MAX_QUESTIONS:
+            del self._questions[agent]
+            return [
+                actions.ToPeer(agent,
+                               messages.encode(messages.Ask(tuple(flows))))
+            ]
+        return [actions.Wake(COLLECT_MS)] if is_first else []
+
+    def _send_questions(self) -> actions.Actions:
+        questions, self._questions = self._questions, {}
+        return [
+            actions.ToPeer(agent, messages.encode(messages.Ask(tuple(flows))))
+            for agent, flows in questions.items()
+        ]
+
+    def _on_denial(self, now_ms: int, origin: ids.Address,
+                   message: messages.Denial) -> actions.Actions:
+        result: actions.Actions = []
+        for keys, is_denied in ((message.not_held, True), (message.unsure,
+                                                           False)):
+            for key in keys:
+                search = self._searches.get(key)
+                if search is None:
+                    continue
+                if is_denied:
+                    search.on_denied(origin)
+                else:
+                    search.on_unsure(origin)
+                result += self._go_on(now_ms, key, search)
+        return result
 
     def _carry(self, agent: ids.Address, route: routes.Route,
                segment: segment_module.Segment, asks: bool) -> actions.ToPeer:
--- a/figdrum/flows/messages.py
+++ b/figdrum/flows/messages.py
@@ -39,23 +39,23 @@
 
 
 class Ask(typing.NamedTuple):
-    """Does the agent's target hold a flow?
+    """Does the agent's target hold these flows?
 
     Attributes:
-      key: Key of the flow.
-      ack: The client's last acknowledgement.
+      flows: Key of each flow and the client's last acknowledgement.
     """
-    key: bytes
-    ack: int
+    flows: tuple[tuple[bytes, int], ...]
 
 
-class Unsure(typing.NamedTuple):
-    """The agent cannot tell whether its target holds the flow.
+class Denial(typing.NamedTuple):
+    """The agent's target holds none of these flows, or the agent cannot tell.
 
     Attributes:
-      key: Key of the flow.
+      not_held: Keys of flows that it does not hold.
+      unsure: Keys of flows of which the agent cannot tell.
     """
-    key: bytes
+    not_held: tuple[bytes, ...]
+    unsure: tuple[bytes, ...]
 
 
 class Held(typing.NamedTuple):
@@ -159,7 +159,7 @@
     knowledge: Knowledge
 
 
-Message = Carry | Ask | Unsure | Held | NotHeld | Refused | Hello | Report
+Message = Carry | Ask | Denial | Held | NotHeld | Refused | Hello | Report
 
 _CARRY = struct.Struct('!BBI')
 _CARRY_TYPE = 1
@@ -170,7 +170,7 @@
     5: Hello,
     6: Report,
     7: Ask,
-    8: Unsure
+    8: Denial
 }
 _CODES = {kind: code for code, kind in _TYPES.items()}
 
--- a/figdrum/flows/search.py
+++ b/figdrum/flows/search.py
@@ -14,7 +14,7 @@
 
 >>> search = Search(0, [('a', 1), ('b', 1)], b'packet', 9, 1)
 >>> search.steps(0)
-[Question(agent=('a', 1)), Question(agent=('b', 1))]
+[Question(agent=('a', 1), is_urgent=True), Question(agent=('b', 1), is_urgent=True)]
 >>> search.on_unsure(('a', 1)); search.on_denied(('b', 1))
 >>> search.steps(1)
 [Attempt(agent=('a', 1))]
@@ -37,9 +37,12 @@
 # flow is probably not held by any.
 TRIED_SINGLY = 8
 
-# Time in ms in which an agent answers: it may try its target for 15 ms, and
-# both processes may be waiting for their core.
-ANSWER_MS = 40
+# Time in ms in which an agent answers: questions are collected for 10 ms, it may
+# try its target for 15 ms, and both processes may be waiting for their core.
+ANSWER_MS = 60
+
+# Time in ms between looks for agents that have not answered.
+CHECK_MS = 10
 
 # Packets of one flow that wait for a search; an end has 16 in flight at most.
 WAITING_PACKETS = 16
@@ -53,8 +56,15 @@
 
 
 class Question(typing.NamedTuple):
-    """Ask an agent whether its target holds the flow."""
+    """Ask an agent whether its target holds the flow.
+
+    Attributes:
+      agent: The agent.
+      is_urgent: It is a likely owner; otherwise the question may be put
+        together with others.
+    """
     agent: ids.Address
+    is_urgent: bool
 
 
 class Attempt(typing.NamedTuple):
@@ -129,7 +139,11 @@
             batch = self._remaining[:count]
             self._remaining = self._remaining[count:]
             self.asked += len(batch)
-            return [self._begin(now_ms, Question(agent)) for agent in batch]
+            is_urgent = self.asked <= FIRST_ASKED
+            return [
+                self._begin(now_ms, Question(agent, is_urgent))
+                for agent in batch
+            ]
         self.verdict = (Verdict.UNKNOWN
                         if self.silent or not self.asked else Verdict.NO_OWNER)
         return []
--- a/figdrum/flows/target.py
+++ b/figdrum/flows/target.py
@@ -18,6 +18,7 @@
     """Why an agent does not hand an opening packet to its target."""
     OTHER_SERVICE = 'other-service'
     NOT_READY = 'not-ready'
+    NOT_REGISTERED = 'not-registered'
     COLD = 'cold'
     ZONE_OUT = 'zone-out'
     RETURNED = 'returned'
--- a/figdrum/flows/target_status.py
+++ b/figdrum/flows/target_status.py
@@ -103,6 +103,10 @@
         """Returns whether the target may have started a short time ago."""
         return self._cold_until_ms is None or now_ms < self._cold_until_ms
 
+    def is_warming_up(self, now_ms: int) -> bool:
+        """Returns whether the target says that it started lately."""
+        return self._cold_until_ms is not None and now_ms < self._cold_until_ms
+
     def is_alive(self, now_ms: int) -> bool:
         """Returns whether the target was heard lately."""
         return (self.state is not TargetState.DOWN and
--- a/figdrum/flows/tests/test_owner_search.py
+++ b/figdrum/flows/tests/test_owner_search.py
@@ -116,3 +116,39 @@
     client.request()
     world.run(100)
     assert world.resets(client.key) == 1
+
+
+def test_flows_lost_with_all_machines_are_reset_without_trying_targets(world):
+    """Pattern: all machines lose power; clients go on with dead flows."""
+    clients = _open_flows(world, 30)
+    for address, target in world.targets.items():
+        target.restart()
+        target.warmup_left_ms = 2_000
+        world.start_agent(address)
+        world.beat(address)
+    for name in ('front-1', 'front-2'):
+        world.restart_balancer((name, 1))
+    world.run(50)
+    for client in clients:
+        client.request()
+    world.run(150)
+    assert [world.resets(client.key) for client in clients] == [1] * 30
+    assert not any(t.strays for t in world.targets.values())
+
+
+def test_searches_of_many_flows_share_their_questions(world):
+    """Pattern: the retry wave after a mass restart at a larger site."""
+    for number in range(40):
+        world.add_target(f'more-{number}')
+    world.run(2_000)
+    asked = world.sent_bytes
+    clients = [
+        world_module.Client(world, ('front-2', 1), 1_000 + n)
+        for n in range(100)
+    ]
+    for client in clients:
+        client.request()
+    world.run(200)
+    assert all(world.resets(client.key) == 1 for client in clients)
+    # 46 agents, both ways, at the 16 bytes of a flow and its answer, doubled.
+    assert (world.sent_bytes - asked) / 100 < 46 * 2 * 16 * 2
--- a/figdrum/flows/tests/world.py
+++ b/figdrum/flows/tests/world.py
@@ -22,6 +22,7 @@
 from figdrum.flows.tests import packets
 
 HOP_MS = 1
+STORE_MS = 8
 TICK_MS = 250
 HEARTBEAT_MS = 1_200
 BOUNDS = balancer_module.Bounds(cold_overage=1.5, cold_slack=5)
@@ -123,6 +124,9 @@
             collections.defaultdict(list))
         self.notes: list[actions.Note] = []
         self.refreshes: list[ids.Address] = []
+        self.stored: dict[ids.Address, str] = {}
+        self.store_down = False
+        self.sent_bytes = 0
         self.silent: set[ids.Address] = set()
         self.cfg: routes.Configuration | None = None
         self._due: list[tuple[int, int, object]] = []
@@ -200,6 +204,7 @@
         agent = agent_module.Agent(self.now_ms, self.format, target.zone,
                                    target.service, HEARTBEAT_MS, is_first_start)
         self.agents[address] = agent
+        agent.on_predecessor(self.now_ms, self.stored.get(address, ''))
         self._tick(address, agent)
 
     def restart_agent(self, address: ids.Address) -> None:
@@ -295,6 +300,8 @@
                 self.notes.append(action)
             elif isinstance(action, actions.Refresh):
                 self.refreshes.append(address)
+            elif isinstance(action, actions.Register):
+                self._store_registration(address)
             elif isinstance(action, actions.Probe):
                 self._probe(address)
 
@@ -302,12 +309,25 @@
         if self._controller(address) is controller:
             self._do(address, controller.on_due(self.now_ms))
 
+    def _store_registration(self, address: ids.Address) -> None:
+        agent = self.agents[address]
+        identity = agent.status.identity
+
+        def stored() -> None:
+            self.stored[address] = identity
+            if self.agents.get(address) is agent:
+                agent.on_registered(identity)
+
+        if not self.store_down:
+            self.after(STORE_MS, stored)
+
     def _probe(self, address: ids.Address) -> None:
         alive = self.targets[address].alive
         agent = self.agents[address]
         self._do(address, agent.on_probe(self.now_ms, alive))
 
     def _carry(self, origin: ids.Address, action: actions.ToPeer) -> None:
+        self.sent_bytes += len(action.data)
         if origin in self.silent or action.address in self.silent:
             return
 
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -45,7 +45,7 @@
         """Runs until the process is told to stop."""
         cfg = self.cfg.agent
         assert cfg is not None
-        self._registrar.load(self._on_registration)
+        self._registrar.load(self._on_registration, self._on_stored)
         self.serve_ready(cfg.ready, lambda: True)
         http_server.HttpServer(self.loop, cfg.control, self._on_control)
         self.start(cfg.frames[0])
@@ -88,10 +88,17 @@
 
     def _on_registration(self, value: object) -> None:
         registration = registrations.decode(value) if value else None
+        identity = registration.target if registration else ''
+        self._agent.on_predecessor(self.clock.now_ms(), identity)
         if registration is None:
             return
         self._ask_health(functools.partial(self._take_up, registration))
 
+    def _on_stored(self, value: object) -> None:
+        registration = registrations.decode(value)
+        if registration is not None:
+            self._agent.on_registered(registration.target)
+
     def _take_up(self, registration: target_module.Registration,
                  result: http_client.Result) -> None:
         if isinstance(result, errors.StoreError) or result.status != 200:
--- a/figdrum/registry/registrar.py
+++ b/figdrum/registry/registrar.py
@@ -11,6 +11,7 @@
 from figdrum.telemetry import event_log
 
 OnKnown = collections.abc.Callable[[typing.Any], None]
+OnStored = collections.abc.Callable[[typing.Any], None]
 
 
 class Registrar:
@@ -38,10 +39,17 @@
         self._revision: int | None = None
         self._is_calling = False
         self._on_known: OnKnown | None = None
+        self._on_stored: OnStored | None = None
 
-    def load(self, on_known: OnKnown) -> None:
-        """Reads the object; `on_known` takes its value, or None."""
+    def load(self, on_known: OnKnown, on_stored: OnStored) -> None:
+        """Reads the object.
+
+        Args:
+          on_known: Takes its value, or None, before anything is written.
+          on_stored: Takes each value that has been stored.
+        """
         self._on_known = on_known
+        self._on_stored = on_stored
         self._read()
 
     def save(self, value: typing.Any) -> None:
@@ -101,6 +109,8 @@
         self._backoff.reset()
         self._revision = entry.revision if entry else 0
         self._stored = entry.value if entry else None
+        if entry and self._on_stored is not None:
+            self._on_stored(entry.value)
 
     def _retry(self, exc: errors.StoreError) -> None:
         self._log.write('store lost', kind=self._kind, reason=str(exc))
