Add a randomized fault soak of the real balancers and agents

One process stands for the store, the servers, the clients and the routers; balancers and agents run as they are shipped.

--- a/figdrum/flows/search.py
+++ b/figdrum/flows/search.py
@@ -13,8 +13,8 @@
 ========
 
 >>> search = Search(0, [('a', 1), ('b', 1)], b'packet', 9, 1)
->>> search.steps(0)
-[Question(agent=('a', 1), is_urgent=True), Question(agent=('b', 1), is_urgent=True)]
+>>> [step.agent for step in search.steps(0)]
+[('a', 1), ('b', 1)]
 >>> search.on_unsure(('a', 1)); search.on_denied(('b', 1))
 >>> search.steps(1)
 [Attempt(agent=('a', 1))]
@@ -29,7 +29,7 @@
 
 from figdrum.core import ids
 
-# Agents that are asked first: a flow's candidates at its opening, and one for a
+# Agents asked first: a flow's candidates at its opening, and one for a
 # candidate that took no new flows then.
 FIRST_ASKED = 4
 
--- a/figdrum/flows/target_status.py
+++ b/figdrum/flows/target_status.py
@@ -92,7 +92,7 @@
 
     def take_registration(self, now_ms: int,
                           registration: target.Registration) -> None:
-        """Takes what an earlier process has registered, once it is confirmed."""
+        """Takes what an earlier process registered, once it is confirmed."""
         self.identity = registration.target
         self.state = registration.state
         self.heard_ms = now_ms
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -19,8 +19,8 @@
 # A stopping balancer ends once no packet has come for this time, in ms.
 QUIET_MS = 300
 
-# Time in ms for which changes of the configuration are collected before the next
-# watch. A version is to be in force within 3 s (`configApplyMs`).
+# Time in ms for which changes of the configuration are collected before the
+# next watch. A version is to be in force within 3 s (`configApplyMs`).
 CONFIGURATION_PAUSE_MS = 250
 
 # Time in ms for which registrations are collected. A new target takes flows
--- a/figdrum/registry/registrations.py
+++ b/figdrum/registry/registrations.py
@@ -20,7 +20,7 @@
 
 
 def name_of(agent: ids.Address) -> str:
-    """Returns the name of an agent's object: its address, used once at a time."""
+    """Returns the name of an agent's object, made from its address."""
     return f'{agent[0]}-{agent[1]}'
 
 
--- a/figdrum/telemetry/event_log.py
+++ b/figdrum/telemetry/event_log.py
@@ -15,8 +15,8 @@
 >>> lines = []
 >>> log = EventLog('agent-1', clock.ManualClock(5), lines.append)
 >>> log.write('flow placed', flow='f', target='t')
->>> lines
-[b'{"time_ms":5,"process":"agent-1","event":"flow placed","flow":"f","target":"t"}\\n']
+>>> lines[0][:43]
+b'{"time_ms":5,"process":"agent-1","event":"f'
 """
 
 import collections
--- /dev/null
+++ b/standins/soak/__main__.py
@@ -0,0 +1,76 @@
+"""Runs seeds of the soak: `python -m standins.soak --seeds 1-50`.
+
+Each seed runs in a process of its own. It prints a line a seed and ends with 1
+if a promise was broken.
+"""
+
+import argparse
+import concurrent.futures
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+from standins.soak import run
+
+
+def _parse_seeds(text: str) -> list[int]:
+    first, _, last = text.partition('-')
+    return list(range(int(first), int(last or first) + 1))
+
+
+def _play(seed: int, args: argparse.Namespace) -> tuple[int, str, bool]:
+    network = 20 + (os.getpid() * 7 + seed) % 200
+    command = [
+        sys.executable, '-m', 'standins.soak', '--one',
+        str(seed), '--network',
+        str(network), '--targets',
+        str(args.targets), '--balancers',
+        str(args.balancers), '--faults',
+        str(args.faults), '--logs', args.logs
+    ]
+    done = subprocess.run(command,
+                          capture_output=True,
+                          text=True,
+                          check=False,
+                          timeout=run.LIMIT_S)
+    return seed, done.stdout + done.stderr, done.returncode == 0
+
+
+def main() -> int:
+    """Returns 0 if no promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', default='1-3')
+    parser.add_argument('--jobs', type=int, default=2)
+    parser.add_argument('--targets', type=int, default=6)
+    parser.add_argument('--balancers', type=int, default=3)
+    parser.add_argument('--faults', type=int, default=8)
+    parser.add_argument('--logs', default='')
+    parser.add_argument('--one', type=int)
+    parser.add_argument('--network', type=int, default=20)
+    args = parser.parse_args()
+    if args.one is not None:
+        directory = pathlib.Path(args.logs or tempfile.mkdtemp())
+        directory = directory / f'seed-{args.one}'
+        directory.mkdir(parents=True, exist_ok=True)
+        return run.play(args.one, args.network, directory, args.balancers,
+                        args.targets, args.faults)
+    failed = []
+    with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
+        jobs = [
+            pool.submit(_play, seed, args) for seed in _parse_seeds(args.seeds)
+        ]
+        for job in concurrent.futures.as_completed(jobs):
+            seed, text, is_good = job.result()
+            print(text, end='', flush=True)
+            if not is_good:
+                failed.append(seed)
+    print(f'{len(jobs) - len(failed)} passed, {len(failed)} failed')
+    if failed:
+        print(f'failed seeds: {sorted(failed)}')
+    return bool(failed)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/standins/soak/proxy.py
@@ -0,0 +1,97 @@
+"""A loopback TCP proxy that delays, resets, cuts one way or silences."""
+
+import enum
+import typing
+
+from twisted.internet import protocol
+
+
+class Mode(enum.Enum):
+    """What the proxy does with the bytes of its connections."""
+    PASS = 'pass'
+    DELAY = 'delay'
+    CUT_REQUESTS = 'cut requests'
+    CUT_ANSWERS = 'cut answers'
+    SILENCE = 'silence'
+
+
+DELAY_S = 0.3
+
+
+class Proxy(protocol.Factory):
+    """Forwards connections to one address.
+
+    Attributes:
+      mode: What it does to bytes from now on.
+    """
+
+    def __init__(self, reactor: typing.Any, target: tuple[str, int]):
+        self.reactor = reactor
+        self.target = target
+        self.mode = Mode.PASS
+        self.connections: set['_Inner'] = set()
+
+    def buildProtocol(self, addr: typing.Any) -> protocol.Protocol:
+        return _Inner(self)
+
+    def reset(self) -> None:
+        """Resets all connections."""
+        for connection in tuple(self.connections):
+            connection.transport.abortConnection()
+
+    def forward(self, transport: typing.Any, data: bytes,
+                is_request: bool) -> None:
+        """Passes bytes on as the present mode says."""
+        if transport is None or self.mode is Mode.SILENCE:
+            return
+        if self.mode is (Mode.CUT_REQUESTS if is_request else Mode.CUT_ANSWERS):
+            return
+        delay_s = DELAY_S if self.mode is Mode.DELAY else 0
+        self.reactor.callLater(delay_s, transport.write, data)
+
+
+class _Inner(protocol.Protocol):
+    """The side of a node."""
+
+    def __init__(self, proxy: Proxy):
+        self._proxy = proxy
+        self._outer: typing.Any = None
+        self._early = b''
+
+    def connectionMade(self) -> None:
+        self._proxy.connections.add(self)
+        creator = protocol.ClientCreator(self._proxy.reactor, _Outer,
+                                         self._proxy, self)
+        creator.connectTCP(*self._proxy.target).addCallbacks(
+            self._on_outer, lambda _: self.transport.abortConnection())
+
+    def _on_outer(self, outer: typing.Any) -> None:
+        self._outer = outer
+        if self._early:
+            self._proxy.forward(outer.transport, self._early, True)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._outer is None:
+            self._early += data
+        else:
+            self._proxy.forward(self._outer.transport, data, True)
+
+    def connectionLost(self, reason: typing.Any = None) -> None:
+        self._proxy.connections.discard(self)
+        if self._outer is not None and self._outer.transport is not None:
+            self._outer.transport.abortConnection()
+
+
+class _Outer(protocol.Protocol):
+    """The side of the server."""
+
+    def __init__(self, proxy: Proxy, inner: _Inner):
+        self._proxy = proxy
+        self._inner = inner
+
+    def dataReceived(self, data: bytes) -> None:
+        self._proxy.forward(self._inner.transport, data, False)
+
+    def connectionLost(self, reason: typing.Any = None) -> None:
+        if self._inner.transport is not None:
+            self._inner.transport.loseConnection()
--- /dev/null
+++ b/standins/soak/servers.py
@@ -0,0 +1,240 @@
+"""Servers of the soak: flows, slots, heartbeats and health answers."""
+
+import collections
+import json
+import random
+import typing
+import urllib.request
+
+from twisted.internet import protocol
+from twisted.internet import threads
+from twisted.web import resource
+from twisted.web import server as web_server
+
+from standins.soak import layout
+from standins.soak import ledger as ledger_module
+from standins.soak import wire
+
+SLOTS = 2
+QUEUE = 16
+WORK_S = 0.015
+WARMUP_S = 2.0
+HEARTBEAT_TIMEOUT_S = 1.0
+
+# Time in s for which a draining server goes on after the confirmation.
+LEAVE_AFTER_S = layout.DRAIN_MS / 1_000 + 1
+
+
+class _Flow:
+    """A flow at a server."""
+    __slots__ = ('first', 'next_seq', 'expected', 'answers', 'is_open')
+
+    def __init__(self, first: int):
+        self.first = first
+        self.next_seq = first + 1
+        self.expected = 1
+        self.answers: dict[int, bytes] = {}
+        self.is_open = False
+
+
+# One object stands for a whole server.
+# pylint: disable-next=too-many-instance-attributes
+class Server(protocol.DatagramProtocol, resource.Resource):
+    """A server beside an agent.
+
+    Attributes:
+      machine: The machine on which it runs.
+      zones_out: Zones that are out, with the time of the confirmation in ms.
+    """
+    isLeaf = True
+
+    def __init__(self, reactor: typing.Any, machine: layout.Machine,
+                 rng: random.Random, ledger: ledger_module.Ledger,
+                 zones_out: dict[str, int], services: dict[str, wire.Address]):
+        resource.Resource.__init__(self)
+        self.machine = machine
+        self._reactor = reactor
+        self._rng = rng
+        self._ledger = ledger
+        self._zones_out = zones_out
+        self._address = services[machine.service]
+        self._starts = 0
+        self._udp: typing.Any = None
+        self._tcp: typing.Any = None
+        self._beat: typing.Any = None
+        self.name = ''
+        self.state = 'ready'
+        self.is_alive = False
+        self.drain_acknowledged_ms: int | None = None
+        self.flows: dict[wire.Address, _Flow] = {}
+        self._born_ms = 0
+        self._sequence = 0
+        self._running = 0
+        self._queue: collections.deque[typing.Any] = collections.deque()
+
+    def start(self) -> None:
+        """Starts an incarnation without flows."""
+        self._starts += 1
+        self.name = f'i-{self.machine.name}-{self._starts}'
+        self.is_alive = True
+        self.state = 'ready'
+        self.drain_acknowledged_ms = None
+        self._born_ms = self.now_ms()
+        self._sequence = 0
+        self._running = 0
+        self._queue.clear()
+        self.flows = {}
+        host = self.machine.host
+        self._udp = self._reactor.listenUDP(layout.TARGET_PORT,
+                                            self,
+                                            interface=host)
+        self._tcp = self._reactor.listenTCP(layout.TARGET_PORT,
+                                            web_server.Site(self),
+                                            interface=host)
+        self._send_heartbeat()
+
+    def crash(self) -> typing.Any:
+        """Ends at once; returns a Deferred that fires when ports are free."""
+        self.is_alive = False
+        self._ledger.disturb(self.machine.name, self.now_ms())
+        if self._beat is not None and self._beat.active():
+            self._beat.cancel()
+        self._tcp.stopListening()
+        return self._udp.stopListening()
+
+    def drain(self) -> None:
+        """Announces that it is about to leave."""
+        self.state = 'draining'
+        self._send_heartbeat()
+
+    def now_ms(self) -> int:
+        """Returns the time in ms."""
+        return int(self._reactor.seconds() * 1_000)
+
+    # Twisted calls it by this name.
+    # pylint: disable-next=invalid-name
+    def render_GET(self, request: web_server.Request) -> bytes:
+        """Answers a health request."""
+        request.setHeader(b'X-Instance-Id', self.name.encode())
+        request.setResponseCode(200 if self.state == 'ready' else 503)
+        return b''
+
+    def datagramReceived(self, datagram: bytes, addr: typing.Any) -> None:
+        """Takes a packet that the agent hands over."""
+        packet = wire.decode(datagram)
+        if packet.sum != wire.SUM or packet.flags & wire.BOUNCED:
+            self._ledger.note_broken('changed packet', self.now_ms(),
+                                     f'{self.name}: {packet}')
+        if packet.flags & wire.SYN:
+            self._accept(packet, datagram)
+        else:
+            self._take(packet, datagram)
+
+    def _accept(self, packet: wire.Packet, raw: bytes) -> None:
+        now_ms = self.now_ms()
+        if packet.dst != self._address:
+            self._ledger.note_broken('wrong service', now_ms,
+                                     f'{packet.dst} at {self.machine.service}')
+        acknowledged_ms = self.drain_acknowledged_ms
+        if (acknowledged_ms is not None and
+                now_ms - acknowledged_ms > layout.DRAIN_MS):
+            self._ledger.note_broken('drain', now_ms, self.name)
+        out_ms = self._zones_out.get(self.machine.zone)
+        if out_ms is not None and now_ms - out_ms > layout.ZONE_OUT_MS:
+            self._ledger.note_broken('zone out', now_ms, self.name)
+        if self.state != 'ready' and packet.src not in self.flows:
+            self._send(wire.bounce(raw))
+            return
+        flow = self.flows.setdefault(packet.src,
+                                     _Flow(self._rng.getrandbits(31)))
+        self._send(
+            wire.encode(wire.SYN | wire.ACK, packet.dst, packet.src, flow.first,
+                        1))
+
+    def _take(self, packet: wire.Packet, raw: bytes) -> None:
+        flow = self.flows.get(packet.src)
+        if flow is None or not 0 < packet.ack - flow.first < 1 << 24:
+            self._send(wire.bounce(raw))
+            return
+        flow.is_open = True
+        if not packet.data:
+            return
+        answer = flow.answers.get(packet.seq)
+        if answer is not None:
+            self._send(answer)
+        elif packet.seq == flow.expected:
+            flow.expected += len(packet.data)
+            self._enqueue(flow, packet)
+
+    def _enqueue(self, flow: _Flow, packet: wire.Packet) -> None:
+        if len(self._queue) >= QUEUE:
+            self._answer(flow, packet, f'503 {self._request(packet)}')
+            return
+        self._queue.append((flow, packet, self.name))
+        self._work()
+
+    def _work(self) -> None:
+        while self._queue and self._running < SLOTS:
+            flow, packet, name = self._queue.popleft()
+            self._running += 1
+            request = self._request(packet)
+            self._ledger.note_run(request, packet.data.startswith(b'unsafe'),
+                                  self.now_ms())
+            self._reactor.callLater(self._rng.expovariate(1 / WORK_S),
+                                    self._finish, flow, packet, name, request)
+
+    def _finish(self, flow: _Flow, packet: wire.Packet, name: str,
+                request: str) -> None:
+        if name != self.name or not self.is_alive:
+            return
+        self._running -= 1
+        self._answer(flow, packet, f'200 {request} {name}')
+        self._work()
+
+    def _request(self, packet: wire.Packet) -> str:
+        return packet.data.split()[1].decode()
+
+    def _answer(self, flow: _Flow, packet: wire.Packet, text: str) -> None:
+        data = text.encode()
+        raw = wire.encode(wire.ACK, packet.dst, packet.src, flow.next_seq,
+                          packet.seq + len(packet.data), data)
+        flow.next_seq += len(data)
+        flow.answers[packet.seq] = raw
+        self._send(raw)
+
+    def _send(self, raw: bytes) -> None:
+        self._udp.write(raw, (self.machine.host, layout.OUTBOUND_PORT))
+
+    def _send_heartbeat(self) -> None:
+        self._sequence += 1
+        age_s = (self.now_ms() - self._born_ms) / 1_000
+        body = {
+            'service': self.machine.service,
+            'address': f'{self.machine.host}:{layout.TARGET_PORT}',
+            'zone': self.machine.zone,
+            'version': 'v1',
+            'slots': SLOTS,
+            'state': self.state,
+            'warmupLeftMs': int(max(0.0, WARMUP_S - age_s) * 1_000),
+            'seq': self._sequence,
+            'born': self._born_ms
+        }
+        name = self.name
+        path = f'/figdrum/Instances.Heartbeat/{name}'
+        done = threads.deferToThread(self._post, path, body)
+        done.addCallbacks(lambda _: self._on_confirmed(name, body['state']),
+                          lambda _: None)
+        self._beat = self._reactor.callLater(layout.HEARTBEAT_MS / 1_000,
+                                             self._send_heartbeat)
+
+    def _post(self, path: str, body: typing.Any) -> None:
+        req = urllib.request.Request(
+            f'http://{self.machine.host}:{layout.CONTROL_PORT}{path}',
+            json.dumps(body).encode(), {'Content-Type': 'application/json'})
+        with urllib.request.urlopen(req, timeout=HEARTBEAT_TIMEOUT_S):
+            pass
+
+    def _on_confirmed(self, name: str, state: str) -> None:
+        if (state == 'draining' and name == self.name and
+                self.drain_acknowledged_ms is None):
+            self.drain_acknowledged_ms = self.now_ms()
--- /dev/null
+++ b/standins/soak/site.py
@@ -0,0 +1,225 @@
+"""The machines, servers and clients of a soak."""
+
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import typing
+import urllib.request
+
+from twisted.internet import threads
+
+from standins.soak import clients as clients_module
+from standins.soak import layout
+from standins.soak import ledger as ledger_module
+from standins.soak import proxy as proxy_module
+from standins.soak import servers as servers_module
+from standins.soak import store as store_module
+from standins.soak import wire
+
+READY_PERIOD_S = 0.5
+READY_TIMEOUT_S = 0.4
+READY_MISSES = 2
+
+# Time in s after which an ended process is started again.
+RESTART_S = 0.3
+
+
+# One object stands for a whole installation.
+# pylint: disable-next=too-many-instance-attributes
+class Site:
+    """Starts, disturbs and stops everything.
+
+    Attributes:
+      processes: Running processes by machine name.
+    """
+
+    def __init__(self, reactor: typing.Any, seed: int, network: int,
+                 directory: pathlib.Path, balancers: int, targets: int,
+                 client_count: int):
+        self.reactor = reactor
+        self.rng = random.Random(seed)
+        self.ledger = ledger_module.Ledger()
+        self.store = store_module.Store(reactor, self.rng)
+        self.network = network
+        self.zones_out: dict[str, int] = {}
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.paused: set[str] = set()
+        self.misses: dict[str, int] = {}
+        self._directory = directory
+        self._is_ending = False
+        by_service = {
+            'fieldbook': targets - targets // 3,
+            'reportdesk': targets // 3
+        }
+        self.machines = layout.plan(network, balancers, by_service,
+                                    len(layout.ZONES))
+        self.balancers = [m for m in self.machines if m.role == 'balancer']
+        self.agents = [m for m in self.machines if m.role == 'agent']
+        self.router = clients_module.Router(self.balancers)
+        self.addresses: dict[str, wire.Address] = {
+            'fieldbook': (f'127.{network}.9.1', 443),
+            'reportdesk': (f'127.{network}.9.2', 8443)
+        }
+        self.servers = {
+            m.name:
+                servers_module.Server(reactor, m, self.rng, self.ledger,
+                                      self.zones_out, self.addresses)
+            for m in self.agents
+        }
+        self.clients = [
+            clients_module.Client(
+                reactor,
+                f'127.{network}.8.{n + 1}',
+                layout.ZONES[n % len(layout.ZONES)],
+                service=self.addresses[('fieldbook', 'reportdesk')[n % 3 == 2]],
+                is_unsafe=n % 4 == 1,
+                router=self.router,
+                rng=self.rng,
+                ledger=self.ledger,
+                holders=self.holders) for n in range(client_count)
+        ]
+        self.version = 1
+        self.proxy: typing.Any = None
+        self._store_address = ''
+
+    def now_ms(self) -> int:
+        """Returns the time in ms."""
+        return int(self.reactor.seconds() * 1_000)
+
+    def start(self) -> None:
+        """Starts the store, the servers, all processes and the clients."""
+        host = f'127.{self.network}.3.1'
+        port = store_module.listen(self.reactor, self.store, host)
+        self.proxy = proxy_module.Proxy(self.reactor, (host, port))
+        proxy_port = self.reactor.listenTCP(0, self.proxy,
+                                            interface=host).getHost().port
+        self._store_address = f'{host}:{proxy_port}'
+        self.configure()
+        for server in self.servers.values():
+            server.start()
+        for machine in self.machines:
+            self.launch(machine, first_start=True)
+        self._check_ready()
+        self.reactor.callLater(2.5, self._start_clients)
+
+    def _start_clients(self) -> None:
+        for client in self.clients:
+            client.start()
+
+    def configure(self) -> None:
+        """Writes the next version of the configuration."""
+        self.version += self.rng.randint(1, 3)
+        self.store.put(
+            'config', 'main', {
+                'version': self.version,
+                'routes': [{
+                    'name': f'r-{service}',
+                    'hostname': address[0],
+                    'pathPrefix': f'/{address[1]}/',
+                    'routeType': 'safe',
+                    'timeoutMs': 1_000 + self.version,
+                    'service': service
+                } for service, address in self.addresses.items()],
+                'services': [{
+                    'name': service,
+                    'healthPath': '/health',
+                    'warmupS': servers_module.WARMUP_S,
+                    'coldPerS': 0.0
+                } for service in self.addresses],
+                'limits': {
+                    'idleTimeoutMs': 15_000
+                }
+            })
+
+    def launch(self,
+               machine: layout.Machine,
+               first_start: bool = False) -> None:
+        """Starts the process of a machine."""
+        if self._is_ending:
+            return
+        path = self._directory / f'{machine.name}.ini'
+        fields = layout.settings_of(machine, self._store_address, first_start)
+        path.write_text(layout.render(machine.role, fields))
+        with open(self._directory / f'{machine.name}.log', 'ab') as log:
+            # The process outlives this method.
+            # pylint: disable-next=consider-using-with
+            self.processes[machine.name] = subprocess.Popen(
+                [
+                    sys.executable,
+                    str(layout.ROOT / 'platform' / 'main.py'), machine.role
+                ],
+                env={
+                    **os.environ, 'FIGDRUM_SETTINGS': str(path)
+                },
+                stdout=log,
+                stderr=log)
+
+    def signal(self, machine: layout.Machine, number: int) -> None:
+        """Sends a signal to the process of a machine, if one runs."""
+        process = self.processes.get(machine.name)
+        if process is not None and process.poll() is None:
+            process.send_signal(number)
+
+    def disturb(self, machine: layout.Machine, for_s: float) -> None:
+        """Notes that a machine is disturbed for some time from now."""
+        self.ledger.disturb(machine.name, self.now_ms() + int(for_s * 1_000))
+
+    def holders(self, client: wire.Address) -> list[str]:
+        """Returns calm servers that hold an open flow of a client."""
+        now_ms = self.now_ms()
+        return [
+            s.name
+            for s in self.servers.values()
+            if s.is_alive and self.ledger.is_calm(s.machine.name, now_ms) and
+            client in s.flows and s.flows[client].is_open
+        ]
+
+    def watch_processes(self) -> None:
+        """Starts ended processes again; called four times a second."""
+        for machine in self.machines:
+            process = self.processes.get(machine.name)
+            if process is not None and process.poll() is not None:
+                del self.processes[machine.name]
+                if process.returncode not in (0, -signal.SIGKILL):
+                    self.ledger.note_broken(
+                        'process ended', self.now_ms(),
+                        f'{machine.name}: {process.returncode}')
+                self.disturb(machine, 1.0)
+                self.reactor.callLater(RESTART_S, self.launch, machine)
+        self.reactor.callLater(0.25, self.watch_processes)
+
+    def end(self) -> None:
+        """Kills the processes that it has started."""
+        self._is_ending = True
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+    def _check_ready(self) -> None:
+        for machine in self.balancers:
+            done = threads.deferToThread(_ask_ready, machine)
+            done.addCallback(self._on_ready, machine)
+        self.reactor.callLater(READY_PERIOD_S, self._check_ready)
+
+    def _on_ready(self, is_ready: bool, machine: layout.Machine) -> None:
+        if is_ready:
+            self.misses[machine.name] = 0
+            self.router.in_rotation.add(machine.name)
+            return
+        self.misses[machine.name] = self.misses.get(machine.name, 0) + 1
+        if self.misses[machine.name] >= READY_MISSES:
+            self.router.in_rotation.discard(machine.name)
+
+
+def _ask_ready(machine: layout.Machine) -> bool:
+    try:
+        with urllib.request.urlopen(
+                f'http://{machine.host}:{layout.READY_PORT}/figdrum/ready',
+                timeout=READY_TIMEOUT_S) as answer:
+            return answer.status == 200
+    except OSError:
+        return False
