Reset the flows of a target that was lost with its agent

Change: an agent writes its target's open flows to the store, each 10 s or less often with many agents. The next agent resets them when the target's first heartbeat shows another incarnation. Test: test_flows_of_a_target_that_was_lost_with_its_agent_are_reset.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -94,6 +94,9 @@
         self._balancers: dict[ids.Address, _Balancer] = {}
         self._zone = zone
         self._predecessor: str | None = None
+        self._former_target = ''
+        self._former_flows: tuple[tuple[bytes, int], ...] = ()
+        self._agents = 1
         self._registered = ''
         self._knowledge = messages.NO_KNOWLEDGE
 
@@ -171,6 +174,41 @@
         self.status.state = TargetState.DOWN
         return self._announce(now_ms, 'leave')
 
+    @property
+    def open_flows(self) -> tuple[tuple[bytes, int], ...]:
+        """Key and the client's last acknowledgement of each open flow."""
+        return tuple((flow.key, flow.client_ack)
+                     for flow in self._table.flows()
+                     if flow.is_open and not flow.is_closed)
+
+    @property
+    def agents(self) -> int:
+        """Agents of the installation, as balancers say."""
+        return self._agents
+
+    def on_former_flows(
+            self, now_ms: int, identity: str,
+            flows: tuple[tuple[bytes, int], ...]) -> actions.Actions:
+        """Takes the flows that a target had before this process started.
+
+        Args:
+          now_ms: Time.
+          identity: Identity of that target's incarnation.
+          flows: Key and the client's last acknowledgement of each.
+        """
+        self._former_target, self._former_flows = identity, flows
+        return self._reset_former(now_ms)
+
+    def _reset_former(self, now_ms: int) -> actions.Actions:
+        if (not self._former_flows or self.status.heartbeat_ms is None or
+                self.status.identity == self._former_target):
+            return []
+        lost = [(key, ack)
+                for key, ack in self._former_flows
+                if self._table.get(key) is None]
+        self._former_flows = ()
+        return self._reset_flows(now_ms, lost, 'target lost before the start')
+
     def on_predecessor(self, now_ms: int, identity: str) -> None:
         """Takes the target that the store names, before this agent writes.
 
@@ -396,6 +434,7 @@
     def _on_incarnation(self, now_ms: int, before: str,
                         last_heartbeat_ms: int | None) -> actions.Actions:
         self._judge_memory(now_ms)
+        result: actions.Actions = []
         note = actions.Note(
             'target started', {
                 'target': self.status.identity,
@@ -409,25 +448,31 @@
             return [note] + self._end_flows(now_ms, last_heartbeat_ms,
                                             'target started again')
         if not before:
+            result += self._reset_former(now_ms)
             # Flows that were seen before the first heartbeat are this target's.
             for flow in self._table.flows():
                 flow.target = self.status.identity
-        return [note]
+        return [note] + result
 
     def _end_flows(self, now_ms: int, opened_before_ms: int,
                    cause: str) -> actions.Actions:
-        result: actions.Actions = []
+        ended: list[tuple[bytes, int]] = []
         for flow in self._table.flows():
             if flow.opened_ms >= opened_before_ms:
                 continue
             self._table.remove(now_ms, flow.key)
-            if flow.is_closed or not flow.is_open:
-                continue
-            self._trials.deny(now_ms, flow.key, True)
+            if flow.is_open and not flow.is_closed:
+                ended.append((flow.key, flow.client_ack))
+        return self._reset_flows(now_ms, ended, cause)
+
+    def _reset_flows(self, now_ms: int, flows: list[tuple[bytes, int]],
+                     cause: str) -> actions.Actions:
+        result: actions.Actions = []
+        for key, ack in flows:
+            self._trials.deny(now_ms, key, True)
             result.append(
-                actions.ToClient(
-                    self._packets.client_host(flow.key),
-                    self._packets.build_reset(flow.key, flow.client_ack)))
+                actions.ToClient(self._packets.client_host(key),
+                                 self._packets.build_reset(key, ack)))
         if result:
             result.append(
                 actions.Note(
@@ -443,6 +488,7 @@
         self._note_balancer(now_ms, origin)
         if hello.knowledge.version >= self._knowledge.version:
             self._cold.set_rate(hello.cold_limit)
+            self._agents = hello.agents
         self._knowledge = messages.newest(self._knowledge, hello.knowledge)
         return self._report(now_ms)
 
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -458,7 +458,8 @@
 
     def _hello(self, view: target_view.TargetView) -> actions.ToPeer:
         hello = messages.Hello(self._known(),
-                               self._cold_limit(view.registration.service))
+                               self._cold_limit(view.registration.service),
+                               len(self.targets))
         return actions.ToPeer(view.agent, messages.encode(hello))
 
     def _known(self) -> messages.Knowledge:
--- a/figdrum/flows/messages.py
+++ b/figdrum/flows/messages.py
@@ -129,9 +129,11 @@
       knowledge: What the balancer knows.
       cold_limit: Opening packets that a cold target of the agent's service may
         get within a second; None for no limit.
+      agents: Agents that the balancer knows.
     """
     knowledge: Knowledge
     cold_limit: int | None
+    agents: int
 
 
 class Report(typing.NamedTuple):
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -9,6 +9,7 @@
 from figdrum.flows import agent
 from figdrum.flows import target as target_module
 from figdrum.node import node
+from figdrum.registry import flow_records
 from figdrum.registry import registrar
 from figdrum.registry import registrations
 from figdrum.runtime import http_client
@@ -41,18 +42,29 @@
                                               registrations.name_of(cfg.frames),
                                               self.loop, self.log, self.rng)
 
+        self._flow_record = registrar.Registrar(
+            self.around.store, flow_records.KIND,
+            registrations.name_of(cfg.frames), self.loop, self.log, self.rng)
+        # Spread over a period, so that agents do not write at one time.
+        self._record_ms = self.clock.now_ms() + self.rng.randint(
+            1, flow_records.PERIOD_MS)
+
     def run(self) -> None:
         """Runs until the process is told to stop."""
         cfg = self.cfg.agent
         assert cfg is not None
         self._registrar.load(self._on_registration, self._on_stored)
+        self._flow_record.load(self._on_flow_record, lambda _: None)
         self.serve_ready(cfg.ready, lambda: True)
         http_server.HttpServer(self.loop, cfg.control, self._on_control)
         self.start(cfg.frames[0])
         self.loop.run()
 
     def on_tick(self) -> None:
-        self._perform(self._agent.on_tick(self.clock.now_ms()))
+        now_ms = self.clock.now_ms()
+        self._perform(self._agent.on_tick(now_ms))
+        if now_ms >= self._record_ms:
+            self._record_flows(now_ms)
 
     def on_due(self) -> None:
         self._perform(self._agent.on_due(self.clock.now_ms()))
@@ -86,6 +98,23 @@
                                          event.heartbeat))
         return http_server.Response(200, b'{}', 'application/json')
 
+    def _record_flows(self, now_ms: int) -> None:
+        period_ms = flow_records.period_ms(self._agent.agents,
+                                           self.cfg.store_writes_per_s)
+        self._record_ms = now_ms + period_ms
+        # A record of another incarnation is kept until its flows are reset.
+        if self._agent.status.heartbeat_ms is not None:
+            record = flow_records.FlowRecord(self._agent.status.identity,
+                                             self._agent.open_flows)
+            self._flow_record.save(flow_records.encode(record))
+
+    def _on_flow_record(self, value: object) -> None:
+        record = flow_records.decode(value) if value else None
+        if record is not None:
+            self._perform(
+                self._agent.on_former_flows(self.clock.now_ms(), record.target,
+                                            record.flows))
+
     def _on_registration(self, value: object) -> None:
         registration = registrations.decode(value) if value else None
         identity = registration.target if registration else ''
--- a/figdrum/settings/node.py
+++ b/figdrum/settings/node.py
@@ -15,6 +15,7 @@
 ... zone = a
 ... [store]
 ... address = 10.0.0.1:80
+... writes_per_s = 400
 ... [balancer]
 ... packets = 10.0.0.2:7000
 ... frames = 10.0.0.2:7001
@@ -92,12 +93,14 @@
       name: Name of the process.
       zone: Its availability zone.
       store: Address of the platform's object store.
+      store_writes_per_s: Writes a second that it takes from all nodes.
       balancer: Settings of a balancer, or None.
       agent: Settings of an agent, or None.
     """
     name: str
     zone: ids.ZoneName
     store: ids.Address
+    store_writes_per_s: float
     balancer: BalancerSettings | None
     agent: AgentSettings | None
 
@@ -197,6 +200,7 @@
     return NodeSettings(reader.read('process', 'name', str),
                         reader.read('process', 'zone', ids.ZoneName),
                         reader.read('store', 'address', ids.Address),
+                        reader.read('store', 'writes_per_s', float),
                         sections['balancer'], sections['agent'])
 
 
--- a/standins/soak/layout.py
+++ b/standins/soak/layout.py
@@ -87,7 +87,8 @@
             'outbound': f'{host}:{OUTBOUND_PORT}',
         },
         'platform': {
-            'address': store
+            'address': store,
+            'writesPerS': 400
         },
         'bounds': {
             'graceS': GRACE_S,
--- a/standins/soak/site.py
+++ b/standins/soak/site.py
@@ -23,6 +23,10 @@
 READY_TIMEOUT_S = 0.4
 READY_MISSES = 2
 
+# Time in ms in which a process that is told to stop may not handle the signal
+# yet: it has carried nothing (seed 9).
+STARTING_MS = 2_000
+
 # Time in s after which an ended process is started again.
 RESTART_S = 0.3
 
@@ -50,6 +54,7 @@
         self.misses: dict[str, int] = {}
         self._directory = directory
         self._is_ending = False
+        self._launched_ms: dict[str, int] = {}
         by_service = {
             'fieldbook': targets - targets // 3,
             'reportdesk': targets // 3
@@ -143,6 +148,7 @@
         path = self._directory / f'{machine.name}.ini'
         fields = layout.settings_of(machine, self._store_address, first_start)
         path.write_text(layout.render(machine.role, fields))
+        self._launched_ms[machine.name] = self.now_ms()
         with open(self._directory / f'{machine.name}.log', 'ab') as log:
             # The process outlives this method.
             # pylint: disable-next=consider-using-with
@@ -183,7 +189,11 @@
             process = self.processes.get(machine.name)
             if process is not None and process.poll() is not None:
                 del self.processes[machine.name]
-                if process.returncode not in (0, -signal.SIGKILL):
+                is_stopped = (process.returncode == -signal.SIGTERM and
+                              self.now_ms() - self._launched_ms[machine.name]
+                              < STARTING_MS)
+                if (process.returncode not in (0, -signal.SIGKILL) and
+                        not is_stopped):
                     self.ledger.note_broken(
                         'process ended', self.now_ms(),
                         f'{machine.name}: {process.returncode}')
