Log requests by id, fill the histograms, and remove registrations of gone agents

Change: an agent logs each request with its flow and target, and each that was cut with its cause; request_ms and search_ms are measured; an agent silent for two minutes is removed on the condition of its revision, and one that nobody greets looks after its own registration. A setting that nothing obeyed is gone. Test: platform/tests, test_knowledge, test_registrar.

--- a/figdrum/flows/actions.py
+++ b/figdrum/flows/actions.py
@@ -53,6 +53,26 @@
     """Read the configuration again: others have a newer one."""
 
 
+class Measure(typing.NamedTuple):
+    """Add a value to a histogram.
+
+    Attributes:
+      name: Name of the histogram.
+      value: The value, in ms.
+    """
+    name: str
+    value: int
+
+
+class Forget(typing.NamedTuple):
+    """Remove the registration of an agent that is gone from the store.
+
+    Attributes:
+      name: Name of the registration.
+    """
+    name: str
+
+
 class Note(typing.NamedTuple):
     """Write a line to the log.
 
@@ -65,5 +85,5 @@
 
 
 Action = (ToTarget | ToClient | ToPeer | Wake | Probe | Register | Refresh |
-          Note)
+          Measure | Forget | Note)
 Actions = list[Action]
--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -142,7 +142,11 @@
         if flow is None and not segment.is_reset:
             flow = self._table.open(now_ms, segment.key, self.status.identity)
         if flow is not None:
+            was_busy = flow.is_busy
             self._table.note_target(now_ms, flow, segment)
+            if was_busy and not flow.is_busy:
+                result.append(
+                    actions.Measure('request_ms', now_ms - flow.busy_ms))
         trial = self._trials.finish(segment.key)
         if trial is not None and not trial.is_opening:
             result += self._confirm(segment.key, trial)
@@ -181,6 +185,11 @@
                      for flow in self._table.flows()
                      if flow.is_open and not flow.is_closed)
 
+    @property
+    def has_balancers(self) -> bool:
+        """Whether a balancer was heard lately."""
+        return bool(self._balancers)
+
     @property
     def agents(self) -> int:
         """Agents of the installation, as balancers say."""
@@ -353,8 +362,11 @@
         if flow is not None and flow.target == self.status.identity:
             if not flow.acknowledges(segment.ack):
                 return self._tell((origin,), messages.NotHeld(key, False))
+            was_busy = flow.is_busy
             self._table.note_client(now_ms, flow, segment)
             result: actions.Actions = [actions.ToTarget(segment.raw)]
+            if flow.is_busy and not was_busy:
+                result.append(self._note_request(flow, segment.raw))
             if asks:
                 result += self._tell((origin,), messages.Held(key))
             return result
@@ -365,6 +377,16 @@
             return [actions.ToTarget(segment.raw), actions.Wake(TRIAL_MS)]
         return []
 
+    def _note_request(self, flow: flow_table.Flow, raw: bytes) -> actions.Note:
+        flow.request = self._packets.request_id(raw)
+        return actions.Note(
+            'request', {
+                'request': flow.request,
+                'flow': self._packets.describe(flow.key),
+                'target': self.status.identity,
+                'busy': self._table.meter.current
+            })
+
     def _on_ask(self, now_ms: int, origin: ids.Address,
                 ask: messages.Ask) -> actions.Actions:
         result: actions.Actions = []
@@ -457,13 +479,23 @@
     def _end_flows(self, now_ms: int, opened_before_ms: int,
                    cause: str) -> actions.Actions:
         ended: list[tuple[bytes, int]] = []
+        cut: actions.Actions = []
         for flow in self._table.flows():
             if flow.opened_ms >= opened_before_ms:
                 continue
+            if flow.is_busy:
+                cut.append(
+                    actions.Note(
+                        'request cut', {
+                            'request': flow.request,
+                            'flow': self._packets.describe(flow.key),
+                            'target': flow.target,
+                            'cause': cause
+                        }))
             self._table.remove(now_ms, flow.key)
             if flow.is_open and not flow.is_closed:
                 ended.append((flow.key, flow.client_ack))
-        return self._reset_flows(now_ms, ended, cause)
+        return cut + self._reset_flows(now_ms, ended, cause)
 
     def _reset_flows(self, now_ms: int, flows: list[tuple[bytes, int]],
                      cause: str) -> actions.Actions:
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -45,6 +45,10 @@
 # A flow without packets for this time, in ms, is forgotten (`maxFlowS` is 60).
 IDLE_MS = 65_000
 
+# Silence of an agent in ms after which its registration is removed. It is far
+# above any cut that the users describe; an agent that lives registers again.
+GONE_MS = 120_000
+
 # Time in ms between greetings to each agent, which reports for 8 s after one.
 HELLO_MS = 2_500
 
@@ -240,9 +244,22 @@
                 del self._ended[key]
         if now_ms - self._greeted_ms >= HELLO_MS:
             self._expire(now_ms)
-            return self._greet(now_ms)
+            return self._greet(now_ms) + self._forget_gone(now_ms)
         return []
 
+    def _forget_gone(self, now_ms: int) -> actions.Actions:
+        result: actions.Actions = []
+        for view in self.targets.all():
+            if view.silence_ms(now_ms) >= GONE_MS and not view.is_forgotten:
+                view.is_forgotten = True
+                result.append(
+                    actions.Note('agent gone', {
+                        'target': view.name,
+                        'silent_ms': view.silence_ms(now_ms)
+                    }))
+                result.append(actions.Forget(view.name))
+        return result
+
     def _on_opening(self, now_ms: int, route: routes.Route,
                     segment: segment_module.Segment) -> actions.Actions:
         flow = self._flows.get(segment.key)
@@ -339,6 +356,7 @@
         if search.verdict is search_module.Verdict.OPEN:
             return result
         del self._searches[key]
+        result.append(actions.Measure('search_ms', now_ms - search.started_ms))
         result.append(
             actions.Note(
                 'owner not found', {
@@ -372,7 +390,8 @@
         packets = search.waiting
         if not search.has_handed_to(origin):
             packets = [search.raw] + packets
-        return [note] + [
+        measure = actions.Measure('search_ms', now_ms - search.started_ms)
+        return [note, measure] + [
             actions.ToPeer(origin, messages.encode_carry(
                 search.tag, False, raw)) for raw in packets
         ]
--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -30,12 +30,15 @@
       is_open: The client has acknowledged this server, or the server has sent
         more than its answer to the opening packet.
       is_busy: A request is in progress.
+      busy_ms: When the request in progress, or the last one, began.
+      request: Its id, or ''.
       client_closed: The client has sent its last byte.
       server_closed: The server has sent its last byte.
     """
     __slots__ = ('key', 'opened_ms', 'last_ms', 'target', 'server_first',
                  'server_next', 'client_next', 'client_ack', 'is_open',
-                 'is_busy', 'client_closed', 'server_closed')
+                 'is_busy', 'client_closed', 'server_closed', 'busy_ms',
+                 'request')
 
     def __init__(self, key: bytes, now_ms: int, target: str):
         self.key = key
@@ -48,6 +51,8 @@
         self.client_ack = 0
         self.is_open = False
         self.is_busy = False
+        self.busy_ms = now_ms
+        self.request = ''
         self.client_closed = False
         self.server_closed = False
 
@@ -149,4 +154,6 @@
     def _set_busy(self, now_ms: int, flow: Flow, is_busy: bool) -> None:
         if flow.is_busy != is_busy:
             flow.is_busy = is_busy
+            if is_busy:
+                flow.busy_ms = now_ms
             self.meter.add(now_ms, 1 if is_busy else -1)
--- a/figdrum/flows/segment.py
+++ b/figdrum/flows/segment.py
@@ -90,6 +90,10 @@
     def service_address(self, key: bytes) -> bytes:
         """Returns the service's address and port as routes name them."""
 
+    @abc.abstractmethod
+    def request_id(self, raw: bytes) -> str:
+        """Returns the id of the request that a packet begins, or ''."""
+
     @abc.abstractmethod
     def describe(self, key: bytes) -> str:
         """Returns the flow's addresses for people."""
--- a/figdrum/flows/target_view.py
+++ b/figdrum/flows/target_view.py
@@ -31,11 +31,12 @@
       report: Last report of the agent, or None.
       heard_ms: When the agent was last heard, or None.
       is_unanswered: A packet went to the agent, and nothing came since.
+      is_forgotten: The balancer has asked to remove the registration.
       openings: Opening packets sent to it since the last report.
       tag: `service_tag` of its service.
     """
     __slots__ = ('name', 'registration', 'report', 'heard_ms', 'openings',
-                 'tag', 'asked_ms', 'is_unanswered')
+                 'tag', 'asked_ms', 'is_unanswered', 'is_forgotten')
 
     def __init__(self, name: str, registration: target_module.Registration,
                  now_ms: int):
@@ -47,6 +48,7 @@
         self.tag = messages.service_tag(registration.service)
         self.asked_ms = now_ms
         self.is_unanswered = False
+        self.is_forgotten = False
 
     @property
     def agent(self) -> ids.Address:
@@ -64,6 +66,7 @@
         """Notes that something came from the agent."""
         self.heard_ms = now_ms
         self.is_unanswered = False
+        self.is_forgotten = False
 
     def note_unanswered(self, sent_ms: int) -> None:
         """Notes that a packet of a time was not answered in time."""
@@ -75,8 +78,12 @@
         if self.is_unanswered:
             return True
         period_ms = self.report.period_ms if self.report else FIRST_REPORT_MS
+        return self.silence_ms(now_ms) > MISSED_REPORTS * period_ms
+
+    def silence_ms(self, now_ms: int) -> int:
+        """Returns for how long nothing has come from the agent, in ms."""
         since_ms = self.heard_ms if self.heard_ms is not None else self.asked_ms
-        return now_ms - since_ms > MISSED_REPORTS * period_ms
+        return now_ms - since_ms
 
     def is_ready(self) -> bool:
         """Returns whether the target takes new flows by what is known."""
--- a/figdrum/flows/tests/packets.py
+++ b/figdrum/flows/tests/packets.py
@@ -48,6 +48,9 @@
     def service_address(self, key: bytes) -> bytes:
         return key[6:12]
 
+    def request_id(self, raw: bytes) -> str:
+        return 'request' if len(raw) else ''
+
     def describe(self, key: bytes) -> str:
         return key.hex()
 
--- a/figdrum/flows/tests/test_knowledge.py
+++ b/figdrum/flows/tests/test_knowledge.py
@@ -55,3 +55,11 @@
     world.take_zones_out({'a'}, 10)
     world.run(2_000)
     assert len(world.events('zones out')) == 2
+
+
+def test_registration_of_a_silent_agent_is_removed_after_two_minutes(world):
+    world.silent.add(('target-1', 2))
+    world.run(100_000)
+    assert not world.forgotten
+    world.run(30_000)
+    assert set(world.forgotten) == {'target-1'}
--- a/figdrum/flows/tests/world.py
+++ b/figdrum/flows/tests/world.py
@@ -131,6 +131,7 @@
         self.stored: dict[ids.Address, str] = {}
         self.store_down = False
         self.sent_bytes = 0
+        self.forgotten: list[str] = []
         self.silent: set[ids.Address] = set()
         self.cfg: routes.Configuration | None = None
         self._due: list[tuple[int, int, object]] = []
@@ -304,6 +305,8 @@
                 self.notes.append(action)
             elif isinstance(action, actions.Refresh):
                 self.refreshes.append(address)
+            elif isinstance(action, actions.Forget):
+                self.forgotten.append(action.name)
             elif isinstance(action, actions.Register):
                 self._store_registration(address)
             elif isinstance(action, actions.Probe):
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -20,6 +20,10 @@
 # target the request waits for a slot.
 PROBE_MS = 400
 
+# Time in ms without a greeting after which an agent looks whether the store
+# still has its registration; balancers greet each 2.5 s.
+UNKNOWN_MS = 20_000
+
 
 class AgentProcess(node.Node):
     """Moves packets between balancers, the target and the controller."""
@@ -45,6 +49,7 @@
         self._flow_record = registrar.Registrar(
             self.around.store, flow_records.KIND,
             registrations.name_of(cfg.frames), self.loop, self.log, self.rng)
+        self._greeted_ms = self.clock.now_ms()
         # Spread over a period, so that agents do not write at one time.
         self._record_ms = self.clock.now_ms() + self.rng.randint(
             1, flow_records.PERIOD_MS)
@@ -65,6 +70,11 @@
         self._perform(self._agent.on_tick(now_ms))
         if now_ms >= self._record_ms:
             self._record_flows(now_ms)
+        if self._agent.has_balancers:
+            self._greeted_ms = now_ms
+        elif now_ms - self._greeted_ms >= UNKNOWN_MS:
+            self._greeted_ms = now_ms
+            self._registrar.verify()
 
     def on_due(self) -> None:
         self._perform(self._agent.on_due(self.clock.now_ms()))
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -97,6 +97,9 @@
         self._configuration = self._mirror(self.around.configuration_kind,
                                            _ConfigurationObserver(self),
                                            CONFIGURATION_PAUSE_MS)
+        self._registrations = self._mirror(registrations.KIND,
+                                           _AgentObserver(self),
+                                           REGISTRATION_PAUSE_MS)
 
     def run(self) -> None:
         """Runs until the process is told to stop."""
@@ -106,8 +109,7 @@
         self._configuration.start()
         self._mirror(self.around.zones_out_kind, _ZonesOutObserver(self),
                      0).start()
-        self._mirror(registrations.KIND, _AgentObserver(self),
-                     REGISTRATION_PAUSE_MS).start()
+        self._registrations.start()
         self.start(cfg.packets[0])
         self.loop.run()
 
@@ -151,6 +153,14 @@
             self._stopping_ms = self.clock.now_ms()
             self.log.write('stopping')
 
+    def _forget(self, name: str) -> None:
+        """Removes a registration, unless it was written again meanwhile."""
+        revision = self._registrations.names.get(name)
+        if revision is not None:
+            self.around.store.remove(
+                registrations.KIND, name, revision, lambda result: self.log.
+                write('registration removed', name=name, outcome=str(result)))
+
     def _mirror(self, kind: str, observer: mirror.Observer,
                 pause_ms: int) -> mirror.Mirror:
         return mirror.Mirror(self.around.store, kind, observer, self.loop,
@@ -182,3 +192,5 @@
         for action in rest:
             if isinstance(action, actions.Refresh):
                 self._configuration.refresh()
+            elif isinstance(action, actions.Forget):
+                self._forget(action.name)
--- a/figdrum/node/node.py
+++ b/figdrum/node/node.py
@@ -116,6 +116,8 @@
                 self.wake_after(action.delay_ms)
             elif kind is actions.Note:
                 self.log.write(action.event, **action.fields)
+            elif kind is actions.Measure:
+                self.figures.observe(action.name, action.value)
             else:
                 rest.append(action)
         return rest
--- a/figdrum/registry/registrar.py
+++ b/figdrum/registry/registrar.py
@@ -57,6 +57,11 @@
         self._wanted = value
         self._go_on()
 
+    def verify(self) -> None:
+        """Reads the object again, and writes it if it is gone."""
+        self._revision = None
+        self._go_on()
+
     def _go_on(self) -> None:
         if self._is_calling or self._wanted is None:
             return
--- a/figdrum/registry/tests/test_registrar.py
+++ b/figdrum/registry/tests/test_registrar.py
@@ -80,3 +80,10 @@
     case.store.down = False
     case.timers.advance(1_000)
     assert case.known == [{'state': 'ready'}]
+
+
+def test_removed_object_is_written_again_when_verified(case):
+    case.registrar.save({'state': 'ready'})
+    case.store.delete('agents', 'one')
+    case.registrar.verify()
+    assert case.stored() == {'state': 'ready'}
--- a/figdrum/settings/node.py
+++ b/figdrum/settings/node.py
@@ -23,7 +23,6 @@
 ... stop_s = 6
 ... cold_overage = 1.5
 ... cold_slack = 5
-... zone_out_ms = 5000
 ... ''', 'one.ini', 'balancer')
 >>> cfg.balancer.frames
 ('10.0.0.2', 7001)
@@ -51,7 +50,6 @@
       stop_s: Time after SIGTERM in which the process has to end.
       cold_overage: Factor on the rate that a cold target bears.
       cold_slack: Opening packets a second beyond that.
-      zone_out_ms: Time after which a zone that was taken out gets no packets.
     """
     packets: ids.Address
     frames: ids.Address
@@ -59,7 +57,6 @@
     stop_s: float
     cold_overage: float
     cold_slack: float
-    zone_out_ms: float
 
 
 class AgentSettings(typing.NamedTuple):
