Drop opening packets while targets start, in place of a reset

Ruled out: all targets down or draining, which is still refused at once. Change: the packet is dropped; the client sends copies after 200 and 600 ms. Test: test_opening_packet_is_not_reset_while_targets_start and its counterpart.

--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -284,6 +284,16 @@
                                 self.targets.busy_per_flow(tag))
         if view is None:
             self._flows.pop(segment.key, None)
+            if any(view.is_starting() for view in ordered):
+                # The client sends copies after 200 and 600 ms; a reset would
+                # use up one of its tries.
+                return [
+                    actions.Note(
+                        'no target yet', {
+                            'flow': self._packets.describe(segment.key),
+                            'service': service
+                        })
+                ]
             return self._reset(segment.key, 0, f'no target of {service}')
         if flow is None:
             flow = self._flows[segment.key] = _Flow(view.agent, now_ms)
--- a/figdrum/flows/target_view.py
+++ b/figdrum/flows/target_view.py
@@ -91,6 +91,11 @@
                  if self.report else self.registration.state.value)
         return state == target_module.TargetState.READY.value
 
+    def is_starting(self) -> bool:
+        """Returns whether nobody knows yet if the target takes new flows."""
+        unknown = target_module.TargetState.UNKNOWN.value
+        return self.report is None or self.report.state == unknown
+
     def is_cold(self) -> bool:
         """Returns whether the target has started a short time ago."""
         return (self.report.is_cold
--- a/figdrum/flows/tests/test_placement.py
+++ b/figdrum/flows/tests/test_placement.py
@@ -109,3 +109,38 @@
         view.openings += 1
         counts[view.name] += 1
     assert max(counts.values()) <= 1.5 * 20
+
+
+def test_opening_packet_is_not_reset_while_targets_start():
+    """Pattern: all machines lose power; balancers start before targets."""
+    world = world_module.World()
+    world.configure(1, {1: [('one', 1.0)]})
+    address = world.add_target('target-0')
+    world.targets[address].state = target_module.TargetState.UNKNOWN
+    front = world.add_balancer('front-1')
+    world.run(100)
+    client = world_module.Client(world, front, 1)
+    client.open()
+    world.run(100)
+    assert not world.resets(client.key)
+    world.targets[address].state = READY
+    world.beat(address)
+    world.run(100)
+    client.open(copies=1)
+    world.run(100)
+    client.request()
+    world.run(500)
+    assert client.answers == 1
+
+
+def test_opening_packet_is_reset_at_once_when_all_targets_are_down():
+    world = world_module.World()
+    world.configure(1, {1: [('one', 1.0)]})
+    address = world.add_target('target-0')
+    world.targets[address].state = target_module.TargetState.DRAINING
+    front = world.add_balancer('front-1')
+    world.run(2_000)
+    client = world_module.Client(world, front, 1)
+    client.open()
+    world.run(10)
+    assert world.resets(client.key) == 1
--- a/figdrum/registry/registrar.py
+++ b/figdrum/registry/registrar.py
@@ -99,13 +99,15 @@
             self._retry(result)
             return
         if isinstance(result, object_store.Conflict):
-            self._log.write('registration conflict',
+            self._log.write('write conflict',
+                            kind=self._kind,
                             name=self._name,
                             revision=self._revision)
             self._take(result.entry)
         else:
             self._take(result)
-            self._log.write('registered',
+            self._log.write('stored',
+                            kind=self._kind,
                             name=self._name,
                             revision=result.revision)
         self._go_on()
