--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -89,7 +89,6 @@
         self._packets = packets
         self._zone = zone
         self._bounds = bounds
-        self._started_ms = now_ms
         self._cfg: routes.Configuration | None = None
         self._tags: dict[bytes, frozenset[int]] = {}
         self._behind_since_ms: int | None = None
@@ -108,9 +107,14 @@
         return self._cfg is not None and len(self.targets) > 0
 
     @property
-    def has_configuration(self) -> bool:
-        """Whether a configuration is in force."""
-        return self._cfg is not None
+    def flows(self) -> int:
+        """Flows whose agent is known."""
+        return len(self._flows)
+
+    @property
+    def searches(self) -> int:
+        """Searches in progress."""
+        return len(self._searches)
 
     def on_configuration(self, now_ms: int,
                          cfg: routes.Configuration) -> actions.Actions:
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -68,6 +68,10 @@
     def on_tick(self) -> None:
         now_ms = self.clock.now_ms()
         self._perform(self._agent.on_tick(now_ms))
+        self.figures.gauges['flows'] = self._agent.flows
+        self.figures.gauges['packets_unsent'] = (self._packets.unsent +
+                                                 self._frames.unsent +
+                                                 self._to_target.unsent)
         if now_ms >= self._record_ms:
             self._record_flows(now_ms)
         if self._agent.has_balancers:
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -142,6 +142,11 @@
     def on_tick(self) -> None:
         now_ms = self.clock.now_ms()
         self._perform(self._balancer.on_tick(now_ms))
+        self.figures.gauges['flows'] = self._balancer.flows
+        self.figures.gauges['searches'] = self._balancer.searches
+        self.figures.gauges['targets'] = len(self._balancer.targets)
+        self.figures.gauges['packets_unsent'] = (self._packets.unsent +
+                                                 self._frames.unsent)
         if self._stopping_ms is not None:
             self._end_when_quiet(now_ms)
 
