--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -37,16 +37,16 @@
 # Time in ms in which a target that lives answers an opening packet.
 ACCEPT_MS = 60
 
-# A flow is at most so old, in ms; the platform allows to discard older ones
-# (`maxFlowS`). An agent that has run for so long has seen all open flows.
+# A flow is at most so old, in ms; older ones may be discarded. An agent that
+# has run for so long has seen all open flows.
 FLOW_LIFETIME_MS = 60_000
 
 # A balancer that has sent nothing for this time, in ms, gets no reports. It
 # greets the agent each 2.5 s.
 BALANCER_SILENCE_MS = 8_000
 
-# Shortest time between two reports to one balancer, in ms. It is half of the
-# time over which requests in progress are averaged, and half again.
+# Shortest time between two reports to one balancer, in ms: an eighth of the
+# time over which requests in progress are averaged.
 REPORT_MS = 250
 
 # Time in ms by which a tick may be early for a report.
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -36,13 +36,14 @@
 ENDED_MS = 2_000
 
 # Time in ms for which others have a newer version before a balancer reads it
-# beside its watch. A version is to be in force within 3 s (`configApplyMs`).
+# beside its watch. A version is to be in force within 3 s.
 BEHIND_MS = 800
 
 # Flows that the balancer remembers at most: some 200 bytes each.
 MAX_FLOWS = 60_000
 
-# A flow without packets for this time, in ms, is forgotten (`maxFlowS` is 60).
+# A flow without packets for this time, in ms, is forgotten; flows may be
+# discarded when they are 60 s old.
 IDLE_MS = 65_000
 
 # Silence of an agent in ms after which its registration is removed. It is far
--- a/figdrum/flows/cold_limit.py
+++ b/figdrum/flows/cold_limit.py
@@ -14,7 +14,7 @@
 from figdrum.core import clock
 
 # Opening packets a second before a balancer has told the service's limit: what
-# the platform allows beyond any rate (`warmupSlack`).
+# the users allow beyond any rate.
 UNKNOWN_PER_S = 5
 
 # The window is longer than a second by this, in ms, since packets that leave
--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -6,7 +6,7 @@
 from figdrum.flows import segment as segment_module
 
 # A flow without a packet for this time, in ms, is forgotten. Flows may be
-# discarded at 60 s (`maxFlowS`).
+# discarded at 60 s.
 IDLE_MS = 65_000
 
 # Time in ms for which the record of a closed flow is kept, for late packets:
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -20,7 +20,7 @@
 QUIET_MS = 300
 
 # Time in ms for which changes of the configuration are collected before the
-# next watch. A version is to be in force within 3 s (`configApplyMs`).
+# next watch. A version is to be in force within 3 s.
 CONFIGURATION_PAUSE_MS = 250
 
 # Time in ms for which registrations are collected. A new target takes flows
