Simplify what the read-through of the change found

Change: one place says that an agent's memory is whole, one builds questions to agents, one names an end's packets in flight and the modulus of sequence numbers. Services of a route are looked up when a search needs them, not for each route of each configuration; comparing a report with what is known no longer sorts the zones; silence of an agent is judged once per search.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -87,7 +87,7 @@
         # Flows from before this time may be unknown to the table.
         self._complete_since_ms = now_ms
         if is_first_start:
-            self._complete_since_ms -= FLOW_LIFETIME_MS
+            self._mark_complete(now_ms)
         self._table = flow_table.FlowTable(now_ms)
         self._cold = cold_limit.ColdLimit()
         self._trials = trials_module.Trials()
@@ -245,7 +245,11 @@
         if (self._predecessor is not None and status.identity and
                 status.identity != self._predecessor and
                 status.is_warming_up(now_ms)):
-            self._complete_since_ms = now_ms - FLOW_LIFETIME_MS
+            self._mark_complete(now_ms)
+
+    def _mark_complete(self, now_ms: int) -> None:
+        """Notes that the table has all flows from now on."""
+        self._complete_since_ms = now_ms - FLOW_LIFETIME_MS
 
     def _is_admitted(self, now_ms: int) -> bool:
         return (self._registered == self.status.identity or
@@ -294,7 +298,7 @@
             return []
         self.status.state = TargetState.DOWN
         # No process holds flows, and those of the next one pass here.
-        self._complete_since_ms = now_ms - FLOW_LIFETIME_MS
+        self._mark_complete(now_ms)
         return (self._announce(now_ms, 'target gone') +
                 self._end_flows(now_ms, now_ms, 'target gone'))
 
@@ -456,7 +460,6 @@
     def _on_incarnation(self, now_ms: int, before: str,
                         last_heartbeat_ms: int | None) -> actions.Actions:
         self._judge_memory(now_ms)
-        result: actions.Actions = []
         note = actions.Note(
             'target started', {
                 'target': self.status.identity,
@@ -466,15 +469,16 @@
         if before and last_heartbeat_ms is not None:
             # Flows from before the last heartbeat of the earlier incarnation
             # were held by it and ended with it. Later ones are tried.
-            self._complete_since_ms = now_ms - FLOW_LIFETIME_MS
+            self._mark_complete(now_ms)
             return [note] + self._end_flows(now_ms, last_heartbeat_ms,
                                             'target started again')
-        if not before:
-            result += self._reset_former(now_ms)
-            # Flows that were seen before the first heartbeat are this target's.
-            for flow in self._table.flows():
-                flow.target = self.status.identity
-        return [note] + result
+        if before:
+            return [note]
+        result = [note] + self._reset_former(now_ms)
+        # Flows that were seen before the first heartbeat are this target's.
+        for flow in self._table.flows():
+            flow.target = self.status.identity
+        return result
 
     def _end_flows(self, now_ms: int, opened_before_ms: int,
                    cause: str) -> actions.Actions:
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -82,6 +82,10 @@
     cold_slack: float
 
 
+def _ask(agent: ids.Address, flows: list[tuple[bytes, int]]) -> actions.ToPeer:
+    return actions.ToPeer(agent, messages.encode(messages.Ask(tuple(flows))))
+
+
 class Balancer:
     """Decides on the packets of clients."""
 
@@ -91,7 +95,6 @@
         self._zone = zone
         self._bounds = bounds
         self._cfg: routes.Configuration | None = None
-        self._tags: dict[bytes, frozenset[int]] = {}
         self._behind_since_ms: int | None = None
         self._zones_out: frozenset[ids.ZoneName] = frozenset()
         self._knowledge = -1
@@ -124,13 +127,6 @@
             return []
         self._cfg = cfg
         self._behind_since_ms = None
-        self._tags = {
-            address:
-                frozenset(
-                    messages.service_tag(share.service)
-                    for share in route.shares)
-            for address, route in cfg.routes.items()
-        }
         note = actions.Note(
             'configuration', {
                 'version': cfg.version,
@@ -197,7 +193,9 @@
         flow = self._flows.get(segment.key)
         if flow is not None:
             flow.last_ms = now_ms
-            return [self._carry(flow.agent, route, segment, False)]
+            tag = messages.service_tag(route.shares[0].service)
+            data = messages.encode_carry(tag, False, segment.raw)
+            return [actions.ToPeer(flow.agent, data)]
         if segment.key in self._ended:
             if segment.is_reset:
                 return []
@@ -345,13 +343,13 @@
             return []
         if len(self._searches) >= MAX_SEARCHES:
             return []
-        address = self._packets.service_address(segment.key)
-        ordered = self.targets.owners_in_order(segment.key, self._tags[address])
-        answering = [v.agent for v in ordered if not v.is_silent(now_ms)]
-        silent = [v.agent for v in ordered if v.is_silent(now_ms)]
+        tags = {messages.service_tag(share.service) for share in route.shares}
+        ordered = self.targets.owners_in_order(segment.key, tags)
+        # Sorting is stable: silent agents come last, each part in its order.
+        ordered.sort(key=lambda view: view.is_silent(now_ms))
         tag = messages.service_tag(routes.pick_service(route, segment.key))
-        search = search_module.Search(now_ms, answering + silent, segment.raw,
-                                      segment.ack, tag)
+        search = search_module.Search(now_ms, [v.agent for v in ordered],
+                                      segment.raw, segment.ack, tag)
         self._searches[segment.key] = search
         return self._go_on(now_ms, segment.key,
                            search) + [actions.Wake(search_module.ANSWER_MS)]
@@ -364,8 +362,7 @@
                 data = messages.encode_carry(search.tag, True, search.raw)
                 result.append(actions.ToPeer(step.agent, data))
             elif step.is_urgent:
-                data = messages.encode(messages.Ask(((key, search.ack),)))
-                result.append(actions.ToPeer(step.agent, data))
+                result.append(_ask(step.agent, [(key, search.ack)]))
             else:
                 result += self._collect(step.agent, key, search.ack)
         if search.verdict is search_module.Verdict.OPEN:
@@ -441,18 +438,12 @@
         flows.append((key, ack))
         if len(flows) >= MAX_QUESTIONS:
             del self._questions[agent]
-            return [
-                actions.ToPeer(agent,
-                               messages.encode(messages.Ask(tuple(flows))))
-            ]
+            return [_ask(agent, flows)]
         return [actions.Wake(COLLECT_MS)] if is_first else []
 
     def _send_questions(self) -> actions.Actions:
         questions, self._questions = self._questions, {}
-        return [
-            actions.ToPeer(agent, messages.encode(messages.Ask(tuple(flows))))
-            for agent, flows in questions.items()
-        ]
+        return [_ask(agent, flows) for agent, flows in questions.items()]
 
     def _on_denial(self, now_ms: int, origin: ids.Address,
                    message: messages.Denial) -> actions.Actions:
@@ -470,12 +461,6 @@
                 result += self._go_on(now_ms, key, search)
         return result
 
-    def _carry(self, agent: ids.Address, route: routes.Route,
-               segment: segment_module.Segment, asks: bool) -> actions.ToPeer:
-        tag = messages.service_tag(route.shares[0].service)
-        return actions.ToPeer(agent,
-                              messages.encode_carry(tag, asks, segment.raw))
-
     def _reset(self, key: bytes, ack: int, cause: str) -> actions.Actions:
         return [
             actions.ToClient(self._packets.client_host(key),
@@ -503,13 +488,12 @@
 
     def _compare(self, now_ms: int,
                  heard: messages.Knowledge) -> actions.Actions:
-        known = self._known()
         result: actions.Actions = []
-        if heard.revision > known.revision >= 0:
+        if heard.revision > self._knowledge >= 0:
             result += self.on_zones_out(
                 now_ms, frozenset(ids.ZoneName(z) for z in heard.zones_out),
                 heard.revision)
-        if not heard.version > known.version >= 0:
+        if self._cfg is None or heard.version <= self._cfg.version:
             return result
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms
--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -70,8 +70,10 @@
         """
         if self.server_first is None:
             return True
-        sent = (self.server_next - self.server_first) % (1 << 32)
-        return 0 < (ack - self.server_first) % (1 << 32) <= sent
+        sent = (self.server_next -
+                self.server_first) % segment_module.SEQUENCE_MODULUS
+        return 0 < (ack -
+                    self.server_first) % segment_module.SEQUENCE_MODULUS <= sent
 
 
 class FlowTable:
@@ -118,7 +120,8 @@
             flow.server_closed = True
             self._set_busy(now_ms, flow, False)
         if segment.length:
-            end = (segment.seq + segment.length) % (1 << 32)
+            end = (segment.seq +
+                   segment.length) % segment_module.SEQUENCE_MODULUS
             if (flow.client_next is None or
                     segment_module.follows(flow.client_next, end)):
                 flow.client_next = end
@@ -132,8 +135,10 @@
             flow.is_open = True
         if segment.is_accepting and flow.server_first is None:
             flow.server_first = segment.seq
-            flow.server_next = (segment.seq + 1) % (1 << 32)
-        end = (segment.seq + segment.length + segment.is_closing) % (1 << 32)
+            flow.server_next = (segment.seq +
+                                1) % segment_module.SEQUENCE_MODULUS
+        end = (segment.seq + segment.length +
+               segment.is_closing) % segment_module.SEQUENCE_MODULUS
         if segment_module.follows(flow.server_next, end):
             flow.server_next = end
         if segment.length:
--- a/figdrum/flows/search.py
+++ b/figdrum/flows/search.py
@@ -29,6 +29,7 @@
 import typing
 
 from figdrum.core import ids
+from figdrum.flows import segment
 
 # Agents asked first: a flow's candidates at its opening, and one for a
 # candidate that took no new flows then.
@@ -45,9 +46,6 @@
 # Time in ms between looks for agents that have not answered.
 CHECK_MS = 10
 
-# Packets of one flow that wait for a search; an end has 16 in flight at most.
-WAITING_PACKETS = 16
-
 
 class Verdict(enum.Enum):
     """What a search has found so far."""
@@ -104,7 +102,7 @@
 
     def hold(self, raw: bytes) -> None:
         """Keeps a later packet of the flow, if there is room."""
-        if len(self.waiting) < WAITING_PACKETS:
+        if len(self.waiting) < segment.PACKETS_IN_FLIGHT:
             self.waiting.append(raw)
 
     def on_denied(self, agent: ids.Address) -> None:
--- a/figdrum/flows/segment.py
+++ b/figdrum/flows/segment.py
@@ -19,6 +19,9 @@
 
 SEQUENCE_MODULUS = 1 << 32
 
+# Packets that an end has in flight at most.
+PACKETS_IN_FLIGHT = 16
+
 
 def follows(earlier: int, later: int) -> bool:
     """Returns whether `later` comes after `earlier` on the sequence circle."""
--- a/figdrum/flows/trials.py
+++ b/figdrum/flows/trials.py
@@ -4,9 +4,7 @@
 import typing
 
 from figdrum.core import ids
-
-# Packets of one flow that wait for a trial; an end has 16 in flight at most.
-WAITING_PACKETS = 16
+from figdrum.flows import segment
 
 # Time in ms for which a flow stays known as not held or ended. The client's
 # retransmissions are at most 1.6 s apart.
@@ -63,7 +61,7 @@
         if is_opening:
             self._denials.pop(key, None)
             return True
-        if not is_first and len(trial.waiting) < WAITING_PACKETS:
+        if not is_first and len(trial.waiting) < segment.PACKETS_IN_FLIGHT:
             trial.waiting.append(raw)
         return is_first
 
--- a/figdrum/runtime/http_client.py
+++ b/figdrum/runtime/http_client.py
@@ -47,11 +47,7 @@
 
 
 class HttpClient(stream_module.Handler):
-    """Keeps one connection to a server and sends requests in order.
-
-    Attributes:
-      calls: Requests sent, for the metrics.
-    """
+    """Keeps one connection to a server and sends requests in order."""
 
     def __init__(self, loop: loop_module.Loop, address: ids.Address, name: str):
         self._loop = loop
@@ -63,7 +59,6 @@
         self._timer: loop_module.Timer | None = None
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
-        self.calls = 0
 
     @property
     def peer(self) -> str:
@@ -100,7 +95,6 @@
             return
         call = self._calls[0]
         call.sent = True
-        self.calls += 1
         self._timer = self._loop.call_later(
             call.timeout_ms, lambda: self.on_closed('no answer in time'))
         if self._stream is None:
