--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 
+from standins.soak import program
 from standins.soak import run
 
 
@@ -31,7 +32,7 @@
         str(network), '--targets',
         str(args.targets), '--balancers',
         str(args.balancers), '--faults',
-        str(args.faults), '--logs', args.logs
+        str(args.faults), '--logs', args.logs, '--without', args.without
     ]
     done = subprocess.run(command,
                           capture_output=True,
@@ -50,6 +51,10 @@
     parser.add_argument('--balancers', type=int, default=3)
     parser.add_argument('--faults', type=int, default=8)
     parser.add_argument('--logs', default='')
+    parser.add_argument('--without',
+                        default='',
+                        choices=['', *program.MECHANISMS],
+                        help='mechanism that is switched off, for a trial')
     parser.add_argument('--one', type=int)
     parser.add_argument('--network', type=int, default=20)
     args = parser.parse_args()
@@ -58,7 +63,7 @@
         directory = directory / f'seed-{args.one}'
         directory.mkdir(parents=True, exist_ok=True)
         return run.play(args.one, args.network, directory, args.balancers,
-                        args.targets, args.faults)
+                        args.targets, args.faults, args.without)
     failed = []
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
         jobs = [
--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -1,5 +1,6 @@
 """Clients of the soak, and the network's routers."""
 
+import functools
 import random
 import typing
 import zlib
@@ -8,6 +9,7 @@
 
 from standins.soak import layout
 from standins.soak import ledger as ledger_module
+from standins.soak import link as link_module
 from standins.soak import wire
 
 COPY_S = (0.2, 0.6)
@@ -19,6 +21,9 @@
 # Requests that a client sends on one flow.
 REQUESTS_PER_FLOW = 20
 
+# Time between two requests of a client that asks as fast as it can.
+HASTY_PAUSE_S = 0.03
+
 
 class Router:
     """Chooses the balancer of a packet by hash over those in rotation."""
@@ -40,17 +45,27 @@
 # One object stands for a whole end of a flow.
 # pylint: disable-next=too-many-instance-attributes
 class Client(protocol.DatagramProtocol):
-    """A client that keeps a flow open and sends one request at a time."""
+    """A client that keeps a flow open and sends one request at a time.
+
+    Attributes:
+      link: What happens to its packets.
+      is_hasty: It opens a flow for each request, one soon after the other.
+    """
 
     def __init__(self, reactor: typing.Any, host: str, zone: str, *,
-                 service: wire.Address, is_unsafe: bool, router: Router,
-                 rng: random.Random, ledger: ledger_module.Ledger,
-                 holders: typing.Callable[[wire.Address], list[str]]):
+                 service: wire.Address, is_unsafe: bool, is_counted: bool,
+                 router: Router, rng: random.Random,
+                 ledger: ledger_module.Ledger,
+                 holders: typing.Callable[[wire.Address, wire.Address],
+                                          list[str]]):
         self._reactor = reactor
         self._host = host
         self._zone = zone
         self._service = service
         self._kind = 'unsafe' if is_unsafe else 'safe'
+        self._is_counted = is_counted
+        self.link = link_module.Link(reactor, rng)
+        self.is_hasty = False
         self._router = router
         self._rng = rng
         self._ledger = ledger
@@ -82,6 +97,9 @@
 
     def datagramReceived(self, datagram: bytes, addr: typing.Any) -> None:
         """Takes a packet of a server, or a reset."""
+        self.link.carry(self._take, datagram)
+
+    def _take(self, datagram: bytes) -> None:
         packet = wire.decode(datagram)
         if packet.dst != (self._host, self._port):
             return
@@ -110,10 +128,12 @@
         self._request = f'{self._host}-{self._number}'
         self._asked_ms = self._now_ms()
         self._may_repeat = True
-        self._ledger.note_asked(self._asked_ms)
+        if self._is_counted:
+            self._ledger.note_asked(self._asked_ms)
         self._deadline = self._reactor.callLater(DEADLINE_S, self._finish,
                                                  'deadline')
-        if self._is_open and self._number % REQUESTS_PER_FLOW:
+        if (self._is_open and not self.is_hasty and
+                self._number % REQUESTS_PER_FLOW):
             self._send_request()
         else:
             self._open()
@@ -167,7 +187,7 @@
         if was_open:
             if not -76_800 <= packet.seq - self._ack <= 76_800:
                 return
-            holders = self._holders((self._host, self._port))
+            holders = self._holders((self._host, self._port), self._service)
             if holders:
                 self._ledger.note_broken(
                     'open flow reset', self._now_ms(),
@@ -187,16 +207,23 @@
         self._cancel()
         if outcome != 'served':
             self._is_open = False
-        self._ledger.note_outcome(self._asked_ms, outcome)
-        self._reactor.callLater(PAUSE_S * (0.5 + self._rng.random()),
+        if self._is_counted:
+            self._ledger.note_outcome(self._asked_ms, outcome)
+        pause_s = HASTY_PAUSE_S if self.is_hasty else PAUSE_S
+        self._reactor.callLater(pause_s * (0.5 + self._rng.random()),
                                 self._begin)
 
     def _send(self, flags: int, seq: int, ack: int, data: bytes = b'') -> None:
         src = (self._host, self._port)
         node = self._router.choose(self._zone, f'{src}')
-        self._transport.write(
-            wire.encode(flags, src, self._service, seq, ack, data),
-            (node.host, layout.PACKET_PORT))
+        if flags & wire.SYN:
+            self._ledger.note_opening(src, self._now_ms(), node.name)
+        self.link.carry(
+            functools.partial(self._write, (node.host, layout.PACKET_PORT)),
+            wire.encode(flags, src, self._service, seq, ack, data))
+
+    def _write(self, address: wire.Address, raw: bytes) -> None:
+        self._transport.write(raw, address)
 
     def _later(self, delay_s: float, fn: typing.Callable, *args:
                typing.Any) -> None:
--- a/standins/soak/layout.py
+++ b/standins/soak/layout.py
@@ -24,6 +24,12 @@
 HEARTBEAT_MS = 1_200
 GRACE_S = 6
 
+# What a cold target bears, in opening packets a second, and what the users
+# allow beyond it.
+COLD_PER_S = 2.0
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5
+
 
 class Machine(typing.NamedTuple):
     """A machine of the soak.
@@ -93,8 +99,8 @@
         'bounds': {
             'graceS': GRACE_S,
             'evacuateMs': ZONE_OUT_MS,
-            'warmupOverage': 1.5,
-            'warmupSlack': 5,
+            'warmupOverage': COLD_OVERAGE,
+            'warmupSlack': COLD_SLACK,
         },
     }
 
--- a/standins/soak/ledger.py
+++ b/standins/soak/ledger.py
@@ -4,6 +4,21 @@
 import typing
 
 from standins.soak import layout
+from standins.soak import wire
+
+# Name under which the store's disturbances are noted.
+STORE = 'store'
+
+
+class Opening(typing.NamedTuple):
+    """A flow's opening packet, with its copies.
+
+    Attributes:
+      sent_ms: When it was first sent.
+      balancers: Machines that it was sent to.
+    """
+    sent_ms: int
+    balancers: set[str]
 
 
 class Broken(typing.NamedTuple):
@@ -22,6 +37,7 @@
       served: Requests served, by the second in which they were asked.
       runs: How often each unsafe request ran.
       disturbed_ms: When each machine was disturbed last.
+      openings: Opening packets, by client address.
     """
 
     def __init__(self):
@@ -31,6 +47,7 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.disturbed_ms: dict[str, int] = {}
         self.outcomes: collections.Counter[str] = collections.Counter()
+        self.openings: dict[wire.Address, Opening] = {}
 
     def note_broken(self, rule: str, at_ms: int, what: str) -> None:
         """Notes a broken promise."""
@@ -45,6 +62,12 @@
         return now_ms - self.disturbed_ms.get(
             name, -layout.CONTACT_MS) >= layout.CONTACT_MS
 
+    def note_opening(self, src: wire.Address, at_ms: int,
+                     balancer: str) -> None:
+        """Notes that an opening packet or a copy of it is sent."""
+        opening = self.openings.setdefault(src, Opening(at_ms, set()))
+        opening.balancers.add(balancer)
+
     def note_run(self, request: str, is_unsafe: bool, at_ms: int) -> None:
         """Notes that a server begins to work on a request."""
         self.runs[request] += 1
--- /dev/null
+++ b/standins/soak/program.py
@@ -0,0 +1,133 @@
+"""Runs figdrum's program, with one mechanism switched off for a trial.
+
+`python -m standins.soak.program ROLE [MECHANISM]`. A soak is to fail without
+the mechanism.
+"""
+
+# The mechanisms lie behind protected members.
+# pylint: disable=protected-access
+
+import runpy
+import sys
+import typing
+
+from figdrum.core import errors
+from figdrum.flows import agent
+from figdrum.flows import balancer
+from figdrum.flows import cold_limit
+from figdrum.flows import messages
+from figdrum.flows import search
+from figdrum.flows import target
+from figdrum.flows import target_view
+from figdrum.registry import registrar
+from standins.soak import layout
+
+
+def _without_owner_search() -> None:
+
+    def reset(self, now_ms, route, segment):
+        del now_ms, route
+        return self._reset(segment.key, segment.ack, 'trial')
+
+    balancer.Balancer._look_for = reset
+
+
+def _without_certainty() -> None:
+    """Silent agents count as agents that do not hold the flow."""
+    steps = search.Search.steps
+
+    def certain_steps(self, now_ms):
+        result = steps(self, now_ms)
+        if self.verdict is search.Verdict.UNKNOWN:
+            self.verdict = search.Verdict.NO_OWNER
+        return result
+
+    search.Search.steps = certain_steps
+
+
+def _without_cold_limit() -> None:
+    cold_limit.ColdLimit.take = lambda self, now_ms: True
+
+
+def _without_drain() -> None:
+    """Draining targets get new flows like ready ones."""
+    refusal = agent.Agent._refusal
+    is_ready = target_view.TargetView.is_ready
+
+    def lenient_refusal(self, now_ms, tag):
+        state = self.status.state
+        if state is target.TargetState.DRAINING:
+            self.status.state = target.TargetState.READY
+        try:
+            return refusal(self, now_ms, tag)
+        finally:
+            self.status.state = state
+
+    def is_ready_or_draining(self):
+        return is_ready(self) or (self.report is not None and self.report.state
+                                  == target.TargetState.DRAINING.value)
+
+    agent.Agent._refusal = lenient_refusal
+    target_view.TargetView.is_ready = is_ready_or_draining
+
+
+def _without_zones_out() -> None:
+    balancer.Balancer.on_zones_out = lambda *_: []
+
+
+def _without_version_order() -> None:
+    """What was heard last counts, however old it is."""
+    on_zones_out = balancer.Balancer.on_zones_out
+
+    def accept(self, now_ms, zones, knowledge):
+        self._knowledge = -1
+        return on_zones_out(self, now_ms, zones, knowledge)
+
+    def compare(self, now_ms, heard):
+        if heard.revision < 0:
+            return []
+        return accept(self, now_ms, frozenset(heard.zones_out), heard.revision)
+
+    balancer.Balancer.on_zones_out = accept
+    balancer.Balancer._compare = compare
+    messages.newest = lambda known, heard: heard
+
+
+def _without_read_back() -> None:
+    """A write whose answer was lost counts as done."""
+    on_written = registrar.Registrar._on_written
+
+    def trust(self, result):
+        if isinstance(result, errors.StoreError):
+            self._is_calling = False
+            self._stored = self._wanted
+        else:
+            on_written(self, result)
+
+    registrar.Registrar._on_written = trust
+
+
+MECHANISMS: dict[str, typing.Callable[[], None]] = {
+    'owner-search': _without_owner_search,
+    'certainty': _without_certainty,
+    'cold-limit': _without_cold_limit,
+    'drain': _without_drain,
+    'zones-out': _without_zones_out,
+    'version-order': _without_version_order,
+    'read-back': _without_read_back,
+}
+
+
+def main() -> None:
+    """Runs the program."""
+    _, role, *mechanisms = sys.argv
+    for name in filter(None, mechanisms):
+        MECHANISMS[name]()
+    folder = layout.ROOT / 'platform'
+    sys.path.insert(0, str(folder))
+    sys.argv = [str(folder / 'main.py'), role]
+    runpy.run_path(sys.argv[0], run_name='__main__')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/soak/rules.py
@@ -0,0 +1,90 @@
+"""What may happen to opening packets by what the operator has written."""
+
+import typing
+
+from standins.soak import layout
+from standins.soak import ledger as ledger_module
+from standins.soak import wire
+
+
+class _Version(typing.NamedTuple):
+    """A version of the configuration.
+
+    Attributes:
+      confirmed_ms: When the store confirmed it.
+      services: Service of each address.
+    """
+    confirmed_ms: int
+    services: dict[wire.Address, str]
+
+
+class Rules:
+    """Holds opening packets against the configurations and zones out.
+
+    Attributes:
+      zones_out: Zones that are out, with the time of the confirmation in ms.
+    """
+
+    def __init__(self, ledger: ledger_module.Ledger):
+        self._ledger = ledger
+        self._versions: list[_Version] = []
+        self.zones_out: dict[str, int] = {}
+
+    def note_version(self, now_ms: int, services: dict[wire.Address,
+                                                       str]) -> None:
+        """Notes that the store has confirmed a configuration."""
+        self._versions.append(_Version(now_ms, dict(services)))
+
+    def check_opening(self, now_ms: int, packet: wire.Packet,
+                      machine: layout.Machine, target: str) -> None:
+        """Checks an opening packet that a server got.
+
+        Args:
+          now_ms: Time.
+          packet: The packet.
+          machine: Machine of the server.
+          target: Name of the server.
+        """
+        what = f'{packet.src} to {packet.dst} at {target}'
+        if not any(
+                v.services.get(packet.dst) == machine.service
+                for v in self._versions):
+            self._ledger.note_broken('wrong service', now_ms, what)
+        opening = self._ledger.openings.get(packet.src)
+        if opening is not None:
+            machines = [machine.name, ledger_module.STORE, *opening.balancers]
+            if (all(
+                    self._ledger.is_calm(name, opening.sent_ms)
+                    for name in machines) and not self._is_allowed(
+                        opening.sent_ms, packet.dst, machine.service)):
+                self._ledger.note_broken('old configuration', now_ms, what)
+        out_ms = self.zones_out.get(machine.zone)
+        if out_ms is not None and now_ms - out_ms > layout.ZONE_OUT_MS:
+            self._ledger.note_broken('zone out', now_ms, what)
+
+    def is_routed(self, now_ms: int, address: wire.Address) -> bool:
+        """Returns whether all versions that may be in force have a route.
+
+        A machine that was paused or cut off from the store may have an older
+        version for some time.
+        """
+        store_ms = self._ledger.disturbed_ms.get(ledger_module.STORE, now_ms)
+        from_ms = (min(now_ms, store_ms) - layout.CONFIGURATION_MS -
+                   2 * layout.CONTACT_MS)
+        return all(address in v.services for v in self._in_force_since(from_ms))
+
+    def _in_force_since(self, from_ms: int) -> list[_Version]:
+        """Returns versions that were the last confirmed one since a time."""
+        following = self._versions[1:] + [None]
+        return [
+            version for version, successor in zip(self._versions, following)
+            if successor is None or successor.confirmed_ms >= from_ms
+        ]
+
+    def _is_allowed(self, sent_ms: int, address: wire.Address,
+                    service: str) -> bool:
+        """Returns whether a version that may be in force allows a service."""
+        from_ms = sent_ms - layout.CONFIGURATION_MS
+        return any(
+            v.services.get(address) == service
+            for v in self._in_force_since(from_ms))
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -25,7 +25,7 @@
 
 
 def play(seed: int, network: int, directory: pathlib.Path, balancers: int,
-         targets: int, count: int) -> int:
+         targets: int, count: int, without: str) -> int:
     """Runs a seed; returns 0 if no promise was broken.
 
     Args:
@@ -35,11 +35,14 @@
       balancers: Number of balancers.
       targets: Number of targets, with an agent each.
       count: Number of faults.
+      without: Mechanism of figdrum that is switched off, empty for none.
     """
     site = site_module.Site(reactor, seed, network, directory, balancers,
-                            targets, CLIENTS)
+                            targets, CLIENTS, without)
     faults = faults_module.Faults(site)
-    longest_s = faults_module.LONGEST_S + layout.ZONE_OUT_MS / 1_000
+    longest_s = faults_module.LONGEST_S + max(
+        layout.ZONE_OUT_MS,
+        layout.DRAIN_MS + faults_module.LONGEST_DRAIN_S * 1_000) / 1_000
     recovered_s = START_S + FAULTS_S + longest_s
     recovered_s += layout.RECOVERY_MS / 1_000
     end_s = recovered_s + AFTER_S
@@ -54,6 +57,7 @@
         reactor.run()
     finally:
         site.end()
+    site.note_unused_servers()
     ledger = site.ledger
     # Requests of the last seconds may still wait for their answers.
     share = ledger.served_share(times['recovered'],
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -13,6 +13,8 @@
 
 from standins.soak import layout
 from standins.soak import ledger as ledger_module
+from standins.soak import link as link_module
+from standins.soak import rules as rules_module
 from standins.soak import wire
 
 SLOTS = 2
@@ -21,8 +23,8 @@
 WARMUP_S = 2.0
 HEARTBEAT_TIMEOUT_S = 1.0
 
-# Time in s for which a draining server goes on after the confirmation.
-LEAVE_AFTER_S = layout.DRAIN_MS / 1_000 + 1
+# Opening packets in a second that a cold server may get.
+COLD_LIMIT = layout.COLD_PER_S * layout.COLD_OVERAGE + layout.COLD_SLACK
 
 
 class _Flow:
@@ -44,20 +46,22 @@
 
     Attributes:
       machine: The machine on which it runs.
-      zones_out: Zones that are out, with the time of the confirmation in ms.
+      link: What happens to packets between it and its agent.
+      born_ms: When its incarnation started.
+      opened_ms: When it got its last opening packet, or None.
     """
     isLeaf = True
 
     def __init__(self, reactor: typing.Any, machine: layout.Machine,
                  rng: random.Random, ledger: ledger_module.Ledger,
-                 zones_out: dict[str, int], services: dict[str, wire.Address]):
+                 rules: rules_module.Rules):
         resource.Resource.__init__(self)
         self.machine = machine
         self._reactor = reactor
         self._rng = rng
         self._ledger = ledger
-        self._zones_out = zones_out
-        self._address = services[machine.service]
+        self._rules = rules
+        self.link = link_module.Link(reactor, rng)
         self._starts = 0
         self._udp: typing.Any = None
         self._tcp: typing.Any = None
@@ -67,7 +71,9 @@
         self.is_alive = False
         self.drain_acknowledged_ms: int | None = None
         self.flows: dict[wire.Address, _Flow] = {}
-        self._born_ms = 0
+        self.born_ms = 0
+        self.opened_ms: int | None = None
+        self._cold_openings: collections.deque[int] = collections.deque()
         self._sequence = 0
         self._running = 0
         self._queue: collections.deque[typing.Any] = collections.deque()
@@ -79,7 +85,9 @@
         self.is_alive = True
         self.state = 'ready'
         self.drain_acknowledged_ms = None
-        self._born_ms = self.now_ms()
+        self.born_ms = self.now_ms()
+        self.opened_ms = None
+        self._cold_openings.clear()
         self._sequence = 0
         self._running = 0
         self._queue.clear()
@@ -121,6 +129,11 @@
 
     def datagramReceived(self, datagram: bytes, addr: typing.Any) -> None:
         """Takes a packet that the agent hands over."""
+        self.link.carry(self._take_packet, datagram)
+
+    def _take_packet(self, datagram: bytes) -> None:
+        if not self.is_alive:
+            return
         packet = wire.decode(datagram)
         if packet.sum != wire.SUM or packet.flags & wire.BOUNCED:
             self._ledger.note_broken('changed packet', self.now_ms(),
@@ -132,16 +145,15 @@
 
     def _accept(self, packet: wire.Packet, raw: bytes) -> None:
         now_ms = self.now_ms()
-        if packet.dst != self._address:
-            self._ledger.note_broken('wrong service', now_ms,
-                                     f'{packet.dst} at {self.machine.service}')
+        self._rules.check_opening(now_ms, packet, self.machine, self.name)
         acknowledged_ms = self.drain_acknowledged_ms
         if (acknowledged_ms is not None and
                 now_ms - acknowledged_ms > layout.DRAIN_MS):
             self._ledger.note_broken('drain', now_ms, self.name)
-        out_ms = self._zones_out.get(self.machine.zone)
-        if out_ms is not None and now_ms - out_ms > layout.ZONE_OUT_MS:
-            self._ledger.note_broken('zone out', now_ms, self.name)
+        if packet.src not in self.flows:
+            self.opened_ms = now_ms
+            if now_ms - self.born_ms < WARMUP_S * 1_000:
+                self._count_cold(now_ms)
         if self.state != 'ready' and packet.src not in self.flows:
             self._send(wire.bounce(raw))
             return
@@ -151,6 +163,15 @@
             wire.encode(wire.SYN | wire.ACK, packet.dst, packet.src, flow.first,
                         1))
 
+    def _count_cold(self, now_ms: int) -> None:
+        taken = self._cold_openings
+        taken.append(now_ms)
+        while taken[0] <= now_ms - 1_000:
+            taken.popleft()
+        if len(taken) > COLD_LIMIT:
+            self._ledger.note_broken('cold server', now_ms,
+                                     f'{self.name}: {len(taken)} in a second')
+
     def _take(self, packet: wire.Packet, raw: bytes) -> None:
         flow = self.flows.get(packet.src)
         if flow is None or not 0 < packet.ack - flow.first < 1 << 24:
@@ -203,11 +224,15 @@
         self._send(raw)
 
     def _send(self, raw: bytes) -> None:
-        self._udp.write(raw, (self.machine.host, layout.OUTBOUND_PORT))
+        self.link.carry(self._write, raw)
+
+    def _write(self, raw: bytes) -> None:
+        if self.is_alive:
+            self._udp.write(raw, (self.machine.host, layout.OUTBOUND_PORT))
 
     def _send_heartbeat(self) -> None:
         self._sequence += 1
-        age_s = (self.now_ms() - self._born_ms) / 1_000
+        age_s = (self.now_ms() - self.born_ms) / 1_000
         body = {
             'service': self.machine.service,
             'address': f'{self.machine.host}:{layout.TARGET_PORT}',
@@ -217,7 +242,7 @@
             'state': self.state,
             'warmupLeftMs': int(max(0.0, WARMUP_S - age_s) * 1_000),
             'seq': self._sequence,
-            'born': self._born_ms
+            'born': self.born_ms
         }
         name = self.name
         path = f'/figdrum/Instances.Heartbeat/{name}'
--- a/standins/soak/site.py
+++ b/standins/soak/site.py
@@ -15,6 +15,7 @@
 from standins.soak import layout
 from standins.soak import ledger as ledger_module
 from standins.soak import proxy as proxy_module
+from standins.soak import rules as rules_module
 from standins.soak import servers as servers_module
 from standins.soak import store as store_module
 from standins.soak import wire
@@ -42,53 +43,61 @@
 
     def __init__(self, reactor: typing.Any, seed: int, network: int,
                  directory: pathlib.Path, balancers: int, targets: int,
-                 client_count: int):
+                 client_count: int, without: str):
         self.reactor = reactor
         self.rng = random.Random(seed)
         self.ledger = ledger_module.Ledger()
         self.store = store_module.Store(reactor, self.rng)
         self.network = network
-        self.zones_out: dict[str, int] = {}
+        self.rules = rules_module.Rules(self.ledger)
         self.processes: dict[str, subprocess.Popen] = {}
         self.paused: set[str] = set()
         self.misses: dict[str, int] = {}
         self._directory = directory
+        self._without = without
         self._is_ending = False
         self._launched_ms: dict[str, int] = {}
         by_service = {
-            'fieldbook': targets - targets // 3,
-            'reportdesk': targets // 3
+            'fieldbook': targets - targets // 3 + 1,
+            'reportdesk': targets // 3 + 1
         }
         self.machines = layout.plan(network, balancers, by_service,
                                     len(layout.ZONES))
+        # One of each service is started while faults strike.
+        self.spares = [[m
+                        for m in self.machines
+                        if m.service == service][-1]
+                       for service in by_service]
         self.balancers = [m for m in self.machines if m.role == 'balancer']
         self.agents = [m for m in self.machines if m.role == 'agent']
         self.router = clients_module.Router(self.balancers)
-        self.addresses: dict[str, wire.Address] = {
-            'fieldbook': (f'127.{network}.9.1', 443),
-            'reportdesk': (f'127.{network}.9.2', 8443)
-        }
+        fieldbook = (f'127.{network}.9.1', 443)
+        reportdesk = (f'127.{network}.9.2', 8443)
+        self._services = {fieldbook: 'fieldbook', reportdesk: 'reportdesk'}
+        # Versions of the configuration add and drop its route.
+        self._changing = (f'127.{network}.9.3', 9443)
         self.servers = {
             m.name:
                 servers_module.Server(reactor, m, self.rng, self.ledger,
-                                      self.zones_out, self.addresses)
-            for m in self.agents
+                                      self.rules) for m in self.agents
         }
         self.clients = [
-            clients_module.Client(
-                reactor,
-                f'127.{network}.8.{n + 1}',
-                layout.ZONES[n % len(layout.ZONES)],
-                service=self.addresses[('fieldbook', 'reportdesk')[n % 3 == 2]],
-                is_unsafe=n % 4 == 1,
-                router=self.router,
-                rng=self.rng,
-                ledger=self.ledger,
-                holders=self.holders) for n in range(client_count)
+            clients_module.Client(reactor,
+                                  f'127.{network}.8.{n + 1}',
+                                  layout.ZONES[n % len(layout.ZONES)],
+                                  service=self._changing if n % 8 == 7 else
+                                  (reportdesk if n % 3 == 2 else fieldbook),
+                                  is_unsafe=n % 4 == 1,
+                                  is_counted=n % 8 != 7,
+                                  router=self.router,
+                                  rng=self.rng,
+                                  ledger=self.ledger,
+                                  holders=self.holders)
+            for n in range(client_count)
         ]
         self.version = 1
-        self.proxy: typing.Any = None
-        self._store_address = ''
+        self.proxies: dict[str, proxy_module.Proxy] = {}
+        self._store_addresses: dict[str, str] = {}
 
     def now_ms(self) -> int:
         """Returns the time in ms."""
@@ -98,18 +107,25 @@
         """Starts the store, the servers, all processes and the clients."""
         host = f'127.{self.network}.3.1'
         port = store_module.listen(self.reactor, self.store, host)
-        self.proxy = proxy_module.Proxy(self.reactor, (host, port))
-        proxy_port = self.reactor.listenTCP(0, self.proxy,
-                                            interface=host).getHost().port
-        self._store_address = f'{host}:{proxy_port}'
+        for machine in self.machines:
+            proxy = proxy_module.Proxy(self.reactor, (host, port))
+            listening = self.reactor.listenTCP(0, proxy, interface=host)
+            self.proxies[machine.name] = proxy
+            self._store_addresses[machine.name] = (
+                f'{host}:{listening.getHost().port}')
         self.configure()
-        for server in self.servers.values():
-            server.start()
         for machine in self.machines:
-            self.launch(machine, first_start=True)
+            if machine not in self.spares:
+                self.add(machine)
         self._check_ready()
         self.reactor.callLater(2.5, self._start_clients)
 
+    def add(self, machine: layout.Machine) -> None:
+        """Starts a machine for the first time."""
+        if machine.role == 'agent':
+            self.servers[machine.name].start()
+        self.launch(machine, first_start=True)
+
     def _start_clients(self) -> None:
         for client in self.clients:
             client.start()
@@ -117,23 +133,27 @@
     def configure(self) -> None:
         """Writes the next version of the configuration."""
         self.version += self.rng.randint(1, 3)
+        services = dict(self._services)
+        if self.rng.random() < 0.5:
+            services[self._changing] = 'fieldbook'
+        self.rules.note_version(self.now_ms(), services)
         self.store.put(
             'config', 'main', {
                 'version': self.version,
                 'routes': [{
-                    'name': f'r-{service}',
+                    'name': f'r-{address[1]}',
                     'hostname': address[0],
                     'pathPrefix': f'/{address[1]}/',
                     'routeType': 'safe',
                     'timeoutMs': 1_000 + self.version,
                     'service': service
-                } for service, address in self.addresses.items()],
+                } for address, service in services.items()],
                 'services': [{
                     'name': service,
                     'healthPath': '/health',
                     'warmupS': servers_module.WARMUP_S,
-                    'coldPerS': 0.0
-                } for service in self.addresses],
+                    'coldPerS': layout.COLD_PER_S
+                } for service in self._services.values()],
                 'limits': {
                     'idleTimeoutMs': 15_000
                 }
@@ -146,7 +166,9 @@
         if self._is_ending:
             return
         path = self._directory / f'{machine.name}.ini'
-        fields = layout.settings_of(machine, self._store_address, first_start)
+        fields = layout.settings_of(machine,
+                                    self._store_addresses[machine.name],
+                                    first_start)
         path.write_text(layout.render(machine.role, fields))
         self._launched_ms[machine.name] = self.now_ms()
         with open(self._directory / f'{machine.name}.log', 'ab') as log:
@@ -154,8 +176,8 @@
             # pylint: disable-next=consider-using-with
             self.processes[machine.name] = subprocess.Popen(
                 [
-                    sys.executable,
-                    str(layout.ROOT / 'platform' / 'main.py'), machine.role
+                    sys.executable, '-m', 'standins.soak.program', machine.role,
+                    self._without
                 ],
                 env={
                     **os.environ, 'FIGDRUM_SETTINGS': str(path)
@@ -173,16 +195,31 @@
         """Notes that a machine is disturbed for some time from now."""
         self.ledger.disturb(machine.name, self.now_ms() + int(for_s * 1_000))
 
-    def holders(self, client: wire.Address) -> list[str]:
-        """Returns calm servers that hold an open flow of a client."""
-        now_ms = self.now_ms()
+    def holders(self, client: wire.Address, service: wire.Address) -> list[str]:
+        """Returns servers that live and hold an open flow of a client.
+
+        Args:
+          client: The client's address.
+          service: The service's address; flows of a route that may have been
+            dropped count as held by none.
+        """
+        if not self.rules.is_routed(self.now_ms(), service):
+            return []
         return [
             s.name
             for s in self.servers.values()
-            if s.is_alive and self.ledger.is_calm(s.machine.name, now_ms) and
-            client in s.flows and s.flows[client].is_open
+            if s.is_alive and client in s.flows and s.flows[client].is_open
         ]
 
+    def note_unused_servers(self) -> None:
+        """Notes servers that are ready and get no flows."""
+        now_ms = self.now_ms()
+        for server in self.servers.values():
+            used_ms = server.opened_ms or server.born_ms
+            if (server.is_alive and server.state == 'ready' and
+                    now_ms - used_ms > layout.RECOVERY_MS):
+                self.ledger.note_broken('unused server', now_ms, server.name)
+
     def watch_processes(self) -> None:
         """Starts ended processes again; called four times a second."""
         for machine in self.machines:
--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -21,12 +21,10 @@
 
     Attributes:
       down: How it fails: '' (it works), 'busy', 'reset' or 'silent'.
-      refused: Hosts to which it is down; empty for all.
       delay_s: Time until it answers.
       lost: Share of the writes that are done and not answered.
     """
     down: str = ''
-    refused: frozenset[str] = frozenset()
     delay_s: float = ANSWER_S
     lost: float = 0.0
 
@@ -76,9 +74,8 @@
         """Answers a call, or fails as the present faults say."""
         self.calls += 1
         faults = self.faults
-        host = request.getClientAddress().host
         request.notifyFinish().addErrback(lambda _: self._forget(request))
-        if faults.down and (not faults.refused or host in faults.refused):
+        if faults.down:
             if faults.down == 'busy':
                 request.setResponseCode(http.SERVICE_UNAVAILABLE)
                 return b''
--- a/standins/soak/tests/test_clients.py
+++ b/standins/soak/tests/test_clients.py
@@ -53,10 +53,11 @@
                             'a',
                             service=SERVICE,
                             is_unsafe=False,
+                            is_counted=True,
                             router=clients.Router(front),
                             rng=random.Random(1),
                             ledger=ledger,
-                            holders=lambda _: [])
+                            holders=lambda _, __: [])
     client.start()
     clock.advance(1.0)
     opening = clock.port.sent[0]
