Keep the exit status when a second SIGTERM comes while the interpreter ends

Cause of the failure seen once in test_termination_finishes_what_runs (-15 in place of 0): the test sends a second SIGTERM by stop(), and an interpreter that ends restores the default handlers. With a signal each 0.3 ms the stand-in ended with -15 in 12 of 12 starts, before the change; the nodes' loop and the twisted agent had the same fault.

Change: signals are ignored once the loop has ended.

--- a/figdrum/agent/process.py
+++ b/figdrum/agent/process.py
@@ -25,6 +25,8 @@
 # An agent whose leave cannot be published is found silent by the others.
 LEAVE_WAIT_MS = 3_000
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 _log = logs.part('agent')
 
 
@@ -153,11 +155,12 @@
     reactor.callWhenRunning(process.start)
     process.done.addCallback(lambda _: reactor.stop())
 
-    def on_signal(number, _frame):
-        del number
+    def on_signal(*_) -> None:
+        for number in _STOP_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
         reactor.callFromThread(process.drain)
 
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
+    for number in _STOP_SIGNALS:
+        signal.signal(number, on_signal)
     reactor.run(installSignalHandlers=False)
     return 0
--- a/figdrum/runtime/loop.py
+++ b/figdrum/runtime/loop.py
@@ -93,6 +93,10 @@
         self._running = True
         while self._running:
             self._turn()
+        for number in self._handlers:
+            # The interpreter restores the default handlers when it ends, and a
+            # further signal would change the exit status.
+            signal.signal(number, signal.SIG_IGN)
 
     def stop(self) -> None:
         """Ends `run` after the present turn."""
--- a/figdrum/runtime/tests/test_loop.py
+++ b/figdrum/runtime/tests/test_loop.py
@@ -3,6 +3,9 @@
 import os
 import signal
 import socket
+import subprocess
+import sys
+import time
 
 from figdrum.core import clock
 from figdrum.runtime import loop as loop_module
@@ -69,3 +72,25 @@
     loop.call_later(DEADLINE_MS, loop.stop)
     loop.run()
     assert refused
+
+
+_PROGRAM = """
+import signal
+from figdrum.core import clock
+from figdrum.runtime import loop as loop_module
+loop = loop_module.Loop(clock.SystemClock())
+loop.on_signal(signal.SIGTERM, loop.stop)
+loop.call_later(0, lambda: print('started', flush=True))
+loop.run()
+"""
+
+
+def test_repeated_signals_do_not_change_the_exit_status():
+    """An interpreter that ends restores the handlers that end a process."""
+    with subprocess.Popen([sys.executable, '-c', _PROGRAM],
+                          stdout=subprocess.PIPE) as started:
+        assert started.stdout.readline()
+        while started.poll() is None:
+            started.terminate()
+            time.sleep(0.0003)
+    assert started.returncode == 0
--- a/standins/http_service.py
+++ b/standins/http_service.py
@@ -3,6 +3,7 @@
 import argparse
 import collections.abc
 import json
+import signal
 import sys
 import typing
 
@@ -107,3 +108,6 @@
     """Announces the addresses and runs until SIGTERM, then returns."""
     reactor.callWhenRunning(announce, **addresses)
     reactor.run()
+    # The interpreter restores the default handlers when it ends, and a further
+    # signal would change the exit status.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
--- a/standins/tests/test_target.py
+++ b/standins/tests/test_target.py
@@ -1,6 +1,7 @@
 """Tests of the target stand-in as a process."""
 
 import socket
+import time
 
 import pytest
 
@@ -139,3 +140,13 @@
         started.terminate()
         assert conn.recv(64).startswith(b'HTTP/1.1 200')
     assert started.stop() == 0
+
+
+def test_repeated_termination_ends_well():
+    """Guards against an exit status of -15 by a second SIGTERM at the end."""
+    started = process.Process.standin('target', '--name', 't1', '--service',
+                                      'fieldbook')
+    while started.is_running():
+        started.terminate()
+        time.sleep(0.0003)
+    assert started.stop() == 0
