Specify the search for a flow's owner with the real controllers

Four cases (balancer and agent start, mass restart, a new target with a stale record, a reused address) hold over all orders of messages, and each of four rules left out has a counterexample: certainty before a reset, trial by the target, registration before admission, the agent's check of the service.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -8,6 +8,7 @@
 
 from spec import checker
 from spec import claims
+from spec import flow_owners
 from spec import ownership
 from spec import versions
 
@@ -15,7 +16,8 @@
 
 
 def _all_cases() -> list[checker.Case]:
-    return ownership.cases() + claims.cases() + versions.cases()
+    return (ownership.cases() + claims.cases() + versions.cases() +
+            flow_owners.cases())
 
 
 def _check(index: int) -> tuple[int, checker.Outcome, float]:
--- /dev/null
+++ b/spec/flow_owners.py
@@ -0,0 +1,433 @@
+"""Specification of the search for the owner of an open flow.
+
+Explanation
+===========
+
+The real `Balancer` and `Agent` run; the model chooses the order in which
+messages arrive, which are lost, when time passes, and which processes start
+again without memory. Targets run beside their agents and live on, unless a case
+replaces one by a target of another service at the same address.
+
+Properties: the client of an open flow gets no reset while its target lives, at
+most two of its packets reach other targets before its own gets one, and no
+target gets an opening packet of another service's route.
+
+A state of the checker is a pickled `Site`.
+"""
+
+import pickle
+import typing
+
+import minicheck
+
+from figdrum.core import ids
+from figdrum.flows import actions
+from figdrum.flows import agent as agent_lib
+from figdrum.flows import balancer as balancer_lib
+from figdrum.flows import routes
+from figdrum.flows import search as search_lib
+from figdrum.flows import target as target_lib
+from figdrum.flows.tests import packets
+from spec import checker
+
+START_MS = 100_000
+HEARTBEAT_MS = 1_200
+WARMUP_MS = 2_000
+
+# Time in ms that passes in one step: an agent that has not answered by then
+# counts as silent.
+STEP_MS = search_lib.ANSWER_MS
+
+KEY = packets.flow_key(1)
+ZONE = ids.ZoneName('a')
+FRONT = ('front', 1)
+BOUNDS = balancer_lib.Bounds(cold_overage=1.5, cold_slack=5)
+SERVICES = {1: 'one', 2: 'two'}
+
+
+class Rules(typing.NamedTuple):
+    """Rules in force; a variant leaves one out.
+
+    Attributes:
+      certainty: A flow is reset only if all agents have denied it.
+      trial: An agent without memory lets its target answer.
+      registration: A new target gets flows once the store names it.
+      service: An agent refuses opening packets of other services.
+    """
+    certainty: bool = True
+    trial: bool = True
+    registration: bool = True
+    service: bool = True
+
+
+class Budget(typing.NamedTuple):
+    """How often each kind of event may happen."""
+    packets: int = 2
+    losses: int = 0
+    steps: int = 1
+    agent_starts: int = 0
+    balancer_starts: int = 0
+    mass_starts: int = 0
+    replacements: int = 0
+
+
+class _Balancer(balancer_lib.Balancer):
+    """A balancer under given rules."""
+
+    def __init__(self, rules: Rules, *args: typing.Any):
+        super().__init__(*args)
+        self._rules = rules
+
+    def _go_on(self, now_ms, key, search):
+        if not self._rules.certainty:
+            search.silent.clear()
+        return super()._go_on(now_ms, key, search)
+
+
+class _Agent(agent_lib.Agent):
+    """An agent under given rules."""
+
+    def __init__(self, rules: Rules, *args: typing.Any):
+        super().__init__(*args)
+        self._rules = rules
+
+    def _remembers_all(self, now_ms):
+        return not self._rules.trial or super()._remembers_all(now_ms)
+
+    def _is_admitted(self, now_ms):
+        return not self._rules.registration or super()._is_admitted(now_ms)
+
+    def _refusal(self, now_ms, tag):
+        return super()._refusal(now_ms,
+                                tag if self._rules.service else self._tag)
+
+
+class Target:
+    """A server and the flows that it holds."""
+
+    def __init__(self, name: str, service: str, born_ms: int, warmup_ms: int):
+        self.name = name
+        self.service = ids.ServiceName(service)
+        self.born_ms = born_ms
+        self.warmup_ms = warmup_ms
+        self.firsts: dict[bytes, int] = {}
+        self.opened: set[bytes] = set()
+
+    @property
+    def identity(self) -> str:
+        """Name and start of the incarnation."""
+        return f'{self.name}@{self.born_ms}'
+
+
+class Message(typing.NamedTuple):
+    """A datagram on its way between a balancer and an agent."""
+    origin: ids.Address
+    address: ids.Address
+    data: bytes
+
+
+# One object stands for a whole installation.
+# pylint: disable-next=too-many-instance-attributes
+class Site:
+    """A balancer, agents with their targets, a client and the store."""
+
+    def __init__(self, rules: Rules, budget: Budget,
+                 targets: typing.Iterable[Target]):
+        self.rules = rules
+        self.budget = budget
+        self.now_ms = START_MS
+        self.format = packets.TestFormat()
+        self.cfg = routes.Configuration(
+            1, {
+                packets.address_of(number):
+                    routes.Route(service, 'safe',
+                                 (routes.Share(ids.ServiceName(service), 1.0),))
+                for number, service in SERVICES.items()
+            }, {
+                ids.ServiceName(service): routes.ServiceLimits(0.0)
+                for service in SERVICES.values()
+            })
+        self.targets = {(t.name, 2): t for t in targets}
+        self.agents: dict[ids.Address, _Agent] = {}
+        self.stored: dict[ids.Address, target_lib.Registration] = {}
+        self.writing: dict[ids.Address, target_lib.Registration] = {}
+        self.network: list[Message] = []
+        self.ack = 0
+        self.is_reset = False
+        self.strays = 0
+        self.broken = ''
+        for address in self.targets:
+            self._start_agent(address, True)
+        self.balancer = self._new_balancer()
+
+    def events(self) -> list[tuple[str, str, typing.Any]]:
+        """Returns what may happen next: a label, a method and its argument."""
+        result: list[tuple[str, str, typing.Any]] = []
+        budget = self.budget
+        for index, message in enumerate(dict.fromkeys(self.network)):
+            what = f'{message.origin[0]} to {message.address[0]}'
+            result.append((f'message {what}', 'deliver', index))
+            if budget.losses:
+                result.append((f'message {what} lost', 'lose', index))
+        result += [(f'{address[0]} stored', 'store', address)
+                   for address in self.writing]
+        if budget.packets and not self.is_reset:
+            result.append(('client sends', 'send', None))
+        if budget.steps:
+            result.append(('time passes', 'pass_time', None))
+        if budget.agent_starts:
+            result += [(f'agent {address[0]} starts', 'start_agent', address)
+                       for address in self.agents]
+        if budget.balancer_starts:
+            result.append(('balancer starts', 'start_balancer', None))
+        if budget.mass_starts:
+            result.append(('all start', 'start_all', None))
+        if budget.replacements:
+            result.append(('target replaced', 'replace', None))
+        return result
+
+    def deliver(self, index: int) -> None:
+        """Hands one of the distinct messages over."""
+        message = self._take(index)
+        if message.address == FRONT:
+            self._perform(
+                FRONT,
+                self.balancer.on_message(self.now_ms, message.origin,
+                                         message.data))
+        else:
+            self._perform(
+                message.address,
+                self.agents[message.address].on_message(self.now_ms,
+                                                        message.origin,
+                                                        message.data))
+
+    def lose(self, index: int) -> None:
+        """Loses one of the distinct messages."""
+        self._spend('losses')
+        self._take(index)
+
+    def store(self, address: ids.Address) -> None:
+        """Lets the store take an agent's registration."""
+        registration = self.writing.pop(address)
+        self.stored[address] = registration
+        self.agents[address].on_registered(registration.target)
+        self._tell_balancer(address)
+
+    def send(self, _: None) -> None:
+        """Sends the client's next packet."""
+        self._spend('packets')
+        raw = packets.build(0, KEY, 1, self.ack, 50)
+        if not self.ack:
+            raw = packets.build(packets.OPENING, KEY, 0, 0)
+        self._from_client(raw)
+
+    def pass_time(self, _: None) -> None:
+        """Lets so much time pass that silent agents are noticed."""
+        self._spend('steps')
+        self.now_ms += STEP_MS
+        for address, agent in self.agents.items():
+            self._perform(address, agent.on_due(self.now_ms))
+        self._perform(FRONT, self.balancer.on_due(self.now_ms))
+
+    def start_agent(self, address: ids.Address) -> None:
+        """Starts an agent again, without its memory."""
+        self._spend('agent_starts')
+        self._start_agent(address, False)
+
+    def start_balancer(self, _: None) -> None:
+        """Starts the balancer again, with what the store has."""
+        self._spend('balancer_starts')
+        self.balancer = self._new_balancer()
+
+    def start_all(self, _: None) -> None:
+        """Starts all processes again."""
+        self._spend('mass_starts')
+        for address in self.agents:
+            self._start_agent(address, False)
+        self.balancer = self._new_balancer()
+
+    def replace(self, _: None) -> None:
+        """Puts a target of another service at the first one's address."""
+        self._spend('replacements')
+        address, old = next(iter(self.targets.items()))
+        other = 'two' if old.service == 'one' else 'one'
+        new = Target(old.name, other, self.now_ms, 0)
+        self.targets[address] = new
+        self._start_agent(address, False)
+
+    def _spend(self, kind: str) -> None:
+        left = getattr(self.budget, kind) - 1
+        self.budget = self.budget._replace(**{kind: left})
+
+    def _take(self, index: int) -> Message:
+        message = list(dict.fromkeys(self.network))[index]
+        self.network.remove(message)
+        return message
+
+    def _new_balancer(self) -> balancer_lib.Balancer:
+        self.balancer = _Balancer(self.rules, self.now_ms, self.format, ZONE,
+                                  BOUNDS)
+        self.balancer.on_configuration(self.now_ms, self.cfg)
+        for address in self.stored:
+            self._tell_balancer(address)
+        return self.balancer
+
+    def _tell_balancer(self, address: ids.Address) -> None:
+        registration = self.stored[address]
+        # Greetings only ask for reports, which this model does without.
+        self.balancer.on_registration(self.now_ms, address[0], registration)
+
+    def _start_agent(self, address: ids.Address, is_first: bool) -> None:
+        target = self.targets[address]
+        # What an earlier process was about to write is lost.
+        self.writing.pop(address, None)
+        agent = self.agents[address] = _Agent(self.rules, self.now_ms,
+                                              self.format, ZONE, target.service,
+                                              HEARTBEAT_MS, is_first)
+        known = self.stored.get(address)
+        agent.on_predecessor(self.now_ms, known.target if known else '')
+        beat = target_lib.Heartbeat(target.name, target.service,
+                                    target_lib.TargetState.READY, 1,
+                                    target.warmup_ms, 1)
+        self._perform(address,
+                      agent.on_heartbeat(self.now_ms, target.born_ms, beat))
+
+    def _perform(self, address: ids.Address, result: actions.Actions) -> None:
+        for action in result:
+            if isinstance(action, actions.ToPeer):
+                self.network.append(
+                    Message(address, action.address, action.data))
+            elif isinstance(action, actions.ToTarget):
+                self._to_target(address, action.raw)
+            elif isinstance(action, actions.ToClient):
+                self._to_client(action.raw)
+            elif isinstance(action, actions.Register):
+                self._write(address)
+
+    def _write(self, address: ids.Address) -> None:
+        target = self.targets[address]
+        registration = target_lib.Registration(address, ZONE, target.service,
+                                               target.identity,
+                                               target_lib.TargetState.READY,
+                                               target.warmup_ms > 0)
+        if target.warmup_ms:
+            self.writing[address] = registration
+        else:
+            # What was registered before the model starts.
+            self.stored[address] = registration
+            self.agents[address].on_registered(registration.target)
+
+    def _to_target(self, address: ids.Address, raw: bytes) -> None:
+        target = self.targets[address]
+        segment = self.format.parse_client(raw)
+        if segment.is_opening:
+            if target.service != 'one':
+                self.broken = 'opening packet at another service'
+            first = target.firsts.setdefault(segment.key,
+                                             1_000 + ord(target.name[0]))
+            answer = packets.build(packets.ACCEPTING, segment.key, first, 0)
+        else:
+            first = target.firsts.get(segment.key, 0)
+            if not first or segment.ack != first + 1:
+                self.strays += 1
+                if self.strays > 2 and self._is_held():
+                    self.broken = 'packets at other targets'
+                answer = bytes((raw[0] | packets.RETURNED,)) + raw[1:]
+            else:
+                self.strays = 0
+                target.opened.add(segment.key)
+                answer = packets.build(0, segment.key, first + 1, 0, 100)
+        self._perform(
+            address, self.agents[address].on_target_packet(self.now_ms, answer))
+
+    def _to_client(self, raw: bytes) -> None:
+        segment = self.format.parse_client(raw)
+        if segment.is_reset:
+            if self._is_held():
+                self.broken = 'reset of a flow that is held'
+            self.is_reset = True
+        elif segment.is_accepting and not self.ack:
+            self.ack = segment.seq + 1
+            self._from_client(packets.build(0, KEY, 1, self.ack))
+
+    def _from_client(self, raw: bytes) -> None:
+        self._perform(FRONT, self.balancer.on_client_packet(self.now_ms, raw))
+
+    def _is_held(self) -> bool:
+        return any(KEY in target.opened for target in self.targets.values())
+
+
+def _transitions(state: tuple[bytes, str]) -> list[tuple[str, tuple]]:
+    result: list[tuple[str, tuple]] = []
+    if state[1]:
+        return result
+    for label, method, argument in pickle.loads(state[0]).events():
+        site = pickle.loads(state[0])
+        getattr(site, method)(argument)
+        result.append((label, (pickle.dumps(site), site.broken)))
+    return result
+
+
+def _with_open_flow(rules: Rules, budget: Budget) -> Site:
+    """Returns a site whose client has an open flow."""
+    site = Site(rules, budget._replace(packets=1),
+                [Target('a', 'one', 1, 0),
+                 Target('b', 'one', 1, 0)])
+    site.send(None)
+    while site.network:
+        site.deliver(0)
+    site.budget = budget
+    return site
+
+
+def _with_new_target(rules: Rules, budget: Budget) -> Site:
+    """Returns a site where a target has just started again."""
+    site = Site(rules, budget, [Target('a', 'one', 1, 0)])
+    address, = site.targets
+    site.targets[address] = Target('a', 'one', START_MS, WARMUP_MS)
+    site.budget = budget._replace(agent_starts=1)
+    site.start_agent(address)
+    site.budget = budget
+    return site
+
+
+def _with_targets(rules: Rules, budget: Budget) -> Site:
+    """Returns a site without flows."""
+    return Site(rules, budget,
+                [Target('a', 'one', 1, 0),
+                 Target('b', 'one', 1, 0)])
+
+
+CASES: dict[str, tuple[typing.Callable[[Rules, Budget], Site], Budget]] = {
+    'balancer and agent start': (_with_open_flow,
+                                 Budget(losses=1,
+                                        balancer_starts=1,
+                                        agent_starts=1)),
+    'mass restart': (_with_open_flow, Budget(losses=1, mass_starts=1)),
+    'new target': (_with_new_target, Budget(packets=3, agent_starts=1)),
+    'reused address': (_with_targets, Budget(losses=1, replacements=1)),
+}
+
+
+def case(name: str, removed: str = '', rules: Rules = Rules()) -> checker.Case:
+    """Returns the specification of one case."""
+    make, budget = CASES[name]
+    return checker.Case(
+        f'flow owners: {name}', removed,
+        minicheck.Protocol(
+            name=name,
+            candidate=False,
+            fields=('site', 'broken'),
+            initial=(pickle.dumps(make(rules, budget)), ''),
+            transitions=_transitions,
+            invariants={'nothing broken': lambda fields: not fields['broken']}))
+
+
+def cases() -> list[checker.Case]:
+    """Returns the full specifications and their variants."""
+    return [case(name) for name in CASES] + [
+        case('balancer and agent start', 'certainty', Rules(certainty=False)),
+        case('mass restart', 'trial', Rules(trial=False)),
+        case('new target', 'registration', Rules(registration=False)),
+        case('reused address', 'service', Rules(service=False)),
+    ]
