--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -214,7 +214,7 @@
             return [actions.Note('unreadable message', {'reason': exc.reason})]
         view.note_heard(now_ms)
         if isinstance(message, messages.Report):
-            view.take_report(now_ms, message)
+            self.targets.take_report(now_ms, view, message)
             return self._compare(now_ms, message.knowledge)
         if isinstance(message, messages.Held):
             return self._on_held(now_ms, origin, message.key)
--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -13,6 +13,9 @@
 # the longest pause between retransmissions is 1.6 s.
 CLOSED_MS = 5_000
 
+# Time in ms between looks for flows to forget; both times above are far longer.
+EXPIRE_PERIOD_MS = 1_000
+
 
 class Flow:
     """A flow that the target has accepted or is believed to hold.
@@ -81,6 +84,7 @@
 
     def __init__(self, now_ms: int):
         self._flows: dict[bytes, Flow] = {}
+        self._expired_ms = now_ms
         self.meter = load_meter.LoadMeter(now_ms)
 
     def __len__(self) -> int:
@@ -151,6 +155,9 @@
 
     def expire(self, now_ms: int) -> None:
         """Forgets flows that are idle or closed for long."""
+        if now_ms - self._expired_ms < EXPIRE_PERIOD_MS:
+            return
+        self._expired_ms = now_ms
         for flow in self.flows():
             limit_ms = CLOSED_MS if flow.is_closed else IDLE_MS
             if now_ms - flow.last_ms > limit_ms:
--- a/figdrum/flows/target_view.py
+++ b/figdrum/flows/target_view.py
@@ -58,7 +58,6 @@
     def take_report(self, now_ms: int, report: messages.Report) -> None:
         """Replaces the last report."""
         self.report = report
-        self.tag = report.tag
         self.note_heard(now_ms)
         self.openings = 0
 
@@ -117,11 +116,12 @@
 
 
 class TargetViews:
-    """All targets that a balancer knows, by name and by agent address."""
+    """All targets that a balancer knows, by name, agent and service."""
 
     def __init__(self):
         self._by_name: dict[str, TargetView] = {}
         self._by_agent: dict[ids.Address, TargetView] = {}
+        self._by_tag: dict[int, dict[str, TargetView]] = {}
 
     def __len__(self) -> int:
         return len(self._by_name)
@@ -133,18 +133,27 @@
         if view is not None and view.agent == registration.agent:
             view.registration = registration
             if view.report is None:
-                view.tag = messages.service_tag(registration.service)
+                self._move(view, messages.service_tag(registration.service))
             return False
+        self.remove(name)
         view = TargetView(name, registration, now_ms)
         self._by_name[name] = view
         self._by_agent[registration.agent] = view
+        self._by_tag.setdefault(view.tag, {})[name] = view
         return True
 
+    def take_report(self, now_ms: int, view: TargetView,
+                    report: messages.Report) -> None:
+        """Takes an agent's report, which also names the service."""
+        view.take_report(now_ms, report)
+        self._move(view, report.tag)
+
     def remove(self, name: str) -> None:
         """Forgets a target."""
         view = self._by_name.pop(name, None)
         if view is not None:
             self._by_agent.pop(view.agent, None)
+            self._by_tag[view.tag].pop(name)
 
     def by_agent(self, agent: ids.Address) -> TargetView | None:
         """Returns the target beside the agent at an address."""
@@ -156,8 +165,8 @@
 
     def in_order(self, key: bytes, tag: int) -> list[TargetView]:
         """Returns the targets of a service in the order of a flow."""
-        names = [v.name for v in self._by_name.values() if v.tag == tag]
-        return [self._by_name[name] for name in rendezvous.order(key, names)]
+        of_service = self._by_tag.get(tag, {})
+        return [of_service[name] for name in rendezvous.order(key, of_service)]
 
     def owners_in_order(
             self, key: bytes,
@@ -177,8 +186,14 @@
     def busy_per_flow(self, tag: int) -> float:
         """Returns the requests in progress per open flow of a service."""
         busy = flows = 0.0
-        for view in self._by_name.values():
-            if view.tag == tag and view.report is not None:
+        for view in self._by_tag.get(tag, {}).values():
+            if view.report is not None:
                 busy += view.report.busy
                 flows += view.report.flows
         return busy / flows if flows else OPENING_LOAD
+
+    def _move(self, view: TargetView, tag: int) -> None:
+        if view.tag != tag:
+            self._by_tag[view.tag].pop(view.name)
+            view.tag = tag
+            self._by_tag.setdefault(tag, {})[view.name] = view
--- a/figdrum/flows/tests/test_placement.py
+++ b/figdrum/flows/tests/test_placement.py
@@ -70,6 +70,23 @@
     assert not placement.eligible(0, ordered, ('a',), ('t1',))
 
 
+def test_target_that_changes_its_service_moves():
+    """Pattern: addresses of servers that are gone are used by others."""
+    views = _views(2)
+    other = messages.service_tag('two')
+    key = packets.flow_key(1)
+    view = views.by_agent(('t0', 2))
+    views.take_report(
+        0, view,
+        messages.Report(other, '', READY.value, False, 2.0, 4, 1, 250,
+                        messages.NO_KNOWLEDGE))
+    assert [v.name for v in views.in_order(key, TAG)] == ['t1']
+    assert [v.name for v in views.in_order(key, other)] == ['t0']
+    assert views.busy_per_flow(other) == 0.5
+    views.remove('t0')
+    assert not views.in_order(key, other)
+
+
 def test_long_flows_spread_evenly():
     """Pattern: clients keep flows open and send a few requests a second."""
     world = world_module.World(seed=3)
