--- a/figdrum/cli/app.py
+++ b/figdrum/cli/app.py
@@ -36,6 +36,7 @@
     'audit': 'figdrum.cli.audit:AuditCommand',
     'check': 'figdrum.cli.check:CheckCommand',
     'replay': 'figdrum.cli.replay:ReplayCommand',
+    'report': 'figdrum.cli.report:ReportCommand',
 }
 
 
--- /dev/null
+++ b/figdrum/telemetry/day_report.py
@@ -0,0 +1,224 @@
+"""A page that shows a day from the logs of its nodes.
+
+Explanation
+===========
+
+The lines of all processes are put on one time axis: requests that agents have
+handed to their targets, what went wrong with flows, and the moments at which a
+process, the store, the configuration or a zone changed. Lines that were left
+out under load (`lines_dropped`) are counted apart.
+
+Examples
+========
+
+>>> line = '{"time_ms": 5200, "process": "p", "event": "stop"}'
+>>> read_events(['not a line', line])
+[Event(time_ms=5200, process='p', name='stop', fields={})]
+>>> count_by_second(read_events([line]), {'stop': 'stops'}, 4, 6)
+{'stops': [0, 1, 0]}
+"""
+
+import collections
+import collections.abc
+import html
+import json
+import typing
+
+from figdrum.core import clock
+
+# Series of the two charts, by event.
+REQUESTS = {'request': 'requests begun'}
+TROUBLES = {
+    'request cut': 'requests cut',
+    'flow reset': 'flows reset by balancers',
+    'flows reset': 'flows reset by agents',
+    'target refused': 'opening packets refused',
+    'owner not found': 'owners not found',
+    'no target yet': 'no target yet',
+}
+
+# Events that mark the time axis, with the fields that tell them apart.
+MARKS = {
+    'start': (),
+    'stop': (),
+    'stopping': (),
+    'store lost': ('kind',),
+    'store regained': ('kind',),
+    'configuration': ('version',),
+    'zones out': ('zones',),
+    'target started': ('target',),
+    'agent gone': ('target',),
+}
+
+_COLOURS = ('#3b6ea5', '#c0504d', '#e0a030', '#7a5195', '#4f9d69', '#777777')
+_WIDTH = 1_100
+_HEIGHT = 180
+_LEFT = 50
+_STYLE = ('body{font:14px sans-serif;margin:2em}table{border-collapse:collapse}'
+          'td,th{padding:2px 10px;text-align:right}svg{background:#f7f7f7}')
+
+
+class Event(typing.NamedTuple):
+    """A line of a node's log.
+
+    Attributes:
+      time_ms: Time of day.
+      process: Name of the process.
+      name: What happened.
+      fields: The other fields.
+    """
+    time_ms: int
+    process: str
+    name: str
+    fields: dict[str, typing.Any]
+
+
+def read_events(lines: collections.abc.Iterable[str]) -> list[Event]:
+    """Returns the events in the lines of any logs, by time.
+
+    Lines that are no events, such as a traceback, are left out.
+    """
+    events = []
+    for line in lines:
+        try:
+            row = json.loads(line)
+            event = Event(int(row.pop('time_ms')), str(row.pop('process')),
+                          str(row.pop('event')), row)
+        except (ValueError, KeyError, TypeError, AttributeError):
+            continue
+        events.append(event)
+    return sorted(events, key=lambda event: event.time_ms)
+
+
+def count_by_second(events: collections.abc.Iterable[Event], labels: dict[str,
+                                                                          str],
+                    first_s: int, last_s: int) -> dict[str, list[int]]:
+    """Returns how often events happened in each second.
+
+    Args:
+      events: The events.
+      labels: Label of the series of each event; others are left out.
+      first_s: First second, as time of day.
+      last_s: Last second.
+
+    Returns:
+      Counts by label; series without an event are left out.
+    """
+    counts: dict[str, list[int]] = {}
+    for event in events:
+        label = labels.get(event.name)
+        if label is not None:
+            series = counts.setdefault(label, [0] * (last_s - first_s + 1))
+            series[event.time_ms // clock.MS_PER_S - first_s] += 1
+    return counts
+
+
+def count_by_target(
+        events: collections.abc.Iterable[Event]
+) -> list[tuple[str, int, int, int]]:
+    """Returns flows placed, requests and refusals of each target, by name.
+
+    Balancers name a target by its registration, agents by its incarnation.
+    """
+    columns = {'flow placed': 0, 'request': 1, 'target refused': 2}
+    found: dict[str, list[int]] = collections.defaultdict(lambda: [0, 0, 0])
+    for event in events:
+        if event.name in columns:
+            target = str(event.fields.get('target', ''))
+            found[target][columns[event.name]] += 1
+    return [(name, *counts) for name, counts in sorted(found.items())]
+
+
+def dropped_lines(events: collections.abc.Iterable[Event]) -> int:
+    """Returns how many lines the processes have left out."""
+    return sum(int(event.fields.get('lines_dropped', 0)) for event in events)
+
+
+def render(events: collections.abc.Sequence[Event], title: str) -> str:
+    """Returns the page, as HTML without other files."""
+    if not events:
+        return f'<!doctype html><title>{html.escape(title)}</title>No events.'
+    first_s = events[0].time_ms // clock.MS_PER_S
+    last_s = events[-1].time_ms // clock.MS_PER_S
+    marks = [event for event in events if event.name in MARKS]
+    parts = [
+        f'<!doctype html><meta charset="utf-8"><title>{html.escape(title)}'
+        f'</title><style>{_STYLE}</style><h1>{html.escape(title)}</h1>',
+        f'<p>{len(events)} lines of '
+        f'{len({event.process for event in events})} processes, '
+        f'{last_s - first_s + 1} s; {dropped_lines(events)} lines were left '
+        'out under load. Times are seconds from the first line.</p>'
+    ]
+    for heading, labels in (('Requests', REQUESTS), ('Troubles', TROUBLES)):
+        counts = count_by_second(events, labels, first_s, last_s)
+        parts += [
+            f'<h2>{heading} a second</h2>',
+            _chart(counts,
+                   [m.time_ms / clock.MS_PER_S - first_s for m in marks]),
+            _legend(counts)
+        ]
+    parts += [
+        '<h2>Targets</h2>',
+        _table(('target', 'flows placed', 'requests', 'refused'),
+               count_by_target(events))
+    ]
+    parts += [
+        '<h2>Changes</h2>',
+        _table(('s', 'process', 'event', 'what'),
+               [_mark_row(event, first_s) for event in marks])
+    ]
+    return '\n'.join(parts)
+
+
+def _mark_row(event: Event, first_s: int) -> tuple[str, str, str, str]:
+    what = ', '.join(
+        str(event.fields.get(name, '')) for name in MARKS[event.name])
+    return (f'{event.time_ms / clock.MS_PER_S - first_s:.2f}', event.process,
+            event.name, what)
+
+
+def _chart(counts: dict[str, list[int]], marks_s: list[float]) -> str:
+    seconds = max((len(series) for series in counts.values()), default=1)
+    totals = [sum(column) for column in zip(*counts.values())]
+    highest = max(totals, default=1)
+    step = (_WIDTH - _LEFT) / seconds
+    places = [_LEFT + mark_s * step for mark_s in marks_s]
+    shapes = [
+        f'<line x1="{x:.1f}" x2="{x:.1f}" y1="0" y2="{_HEIGHT}" stroke="#bbb"/>'
+        for x in places
+    ]
+    below = [0] * seconds
+    for colour, series in zip(_COLOURS, counts.values()):
+        for second, count in enumerate(series):
+            if not count:
+                continue
+            below[second] += count
+            shapes.append(
+                f'<rect x="{_LEFT + second * step:.1f}" '
+                f'y="{_HEIGHT - below[second] * _HEIGHT / highest:.1f}" '
+                f'width="{max(step - 1, 1):.1f}" '
+                f'height="{count * _HEIGHT / highest:.1f}" fill="{colour}"/>')
+    shapes.append(
+        f'<text x="2" y="14">{highest}</text>'
+        f'<text x="2" y="{_HEIGHT - 4}">0</text>'
+        f'<text x="{_WIDTH - 40}" y="{_HEIGHT + 16}">{seconds} s</text>')
+    return (f'<svg width="{_WIDTH}" height="{_HEIGHT + 20}">'
+            f'{"".join(shapes)}</svg>')
+
+
+def _legend(counts: dict[str, list[int]]) -> str:
+    return '<p>' + ' &nbsp; '.join(
+        f'<span style="color:{colour}">&#9632;</span> {html.escape(label)} '
+        f'({sum(series)})'
+        for colour, (label, series) in zip(_COLOURS, counts.items())) + '</p>'
+
+
+def _table(heads: collections.abc.Iterable[str],
+           rows: collections.abc.Iterable[tuple]) -> str:
+    lines = ['<tr>' + ''.join(f'<th>{head}</th>' for head in heads) + '</tr>']
+    lines += [
+        '<tr>' + ''.join(f'<td>{html.escape(str(cell))}</td>'
+                         for cell in row) + '</tr>'
+        for row in rows
+    ]
+    return f'<table>{"".join(lines)}</table>'
