Tell agents the limits as soon as they start, and keep openings until the store was read

Cause: after a return of power, agents start after the balancers' greeting and keep to 5 opening packets a second of a cold target until the next one, up to 2.5 s later; balancers that had not read the registrations reset opening packets.

Change: an agent reports at once to a balancer that is new to it; a balancer greets an agent that reports an older version or refuses as cold. Without any target known, opening packets are dropped as while targets start. The tests of refusals expect the report, too.

The specification then showed a refusal that comes late and resets a flow whose other opening packet was accepted meanwhile; a balancer ignores it now.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -112,20 +112,22 @@
             message = messages.decode(data)
         except errors.MessageError as exc:
             return [actions.Note('unreadable message', {'reason': exc.reason})]
-        if isinstance(message, messages.Carry):
-            self._note_balancer(now_ms, origin)
-            segment = self._packets.parse_client(message.raw)
-            if segment is None:
-                return []
-            if segment.is_opening:
-                return self._on_opening(now_ms, origin, message.tag, segment)
-            return self._on_client(now_ms, origin, message.asks, segment)
-        if isinstance(message, messages.Ask):
-            self._note_balancer(now_ms, origin)
-            return self._on_ask(now_ms, origin, message)
         if isinstance(message, messages.Hello):
             return self._on_hello(now_ms, origin, message)
-        return []
+        if not isinstance(message, messages.Ask | messages.Carry):
+            return []
+        # A balancer that is new here learns what this agent does not know yet.
+        result = (self._report(now_ms)
+                  if self._note_balancer(now_ms, origin) else [])
+        if isinstance(message, messages.Ask):
+            return result + self._on_ask(now_ms, origin, message)
+        segment = self._packets.parse_client(message.raw)
+        if segment is None:
+            return result
+        if segment.is_opening:
+            return result + self._on_opening(now_ms, origin, message.tag,
+                                             segment)
+        return result + self._on_client(now_ms, origin, message.asks, segment)
 
     def on_target_packet(self, now_ms: int, raw: bytes) -> actions.Actions:
         """Takes a packet that the target has sent or returned."""
@@ -528,11 +530,14 @@
         self._knowledge = messages.newest(self._knowledge, hello.knowledge)
         return self._report(now_ms)
 
-    def _note_balancer(self, now_ms: int, origin: ids.Address) -> None:
+    def _note_balancer(self, now_ms: int, origin: ids.Address) -> bool:
+        """Returns whether nothing had come from this balancer lately."""
         balancer = self._balancers.get(origin)
-        if balancer is None:
-            balancer = self._balancers[origin] = _Balancer(now_ms)
-        balancer.heard_ms = now_ms
+        if balancer is not None:
+            balancer.heard_ms = now_ms
+            return False
+        self._balancers[origin] = _Balancer(now_ms)
+        return True
 
     def _tell(self, origins: typing.Iterable[ids.Address],
               message: messages.Message) -> actions.Actions:
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -53,6 +53,11 @@
 # Time in ms between greetings to each agent, which reports for 8 s after one.
 HELLO_MS = 2_500
 
+# Time in ms between greetings out of turn to an agent that does not seem to
+# know the limits in force. It has them after a round trip, and many openings
+# may be refused before it answers.
+TELL_AGAIN_MS = 100
+
 
 class _Flow:
     """Where a flow goes.
@@ -61,13 +66,15 @@
       agent: The agent that holds it, or the one that was chosen for it.
       last_ms: When its last packet came.
       tried: Targets that refused its opening packet.
+      is_accepted: A later packet of the flow has come.
     """
-    __slots__ = ('agent', 'last_ms', 'tried')
+    __slots__ = ('agent', 'last_ms', 'tried', 'is_accepted')
 
     def __init__(self, agent: ids.Address, now_ms: int):
         self.agent = agent
         self.last_ms = now_ms
         self.tried: set[str] = set()
+        self.is_accepted = False
 
 
 class Bounds(typing.NamedTuple):
@@ -193,6 +200,7 @@
         flow = self._flows.get(segment.key)
         if flow is not None:
             flow.last_ms = now_ms
+            flow.is_accepted = True
             tag = messages.service_tag(route.shares[0].service)
             data = messages.encode_carry(tag, False, segment.raw)
             return [actions.ToPeer(flow.agent, data)]
@@ -215,7 +223,10 @@
         view.note_heard(now_ms)
         if isinstance(message, messages.Report):
             self.targets.take_report(now_ms, view, message)
-            return self._compare(now_ms, message.knowledge)
+            result = self._compare(now_ms, message.knowledge)
+            if message.knowledge.version < self._known().version:
+                result += self._tell(now_ms, view)
+            return result
         if isinstance(message, messages.Held):
             return self._on_held(now_ms, origin, message.key)
         if isinstance(message, messages.NotHeld):
@@ -287,7 +298,8 @@
                                 self.targets.busy_per_flow(tag))
         if view is None:
             self._flows.pop(segment.key, None)
-            if any(view.is_starting() for view in ordered):
+            if (len(self.targets) == 0 or
+                    any(view.is_starting() for view in ordered)):
                 # The client sends copies after 200 and 600 ms; a reset would
                 # use up one of its tries.
                 return [
@@ -302,6 +314,7 @@
             flow = self._flows[segment.key] = _Flow(view.agent, now_ms)
         flow.agent = view.agent
         flow.last_ms = now_ms
+        flow.is_accepted = False
         view.openings += 1
         note = actions.Note(
             'flow placed', {
@@ -326,6 +339,9 @@
         flow = self._flows.get(segment.key)
         if route is None or flow is None or flow.agent != view.agent:
             return []
+        if flow.is_accepted:
+            # The target has accepted another copy of the opening packet.
+            return []
         flow.tried.add(view.name)
         note = actions.Note(
             'target refused', {
@@ -333,7 +349,11 @@
                 'target': view.name,
                 'reason': message.reason
             })
-        return [note] + self._place(now_ms, route, segment, flow)
+        result: actions.Actions = [note]
+        if message.reason == target_module.RefusalReason.COLD.value:
+            # An agent that does not know the limit keeps to a low one.
+            result += self._tell(now_ms, view)
+        return result + self._place(now_ms, route, segment, flow)
 
     def _look_for(self, now_ms: int, route: routes.Route,
                   segment: segment_module.Segment) -> actions.Actions:
@@ -386,9 +406,9 @@
                  key: bytes) -> actions.Actions:
         flow = self._flows.get(key)
         if flow is None:
-            self._flows[key] = _Flow(origin, now_ms)
-        else:
-            flow.agent = origin
+            flow = self._flows[key] = _Flow(origin, now_ms)
+        flow.agent = origin
+        flow.is_accepted = True
         search = self._searches.pop(key, None)
         if search is None:
             return []
@@ -475,6 +495,14 @@
         self._greeted_ms = now_ms
         return [self._hello(view) for view in self.targets.all()]
 
+    def _tell(self, now_ms: int,
+              view: target_view.TargetView) -> actions.Actions:
+        """Greets an agent that has started after the last greeting."""
+        if view.told_ms is not None and now_ms - view.told_ms < TELL_AGAIN_MS:
+            return []
+        view.told_ms = now_ms
+        return [self._hello(view)]
+
     def _hello(self, view: target_view.TargetView) -> actions.ToPeer:
         hello = messages.Hello(self._known(),
                                self._cold_limit(view.registration.service),
--- a/figdrum/flows/target_view.py
+++ b/figdrum/flows/target_view.py
@@ -34,9 +34,10 @@
       is_forgotten: The balancer has asked to remove the registration.
       openings: Opening packets sent to it since the last report.
       tag: `service_tag` of its service.
+      told_ms: When its agent was told the configuration out of turn, or None.
     """
     __slots__ = ('name', 'registration', 'report', 'heard_ms', 'openings',
-                 'tag', 'asked_ms', 'is_unanswered', 'is_forgotten')
+                 'tag', 'asked_ms', 'is_unanswered', 'is_forgotten', 'told_ms')
 
     def __init__(self, name: str, registration: target_module.Registration,
                  now_ms: int):
@@ -49,6 +50,7 @@
         self.asked_ms = now_ms
         self.is_unanswered = False
         self.is_forgotten = False
+        self.told_ms: int | None = None
 
     @property
     def agent(self) -> ids.Address:
--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -90,7 +90,9 @@
     prepare(agent)
     result = _carry(agent, 10, _opening(), tag=tag)
     assert not _delivered(result)
-    assert _sent(result) == [messages.Refused(reason, _opening())]
+    report, refused = _sent(result)
+    assert isinstance(report, messages.Report)
+    assert refused == messages.Refused(reason, _opening())
 
 
 def test_zone_out_is_refused_by_the_newest_knowledge():
@@ -280,7 +282,9 @@
     agent.on_predecessor(0, 'i-0@0')
     _beat(agent, 0, warmup_left_ms=2_000, stored=False)
     result = _carry(agent, 10, _opening())
-    assert [m.reason for m in _sent(result)] == ['not-registered']
+    report, refused = _sent(result)
+    assert isinstance(report, messages.Report)
+    assert refused.reason == 'not-registered'
     agent.on_registered(agent.status.identity)
     assert _delivered(_carry(agent, 20, _opening()))
 
--- a/figdrum/flows/tests/test_placement.py
+++ b/figdrum/flows/tests/test_placement.py
@@ -3,6 +3,7 @@
 import collections
 
 from figdrum.core import ids
+from figdrum.flows import actions
 from figdrum.flows import messages
 from figdrum.flows import placement
 from figdrum.flows import target as target_module
@@ -161,3 +162,51 @@
     client.open()
     world.run(10)
     assert world.resets(client.key) == 1
+
+
+def test_agent_that_starts_after_a_greeting_learns_the_limit_at_once():
+    """Pattern: all machines lose power; agents start after balancers."""
+    world = world_module.World()
+    world.configure(1, {1: [('one', 1.0)]})
+    address = world.add_target('target-0', slots=4)
+    front = world.add_balancer('front-1')
+    world.run(300)
+    world.targets[address].restart()
+    world.targets[address].warmup_left_ms = 2_000
+    world.start_agent(address)
+    world.beat(address)
+    world.run(100)
+    for number in range(20):
+        world_module.Client(world, front, number).open()
+        world.run(10)
+    # The configuration sets no limit.
+    assert len(world.targets[address].opened_at) == 20
+
+
+def test_opening_packet_is_not_reset_before_the_store_was_read():
+    """Pattern: all machines lose power, and clients retransmit."""
+    world = world_module.World()
+    world.configure(1, {1: [('one', 1.0)]})
+    front = world.add_balancer('front-1')
+    client = world_module.Client(world, front, 1)
+    client.open()
+    world.run(10)
+    assert not world.resets(client.key)
+
+
+def test_late_refusal_does_not_reset_a_flow_that_was_accepted():
+    """Pattern: a retransmission overtakes what became of the first copy."""
+    world = world_module.World()
+    world.configure(1, {1: [('one', 1.0)]})
+    address = world.add_target('target-0')
+    front = world.add_balancer('front-1')
+    world.run(2_000)
+    client = world_module.Client(world, front, 1)
+    client.open()
+    world.run(50)
+    client.acknowledge()
+    world.run(50)
+    opening = packets.build(packets.OPENING, client.key, 0, 0)
+    refused = messages.encode(messages.Refused('not-ready', opening))
+    result = world.balancers[front].on_message(world.now_ms, address, refused)
+    assert not [a for a in result if isinstance(a, actions.ToClient)]
--- a/spec/flow_owners.py
+++ b/spec/flow_owners.py
@@ -24,6 +24,7 @@
 from figdrum.flows import actions
 from figdrum.flows import agent as agent_lib
 from figdrum.flows import balancer as balancer_lib
+from figdrum.flows import messages
 from figdrum.flows import routes
 from figdrum.flows import search as search_lib
 from figdrum.flows import target as target_lib
@@ -188,7 +189,9 @@
 
     def deliver(self, index: int) -> None:
         """Hands one of the distinct messages over."""
-        message = self._take(index)
+        self._hand_over(self._take(index))
+
+    def _hand_over(self, message: Message) -> None:
         if message.address == FRONT:
             self._perform(
                 FRONT,
@@ -295,8 +298,13 @@
     def _perform(self, address: ids.Address, result: actions.Actions) -> None:
         for action in result:
             if isinstance(action, actions.ToPeer):
-                self.network.append(
-                    Message(address, action.address, action.data))
+                message = Message(address, action.address, action.data)
+                if isinstance(messages.decode(action.data),
+                              messages.Report | messages.Hello):
+                    # Their order is not what these cases are about.
+                    self._hand_over(message)
+                else:
+                    self.network.append(message)
             elif isinstance(action, actions.ToTarget):
                 self._to_target(address, action.raw)
             elif isinstance(action, actions.ToClient):
@@ -346,7 +354,7 @@
             if self._is_held():
                 self.broken = 'reset of a flow that is held'
             self.is_reset = True
-        elif segment.is_accepting and not self.ack:
+        elif segment.is_accepting and not self.ack and not self.is_reset:
             self.ack = segment.seq + 1
             self._from_client(packets.build(0, KEY, 1, self.ack))
 
