--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -357,3 +357,19 @@
     agent.on_target_packet(
         21, packets.build(packets.ACCEPTING, packets.flow_key(2), 5, 8))
     assert agent.open_flows == ((KEY, 1001),)
+
+
+def test_request_that_its_client_gave_up_does_not_count_as_load():
+    """A client that waits for an answer sends a packet each 1.6 s at least."""
+    agent = _agent()
+    _beat(agent, 0)
+    agent.on_message(0, FRONT,
+                     messages.encode(messages.Hello(_knowledge(1), None, 1)))
+    _open_flow(agent, 10)
+    _carry(agent, 20, packets.build(0, KEY, 8, 1001, 50))
+    for number in range(2, 12):
+        _beat(agent, 1_200 * (number - 1), sequence=number)
+    agent.on_message(12_000, FRONT,
+                     messages.encode(messages.Hello(_knowledge(1), None, 1)))
+    report, = _sent(agent.on_tick(12_250))
+    assert report.busy < 0.1
--- a/standins/soak/regressions.py
+++ b/standins/soak/regressions.py
@@ -26,4 +26,9 @@
         200, 16,
         'a client of the soak took an answer that came after its deadline, and '
         'had two requests at a time from then on'),
+    Case(
+        516, 14,
+        'all clients of a service were in one zone, so a target in another '
+        'zone got no flows and counted as unused'),
+    Case(521, 14, 'as 516, for a target of the other service'),
 )
