--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -153,7 +153,7 @@
         self._send(wire.SYN, 0, copies)
 
     def _on_accepted(self, packet: wire.Packet) -> None:
-        if self._is_open:
+        if self._is_open or not self._is_waiting:
             return
         self._cancel()
         self._is_open = True
--- a/standins/soak/regressions.py
+++ b/standins/soak/regressions.py
@@ -31,6 +31,9 @@
         'all clients of a service were in one zone, so a target in another '
         'zone got no flows and counted as unused'),
     Case(521, 14, 'as 516, for a target of the other service'),
+    Case(
+        538, 14,
+        'a client of the soak took an acceptance that came after its deadline'),
     Case(
         527, 14,
         'an agent counts requests that clients gave up as load (KNOWN-RED.txt)'
--- a/standins/soak/tests/test_clients.py
+++ b/standins/soak/tests/test_clients.py
@@ -44,9 +44,7 @@
     return wire.encode(wire.ACK, SERVICE, request.src, FIRST + 1, 0, text)
 
 
-def test_answer_after_the_deadline_starts_no_second_request():
-    clock = _Clock()
-    ledger = ledger_module.Ledger()
+def _client(clock: _Clock, ledger: ledger_module.Ledger) -> clients.Client:
     front = layout.plan(33, 1, {}, 1)
     client = clients.Client(clock,
                             HOST,
@@ -60,12 +58,33 @@
                             holders=lambda _, __: [])
     client.start()
     clock.advance(1.0)
-    opening = clock.port.sent[0]
-    client.datagramReceived(
-        wire.encode(wire.SYN | wire.ACK, SERVICE, opening.src, FIRST, 1), None)
+    return client
+
+
+def _accept(opening: wire.Packet) -> bytes:
+    return wire.encode(wire.SYN | wire.ACK, SERVICE, opening.src, FIRST, 1)
+
+
+def test_answer_after_the_deadline_starts_no_second_request():
+    clock = _Clock()
+    ledger = ledger_module.Ledger()
+    client = _client(clock, ledger)
+    client.datagramReceived(_accept(clock.port.sent[0]), None)
     request = clock.port.sent[-1]
     assert request.data
     clock.advance(clients.DEADLINE_S)
     assert ledger.outcomes == {'deadline': 1}
     client.datagramReceived(_answer(request), None)
     assert ledger.outcomes == {'deadline': 1}
+
+
+def test_acceptance_after_the_deadline_sends_no_request():
+    clock = _Clock()
+    ledger = ledger_module.Ledger()
+    client = _client(clock, ledger)
+    clock.advance(clients.DEADLINE_S - 0.5)
+    opening = clock.port.sent[-1]
+    clock.advance(0.5)
+    assert ledger.outcomes == {'deadline': 1}
+    client.datagramReceived(_accept(opening), None)
+    assert clock.port.sent[-1].flags & wire.SYN
