--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -140,6 +140,7 @@
 
     def _open(self) -> None:
         self._cancel()
+        self._close()
         self._port += 1
         self._is_open = False
         self._seq = 1
@@ -149,6 +150,10 @@
             self._later(delay_s, self._send_opening, copies)
         self._later(GIVE_UP_S, self._open)
 
+    def _close(self) -> None:
+        if self._is_open:
+            self._send(wire.FIN | wire.ACK, self._seq, self._ack)
+
     def _send_opening(self, copies: int) -> None:
         self._send(wire.SYN, 0, copies)
 
@@ -206,6 +211,7 @@
             self._deadline.cancel()
         self._cancel()
         if outcome != 'served':
+            self._close()
             self._is_open = False
         if self._is_counted:
             self._ledger.note_outcome(self._asked_ms, outcome)
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -178,6 +178,10 @@
             self._send(wire.bounce(raw))
             return
         flow.is_open = True
+        if packet.flags & wire.FIN:
+            self._send(
+                wire.encode(wire.FIN | wire.ACK, packet.dst, packet.src,
+                            flow.next_seq, packet.seq + 1))
         if not packet.data:
             return
         answer = flow.answers.get(packet.seq)
