--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -364,10 +364,8 @@
     def _on_client(self, now_ms: int, origin: ids.Address, asks: bool,
                    segment: segment_module.Segment) -> actions.Actions:
         key = segment.key
-        flow = self._table.get(key)
-        if flow is not None and flow.target == self.status.identity:
-            if not flow.acknowledges(segment.ack):
-                return self._tell((origin,), messages.NotHeld(key, False))
+        flow = self._own_flow(key)
+        if flow is not None and flow.acknowledges(segment.ack):
             was_busy = flow.is_busy
             self._table.note_client(now_ms, flow, segment)
             result: actions.Actions = [actions.ToTarget(segment.raw)]
@@ -399,12 +397,9 @@
         not_held: list[bytes] = []
         unsure: list[bytes] = []
         for key, ack in ask.flows:
-            flow = self._table.get(key)
-            if flow is not None and flow.target == self.status.identity:
-                if flow.acknowledges(ack):
-                    result += self._tell((origin,), messages.Held(key))
-                else:
-                    not_held.append(key)
+            flow = self._own_flow(key)
+            if flow is not None and flow.acknowledges(ack):
+                result += self._tell((origin,), messages.Held(key))
                 continue
             ended = self._denied(now_ms, key)
             if ended:
@@ -416,8 +411,21 @@
             result += self._tell((origin,), denial)
         return result
 
+    def _own_flow(self, key: bytes) -> flow_table.Flow | None:
+        """Returns the flow `key` of the target's present incarnation."""
+        flow = self._table.get(key)
+        if flow is not None and flow.target == self.status.identity:
+            return flow
+        return None
+
     def _denied(self, now_ms: int, key: bytes) -> bool | None:
-        """Returns whether a flow that is not held had ended, or None."""
+        """Returns whether a flow that is not held had ended, or None.
+
+        A known flow whose packets acknowledge other numbers is another
+        target's.
+        """
+        if self._own_flow(key) is not None:
+            return False
         ended = self._trials.denial(now_ms, key)
         if (ended is None and self._table.get(key) is None and
                 self._remembers_all(now_ms)):
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -56,7 +56,7 @@
 # Time in ms between greetings out of turn to an agent that does not seem to
 # know the limits in force. It has them after a round trip, and many openings
 # may be refused before it answers.
-TELL_AGAIN_MS = 100
+GREET_AGAIN_MS = 100
 
 
 class _Flow:
@@ -179,7 +179,7 @@
                 'service': registration.service,
                 'zone': registration.zone
             })
-        return [note, self._hello(view)] if view else [note]
+        return [note, self._hello(view, self._known())] if view else [note]
 
     def on_registration_removed(self, name: str) -> actions.Actions:
         """Forgets a target whose entry is gone."""
@@ -223,10 +223,7 @@
         view.note_heard(now_ms)
         if isinstance(message, messages.Report):
             self.targets.take_report(now_ms, view, message)
-            result = self._compare(now_ms, message.knowledge)
-            if message.knowledge.version < self._known().version:
-                result += self._tell(now_ms, view)
-            return result
+            return self._compare(now_ms, view, message.knowledge)
         if isinstance(message, messages.Held):
             return self._on_held(now_ms, origin, message.key)
         if isinstance(message, messages.NotHeld):
@@ -352,7 +349,7 @@
         result: actions.Actions = [note]
         if message.reason == target_module.RefusalReason.COLD.value:
             # An agent that does not know the limit keeps to a low one.
-            result += self._tell(now_ms, view)
+            result += self._greet_again(now_ms, view)
         return result + self._place(now_ms, route, segment, flow)
 
     def _look_for(self, now_ms: int, route: routes.Route,
@@ -493,18 +490,21 @@
 
     def _greet(self, now_ms: int) -> actions.Actions:
         self._greeted_ms = now_ms
-        return [self._hello(view) for view in self.targets.all()]
+        known = self._known()
+        return [self._hello(view, known) for view in self.targets.all()]
 
-    def _tell(self, now_ms: int,
-              view: target_view.TargetView) -> actions.Actions:
+    def _greet_again(self, now_ms: int,
+                     view: target_view.TargetView) -> actions.Actions:
         """Greets an agent that has started after the last greeting."""
-        if view.told_ms is not None and now_ms - view.told_ms < TELL_AGAIN_MS:
+        if (view.greeted_ms is not None and
+                now_ms - view.greeted_ms < GREET_AGAIN_MS):
             return []
-        view.told_ms = now_ms
-        return [self._hello(view)]
+        view.greeted_ms = now_ms
+        return [self._hello(view, self._known())]
 
-    def _hello(self, view: target_view.TargetView) -> actions.ToPeer:
-        hello = messages.Hello(self._known(),
+    def _hello(self, view: target_view.TargetView,
+               known: messages.Knowledge) -> actions.ToPeer:
+        hello = messages.Hello(known,
                                self._cold_limit(view.registration.service),
                                len(self.targets))
         return actions.ToPeer(view.agent, messages.encode(hello))
@@ -514,15 +514,18 @@
                                   self._knowledge,
                                   tuple(sorted(self._zones_out)))
 
-    def _compare(self, now_ms: int,
+    def _compare(self, now_ms: int, view: target_view.TargetView,
                  heard: messages.Knowledge) -> actions.Actions:
+        """Compares what an agent knows with what is in force here."""
         result: actions.Actions = []
         if heard.revision > self._knowledge >= 0:
             result += self.on_zones_out(
                 now_ms, frozenset(ids.ZoneName(z) for z in heard.zones_out),
                 heard.revision)
-        if self._cfg is None or heard.version <= self._cfg.version:
+        if self._cfg is None or heard.version == self._cfg.version:
             return result
+        if heard.version < self._cfg.version:
+            return result + self._greet_again(now_ms, view)
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms
         elif now_ms - self._behind_since_ms >= BEHIND_MS:
--- a/figdrum/flows/target_view.py
+++ b/figdrum/flows/target_view.py
@@ -34,10 +34,11 @@
       is_forgotten: The balancer has asked to remove the registration.
       openings: Opening packets sent to it since the last report.
       tag: `service_tag` of its service.
-      told_ms: When its agent was told the configuration out of turn, or None.
+      greeted_ms: When its agent was last greeted out of turn, or None.
     """
     __slots__ = ('name', 'registration', 'report', 'heard_ms', 'openings',
-                 'tag', 'asked_ms', 'is_unanswered', 'is_forgotten', 'told_ms')
+                 'tag', 'asked_ms', 'is_unanswered', 'is_forgotten',
+                 'greeted_ms')
 
     def __init__(self, name: str, registration: target_module.Registration,
                  now_ms: int):
@@ -50,19 +51,13 @@
         self.asked_ms = now_ms
         self.is_unanswered = False
         self.is_forgotten = False
-        self.told_ms: int | None = None
+        self.greeted_ms: int | None = None
 
     @property
     def agent(self) -> ids.Address:
         """Packet address of the agent."""
         return self.registration.agent
 
-    def take_report(self, now_ms: int, report: messages.Report) -> None:
-        """Replaces the last report."""
-        self.report = report
-        self.note_heard(now_ms)
-        self.openings = 0
-
     def note_heard(self, now_ms: int) -> None:
         """Notes that something came from the agent."""
         self.heard_ms = now_ms
@@ -146,8 +141,10 @@
 
     def take_report(self, now_ms: int, view: TargetView,
                     report: messages.Report) -> None:
-        """Takes an agent's report, which also names the service."""
-        view.take_report(now_ms, report)
+        """Replaces an agent's last report, which also names the service."""
+        view.report = report
+        view.note_heard(now_ms)
+        view.openings = 0
         self._move(view, report.tag)
 
     def remove(self, name: str) -> None:
--- a/figdrum/flows/tests/test_placement.py
+++ b/figdrum/flows/tests/test_placement.py
@@ -28,10 +28,20 @@
 
 
 def _report(views: target_view.TargetViews, name: str, **changes) -> None:
-    view = views.by_agent((name, 2))
     report = messages.Report(TAG, '', READY.value, False, 0.0, 0, 1, 250,
                              messages.NO_KNOWLEDGE)
-    view.take_report(0, report._replace(**changes))
+    views.take_report(0, views.by_agent((name, 2)), report._replace(**changes))
+
+
+def _site(
+    state: target_module.TargetState = READY
+) -> tuple[world_module.World, ids.Address, ids.Address]:
+    """Returns a world of one target in a state, its address, a balancer's."""
+    world = world_module.World()
+    world.configure(1, {1: [('one', 1.0)]})
+    address = world.add_target('target-0')
+    world.targets[address].state = state
+    return world, address, world.add_balancer('front-1')
 
 
 def test_least_loaded_candidate_of_the_own_zone_is_chosen():
@@ -131,11 +141,7 @@
 
 def test_opening_packet_is_not_reset_while_targets_start():
     """Pattern: all machines lose power; balancers start before targets."""
-    world = world_module.World()
-    world.configure(1, {1: [('one', 1.0)]})
-    address = world.add_target('target-0')
-    world.targets[address].state = target_module.TargetState.UNKNOWN
-    front = world.add_balancer('front-1')
+    world, address, front = _site(target_module.TargetState.UNKNOWN)
     world.run(100)
     client = world_module.Client(world, front, 1)
     client.open()
@@ -152,11 +158,7 @@
 
 
 def test_opening_packet_is_reset_at_once_when_all_targets_are_down():
-    world = world_module.World()
-    world.configure(1, {1: [('one', 1.0)]})
-    address = world.add_target('target-0')
-    world.targets[address].state = target_module.TargetState.DRAINING
-    front = world.add_balancer('front-1')
+    world, _, front = _site(target_module.TargetState.DRAINING)
     world.run(2_000)
     client = world_module.Client(world, front, 1)
     client.open()
@@ -166,10 +168,7 @@
 
 def test_agent_that_starts_after_a_greeting_learns_the_limit_at_once():
     """Pattern: all machines lose power; agents start after balancers."""
-    world = world_module.World()
-    world.configure(1, {1: [('one', 1.0)]})
-    address = world.add_target('target-0', slots=4)
-    front = world.add_balancer('front-1')
+    world, address, front = _site()
     world.run(300)
     world.targets[address].restart()
     world.targets[address].warmup_left_ms = 2_000
@@ -196,10 +195,7 @@
 
 def test_late_refusal_does_not_reset_a_flow_that_was_accepted():
     """Pattern: a retransmission overtakes what became of the first copy."""
-    world = world_module.World()
-    world.configure(1, {1: [('one', 1.0)]})
-    address = world.add_target('target-0')
-    front = world.add_balancer('front-1')
+    world, address, front = _site()
     world.run(2_000)
     client = world_module.Client(world, front, 1)
     client.open()
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -156,7 +156,7 @@
         def on_result(result: http_client.Result) -> None:
             alive: bool | None = True
             if isinstance(result, errors.StoreError):
-                is_refused = 'connect' in result.reason
+                is_refused = isinstance(result, http_client.NotConnectedError)
                 alive = False if is_refused else None
             self.log.write('target probed', alive=alive)
             self._perform(self._agent.on_probe(self.clock.now_ms(), alive))
--- a/figdrum/runtime/http_client.py
+++ b/figdrum/runtime/http_client.py
@@ -31,6 +31,10 @@
     body: bytes
 
 
+class NotConnectedError(errors.StoreError):
+    """The connection to the server failed before it was open."""
+
+
 Result = Answer | errors.StoreError
 OnResult = collections.abc.Callable[[Result], None]
 
@@ -54,6 +58,7 @@
         self._address = address
         self._name = name
         self._stream: stream_module.Stream | None = None
+        self._is_connected = False
         self._parser: typing.Any = None
         self._calls: collections.deque[_Call] = collections.deque()
         self._timer: loop_module.Timer | None = None
@@ -74,7 +79,8 @@
           path: Path with its query.
           body: JSON body, or empty for none.
           timeout_ms: Time from the sending to the end of the answer.
-          on_result: Takes the answer, or a `StoreError` if none came.
+          on_result: Takes the answer, or a `StoreError` if none came; it is a
+            `NotConnectedError` if there was no connection either.
         """
         head = f'{method} {path} HTTP/1.1\r\nHost: {self.peer}\r\n'
         if body:
@@ -96,7 +102,8 @@
         call = self._calls[0]
         call.sent = True
         self._timer = self._loop.call_later(
-            call.timeout_ms, lambda: self.on_closed('no answer in time'))
+            call.timeout_ms, lambda: self._fail(
+                errors.StoreError(self._name, self.peer, 'no answer in time')))
         if self._stream is None:
             try:
                 self._stream = stream_module.connect(self._loop, self._address,
@@ -114,11 +121,17 @@
         except httptools.HttpParserError as exc:
             self.on_closed(f'unreadable answer: {exc}')
 
+    def on_connected(self) -> None:
+        self._is_connected = True
+
     def on_closed(self, reason: str) -> None:
+        kind = errors.StoreError if self._is_connected else NotConnectedError
+        self._fail(kind(self._name, self.peer, reason))
+
+    def _fail(self, exc: errors.StoreError) -> None:
         self._drop()
         if self._calls:
-            call = self._calls.popleft()
-            call.on_result(errors.StoreError(self._name, self.peer, reason))
+            self._calls.popleft().on_result(exc)
         self._send_next()
 
     def on_message_begin(self) -> None:
@@ -155,3 +168,4 @@
         if self._stream:
             self._stream.close()
             self._stream = None
+        self._is_connected = False
--- a/figdrum/runtime/tests/test_http.py
+++ b/figdrum/runtime/tests/test_http.py
@@ -58,6 +58,7 @@
     _run_until(loop, results, 1)
     assert isinstance(results[0], errors.StoreError)
     assert 'connect' in results[0].reason
+    assert isinstance(results[0], http_client.NotConnectedError)
 
 
 def test_silent_server_is_given_up_and_the_next_call_uses_a_new_connection(
--- a/spec/flow_owners.py
+++ b/spec/flow_owners.py
@@ -277,7 +277,7 @@
 
     def _tell_balancer(self, address: ids.Address) -> None:
         registration = self.stored[address]
-        # Greetings only ask for reports, which this model does without.
+        # The first greeting is lost, as when agents start after a balancer.
         self.balancer.on_registration(self.now_ms, address[0], registration)
 
     def _start_agent(self, address: ids.Address, is_first: bool) -> None:
--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -74,7 +74,6 @@
         self._number = 0
         self._timers: list[typing.Any] = []
         self._is_open = False
-        self._is_stopped = False
         self._request = ''
         self._data = b''
         self._asked_ms = 0
@@ -91,10 +90,6 @@
                                                   interface=self._host)
         self._reactor.callLater(self._rng.random(), self._begin)
 
-    def stop(self) -> None:
-        """Sends no further requests."""
-        self._is_stopped = True
-
     def datagramReceived(self, datagram: bytes, addr: typing.Any) -> None:
         """Takes a packet of a server, or a reset."""
         self.link.carry(self._take, datagram)
@@ -122,8 +117,6 @@
         return int(self._reactor.seconds() * 1_000)
 
     def _begin(self) -> None:
-        if self._is_stopped:
-            return
         self._number += 1
         self._request = f'{self._host}-{self._number}'
         self._asked_ms = self._now_ms()
--- a/standins/soak/program.py
+++ b/standins/soak/program.py
@@ -83,7 +83,8 @@
         self._knowledge = -1
         return on_zones_out(self, now_ms, zones, knowledge)
 
-    def compare(self, now_ms, heard):
+    def compare(self, now_ms, view, heard):
+        del view
         if heard.revision < 0:
             return []
         return accept(self, now_ms, frozenset(heard.zones_out), heard.revision)
--- a/standins/soak/site.py
+++ b/standins/soak/site.py
@@ -51,7 +51,6 @@
         self.network = network
         self.rules = rules_module.Rules(self.ledger)
         self.processes: dict[str, subprocess.Popen] = {}
-        self.paused: set[str] = set()
         self.misses: dict[str, int] = {}
         self._directory = directory
         self._without = without
--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -105,7 +105,8 @@
                         'storeRevision': self.revision
                     })
             else:
-                item = self._objects.get((parts[0], _unquote(parts[1])))
+                item = self._objects.get(
+                    (parts[0], urllib.parse.unquote(parts[1])))
                 self._send(req, 200 if item else 404, item or {})
             return
         is_lost = self._rng.random() < self.faults.lost
@@ -119,15 +120,16 @@
                req: server.Request) -> tuple[int, typing.Any]:
         kind = parts[0]
         if method == 'DELETE':
-            item = self._objects.get((kind, _unquote(parts[1])))
+            item = self._objects.get((kind, urllib.parse.unquote(parts[1])))
             if item is None:
                 return 404, {}
             if item['meta']['revision'] != int(req.args[b'revision'][0]):
                 return 409, item
-            self._change(kind, _unquote(parts[1]), None, True)
+            self._change(kind, urllib.parse.unquote(parts[1]), None, True)
             return 200, item
         body = json.loads(req.content.read())
-        name = _unquote(parts[1]) if method == 'PUT' else body['meta']['name']
+        name = urllib.parse.unquote(
+            parts[1]) if method == 'PUT' else body['meta']['name']
         item = self._objects.get((kind, name))
         if method == 'POST':
             if item is not None:
@@ -189,10 +191,6 @@
         req.finish()
 
 
-def _unquote(name: str) -> str:
-    return urllib.parse.unquote(name)
-
-
 def _reset(req: server.Request) -> None:
     if req.channel is not None:
         req.channel.transport.abortConnection()
