End the count of a request whose client has given up

The count of open flows had the same fault, and flows that the target had closed counted for 5 s more. Ruled out: ending the flow itself. A client whose link comes back retransmits and gets its answer, so only the count ends. Change: a flow has a phase. After 5 s without a packet a request in progress is abandoned: its part of the average since the last packet is withdrawn, and its flow is not reported. A retransmission makes it count again.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -597,7 +597,7 @@
                                self.status.state.value,
                                self.status.is_cold(now_ms),
                                round(self._table.meter.average(now_ms), 2),
-                               len(self._table), self.status.slots,
+                               self._table.active_count, self.status.slots,
                                self._report_period_ms(), self._knowledge)
 
     def _report_period_ms(self) -> int:
--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -1,6 +1,8 @@
 """The flows of one target, as its agent has seen them."""
 
+import collections
 import collections.abc
+import enum
 
 from figdrum.flows import load_meter
 from figdrum.flows import segment as segment_module
@@ -13,11 +15,37 @@
 # it. The longest time between two retransmissions is 1.6 s.
 CLOSED_FLOW_TTL_MS = 5_000
 
-# Shortest time in ms between two scans for expired flows. Both times above are
+# Time in ms without a packet after which a request in progress no longer counts
+# as load: its client has given up, and the packet that says so was lost. A
+# client that waits retransmits at least every 1.6 s, so this is the time of
+# three lost retransmissions.
+ABANDONED_REQUEST_MS = 5_000
+
+# Shortest time in ms between two scans for expired flows. The times above are
 # far longer.
 EXPIRY_PERIOD_MS = 1_000
 
 
+# Time in ms after a target's acceptance within which the client's first request
+# arrives. It takes one round trip of 6 ms to a client. A flow without a request
+# for longer was probably opened by a copy of the opening packet.
+FIRST_REQUEST_TIMEOUT_MS = 100
+
+
+class FlowPhase(enum.Enum):
+    """What the target has to do for a flow.
+
+    An ACCEPTED flow is about to have its first request. The request of an
+    ABANDONED flow had no answer when its client fell silent. A CLOSED flow gets
+    no further requests.
+    """
+    ACCEPTED = 'accepted'
+    IDLE = 'idle'
+    BUSY = 'busy'
+    ABANDONED = 'abandoned'
+    CLOSED = 'closed'
+
+
 class Flow:
     """A flow that the target has accepted or is assumed to hold.
 
@@ -33,7 +61,7 @@
       client_ack: The client's last acknowledgement number.
       is_open: Whether the client has acknowledged this server, or the server
         has sent more than its answer to the opening packet.
-      is_busy: Whether a request is in progress.
+      phase: What the target has to do for the flow.
       request_started_ms: Start time of the request in progress or, if there is
         none, of the last one.
       request_id: Id of that request, or ''.
@@ -42,7 +70,7 @@
     """
     __slots__ = ('key', 'opened_ms', 'last_packet_ms', 'target', 'server_first',
                  'server_next', 'client_next', 'client_ack', 'is_open',
-                 'is_busy', 'client_closed', 'server_closed',
+                 'phase', 'client_closed', 'server_closed',
                  'request_started_ms', 'request_id')
 
     def __init__(self, key: bytes, now_ms: int, target: str):
@@ -55,12 +83,17 @@
         self.client_next: int | None = None
         self.client_ack = 0
         self.is_open = False
-        self.is_busy = False
+        self.phase = FlowPhase.IDLE
         self.request_started_ms = now_ms
         self.request_id = ''
         self.client_closed = False
         self.server_closed = False
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is in progress."""
+        return self.phase is FlowPhase.BUSY
+
     @property
     def is_closed(self) -> bool:
         """Whether both ends have closed the flow."""
@@ -91,12 +124,34 @@
 
     def __init__(self, now_ms: int):
         self._flows: dict[bytes, Flow] = {}
+        self._counts: collections.Counter[FlowPhase] = collections.Counter()
+        self._accepted: collections.deque[tuple[int, Flow]] = (
+            collections.deque())
         self._expired_ms = now_ms
         self.meter = load_meter.LoadMeter(now_ms)
 
     def __len__(self) -> int:
         return len(self._flows)
 
+    @property
+    def active_count(self) -> int:
+        """Number of flows whose clients may send further requests."""
+        return (len(self._flows) - self._counts[FlowPhase.ABANDONED] -
+                self._counts[FlowPhase.CLOSED])
+
+    def expected_requests(self, now_ms: int) -> int:
+        """Returns the number of requests that are in progress or about to be.
+
+        Unlike the meter's count, it includes the first requests of flows that
+        the target has just accepted.
+        """
+        start_ms = now_ms - FIRST_REQUEST_TIMEOUT_MS
+        while self._accepted and self._accepted[0][0] <= start_ms:
+            _, flow = self._accepted.popleft()
+            if flow.phase is FlowPhase.ACCEPTED:
+                self._set_phase(now_ms, flow, FlowPhase.IDLE)
+        return self._counts[FlowPhase.BUSY] + self._counts[FlowPhase.ACCEPTED]
+
     def get(self, key: bytes) -> Flow | None:
         """Returns the flow `key`, or None."""
         return self._flows.get(key)
@@ -105,13 +160,15 @@
         """Adds a flow; replaces an earlier one with the same key."""
         self.remove(now_ms, key)
         flow = self._flows[key] = Flow(key, now_ms, target)
+        self._counts[flow.phase] += 1
         return flow
 
     def remove(self, now_ms: int, key: bytes) -> Flow | None:
         """Removes the flow `key` and returns it, or None."""
         flow = self._flows.pop(key, None)
         if flow is not None:
-            self._set_busy(now_ms, flow, False)
+            self._set_phase(now_ms, flow, FlowPhase.CLOSED)
+            self._counts[FlowPhase.CLOSED] -= 1
         return flow
 
     def flows(self) -> collections.abc.Iterable[Flow]:
@@ -127,16 +184,11 @@
             flow.is_open = True
         if segment.is_closing or segment.is_reset:
             flow.client_closed = True
+        if segment.length:
+            self._record_request(now_ms, flow, segment)
         if segment.is_reset:
             flow.server_closed = True
-            self._set_busy(now_ms, flow, False)
-        if segment.length:
-            end = (segment.seq +
-                   segment.length) % segment_module.SEQUENCE_MODULUS
-            if (flow.client_next is None or
-                    segment_module.follows(flow.client_next, end)):
-                flow.client_next = end
-                self._set_busy(now_ms, flow, True)
+            self._set_phase(now_ms, flow, FlowPhase.CLOSED)
 
     def record_target_packet(self, now_ms: int, flow: Flow,
                              segment: segment_module.Segment) -> None:
@@ -148,31 +200,63 @@
             flow.server_first = segment.seq
             flow.server_next = (segment.seq +
                                 1) % segment_module.SEQUENCE_MODULUS
+            if flow.phase is FlowPhase.IDLE and flow.client_next is None:
+                self._set_phase(now_ms, flow, FlowPhase.ACCEPTED)
+                self._accepted.append((now_ms, flow))
         end = (segment.seq + segment.length +
                segment.is_closing) % segment_module.SEQUENCE_MODULUS
         if segment_module.follows(flow.server_next, end):
             flow.server_next = end
-        if segment.length:
-            self._set_busy(now_ms, flow, False)
+        if segment.length and flow.phase is not FlowPhase.CLOSED:
+            self._set_phase(now_ms, flow, FlowPhase.IDLE)
         if segment.is_closing or segment.is_reset:
             flow.server_closed = True
+            self._set_phase(now_ms, flow, FlowPhase.CLOSED)
         if segment.is_reset:
             flow.client_closed = True
-            self._set_busy(now_ms, flow, False)
 
     def expire(self, now_ms: int) -> None:
-        """Removes flows that have been idle or closed for too long."""
+        """Removes flows that have been idle or closed for too long.
+
+        A request whose client has been silent for too long no longer counts.
+        """
         if now_ms - self._expired_ms < EXPIRY_PERIOD_MS:
             return
         self._expired_ms = now_ms
         for flow in self.flows():
+            silence_ms = now_ms - flow.last_packet_ms
             limit_ms = CLOSED_FLOW_TTL_MS if flow.is_closed else IDLE_TIMEOUT_MS
-            if now_ms - flow.last_packet_ms > limit_ms:
+            if silence_ms > limit_ms:
                 self.remove(now_ms, flow.key)
+            elif flow.is_busy and silence_ms > ABANDONED_REQUEST_MS:
+                self._abandon(now_ms, flow)
+
+    def _record_request(self, now_ms: int, flow: Flow,
+                        segment: segment_module.Segment) -> None:
+        end = (segment.seq + segment.length) % segment_module.SEQUENCE_MODULUS
+        is_new = (flow.client_next is None or
+                  segment_module.follows(flow.client_next, end))
+        if is_new:
+            flow.client_next = end
+        if flow.phase is FlowPhase.CLOSED:
+            return
+        # A retransmission shows that a silent client still waits.
+        if is_new or flow.phase is FlowPhase.ABANDONED:
+            self._set_phase(now_ms, flow, FlowPhase.BUSY)
+
+    def _abandon(self, now_ms: int, flow: Flow) -> None:
+        self._count_phase(flow, FlowPhase.ABANDONED)
+        self.meter.withdraw(now_ms, flow.last_packet_ms)
+
+    def _count_phase(self, flow: Flow, phase: FlowPhase) -> None:
+        self._counts[flow.phase] -= 1
+        self._counts[phase] += 1
+        flow.phase = phase
 
-    def _set_busy(self, now_ms: int, flow: Flow, is_busy: bool) -> None:
-        if flow.is_busy != is_busy:
-            flow.is_busy = is_busy
-            if is_busy:
-                flow.request_started_ms = now_ms
-            self.meter.add(now_ms, 1 if is_busy else -1)
+    def _set_phase(self, now_ms: int, flow: Flow, phase: FlowPhase) -> None:
+        was_busy = flow.is_busy
+        self._count_phase(flow, phase)
+        if flow.is_busy and not was_busy:
+            flow.request_started_ms = now_ms
+        if flow.is_busy != was_busy:
+            self.meter.add(now_ms, flow.is_busy - was_busy)
--- a/figdrum/flows/load_meter.py
+++ b/figdrum/flows/load_meter.py
@@ -33,6 +33,23 @@
         self._update(now_ms)
         self.current += change
 
+    def withdraw(self, now_ms: int, since_ms: int) -> None:
+        """Removes a request that has not been in progress since `since_ms`.
+
+        The average becomes what it would be if the request had ended then.
+
+        Examples
+        ========
+
+        >>> meter = LoadMeter(0)
+        >>> meter.add(0, 1)
+        >>> meter.withdraw(9000, 2000)
+        >>> round(meter.average(9000), 2)
+        0.02
+        """
+        self.add(now_ms, -1)
+        self._average -= 1 - math.exp((since_ms - now_ms) / TIME_CONSTANT_MS)
+
     def average(self, now_ms: int) -> float:
         """Returns the average number of requests in progress."""
         self._update(now_ms)
--- /dev/null
+++ b/figdrum/flows/tests/test_flow_table.py
@@ -0,0 +1,78 @@
+"""Phases of flows, from which a target's load follows."""
+
+from figdrum.flows import flow_table
+from figdrum.flows import segment as segment_module
+from figdrum.flows.tests import packets
+
+KEY = packets.flow_key(1)
+FORMAT = packets.TestFormat()
+
+
+def _client_packet(seq: int, length: int = 0) -> segment_module.Segment:
+    segment = FORMAT.parse_client(packets.build(0, KEY, seq, 1001, length))
+    assert segment is not None
+    return segment
+
+
+def _target_packet(flags: int,
+                   seq: int,
+                   length: int = 0) -> segment_module.Segment:
+    segment = FORMAT.parse_target(packets.build(flags, KEY, seq, 8, length))
+    assert segment is not None
+    return segment
+
+
+def _open_flow(now_ms: int) -> tuple[flow_table.FlowTable, flow_table.Flow]:
+    """Returns a table with a flow that the target has accepted."""
+    table = flow_table.FlowTable(now_ms)
+    flow = table.open(now_ms, KEY, 'i-1@1')
+    table.record_target_packet(now_ms, flow,
+                               _target_packet(packets.ACCEPTING, 1000))
+    return table, flow
+
+
+def test_accepted_flow_counts_as_a_request_until_its_first_request():
+    table, flow = _open_flow(0)
+    assert table.expected_requests(50) == 1
+    table.record_client_packet(60, flow, _client_packet(8, 50))
+    assert table.expected_requests(500) == 1
+    table.record_target_packet(600, flow, _target_packet(0, 1001, 100))
+    assert table.expected_requests(600) == 0
+
+
+def test_accepted_flow_without_a_request_stops_counting():
+    """A copy of the opening packet may open a flow that nobody uses."""
+    table, _ = _open_flow(0)
+    assert table.expected_requests(flow_table.FIRST_REQUEST_TIMEOUT_MS) == 0
+    assert table.active_count == 1
+
+
+def test_abandoned_request_counts_again_when_its_client_retransmits():
+    """A link was cut for longer than the silence that ends the count."""
+    table, flow = _open_flow(0)
+    table.record_client_packet(10, flow, _client_packet(8, 50))
+    table.expire(10 + flow_table.ABANDONED_REQUEST_MS + 1)
+    assert (flow.phase, table.active_count,
+            table.meter.current) == (flow_table.FlowPhase.ABANDONED, 0, 0)
+    table.record_client_packet(6_500, flow, _client_packet(8, 50))
+    assert (flow.phase, table.active_count,
+            table.meter.current) == (flow_table.FlowPhase.BUSY, 1, 1)
+
+
+def test_long_request_of_a_client_that_retransmits_keeps_counting():
+    table, flow = _open_flow(0)
+    for now_ms in range(0, 12_000, 1_600):
+        table.record_client_packet(now_ms, flow, _client_packet(8, 50))
+        table.expire(now_ms + 1_599)
+    assert table.expected_requests(12_000) == 1
+
+
+def test_flow_that_its_target_has_closed_is_not_active():
+    table, flow = _open_flow(0)
+    table.record_client_packet(10, flow, _client_packet(8, 50))
+    table.record_target_packet(20, flow,
+                               _target_packet(packets.CLOSING, 1001, 100))
+    assert table.active_count == 0
+    table.remove(30, KEY)
+    assert table.active_count == 0
+    assert len(table) == 0
