Let busy targets of short flows decline opening packets

Cause: on the grown archive each request opens a flow and takes 30 ms, while the load that a balancer chooses by is 0.6 s old and averaged over 2 s. Placement was no better than chance: a request found 1.03 others at its target in the new virtual-time test (840/s, 50 targets of one slot, 24 balancers), 4.4 in a burst. Change: an agent with no free slot returns the opening packet (Declined) with its number of requests, at most four times for a packet; then it goes to the least busy of these. A flow that was just accepted counts as a request. An agent takes flows for short when most were closed after one request.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -130,8 +130,7 @@
         if segment is None:
             return result
         if segment.is_opening:
-            return result + self._on_opening(now_ms, origin, message.tag,
-                                             segment)
+            return result + self._on_opening(now_ms, origin, message, segment)
         return result + self._on_client_packet(now_ms, origin,
                                                message.wants_reply, segment)
 
@@ -352,10 +351,19 @@
         self._pending.expire(now_ms)
         return result + self._send_due_reports(now_ms)
 
-    def _on_opening(self, now_ms: int, origin: ids.Address, tag: int,
+    def _on_opening(self, now_ms: int, origin: ids.Address,
+                    message: messages.ForwardedPacket,
                     segment: segment_module.Segment) -> actions.Actions:
         if self._table.get(segment.key) is None:
-            reason = self._refusal_reason(now_ms, tag)
+            reason = self._refusal_reason(now_ms, message.tag)
+            if (reason is None and message.may_decline and
+                    self._should_decline(now_ms)):
+                declined = messages.Declined(self._expected_requests(now_ms),
+                                             segment.raw)
+                return self._send((origin,), declined)
+            if reason is None and self.status.is_cold(
+                    now_ms) and not self._cold_limit.try_acquire(now_ms):
+                reason = Reason.COLD
             if reason is not None:
                 return self._refuse(origin, reason, segment.raw)
         self._pending.start(now_ms, segment.key, True, segment.raw, origin)
@@ -364,6 +372,20 @@
             actions.StartTimer(ACCEPT_TIMEOUT_MS)
         ]
 
+    def _should_decline(self, now_ms: int) -> bool:
+        """Returns whether another target may serve a new flow earlier.
+
+        The later requests of a long flow load its target, too. Its placement
+        therefore follows the balancers' averages, and not whether the target
+        has a free slot at the moment.
+        """
+        return (self._expected_requests(now_ms) >= self.status.slots and
+                self._table.has_short_flows)
+
+    def _expected_requests(self, now_ms: int) -> int:
+        return (self._table.expected_requests(now_ms) +
+                self._pending.opening_count)
+
     def _refusal_reason(self, now_ms: int, tag: int) -> Reason | None:
         if tag != self._tag:
             return Reason.OTHER_SERVICE
@@ -373,9 +395,6 @@
             return Reason.NOT_REGISTERED
         if self._zone in self._knowledge.zones_out:
             return Reason.ZONE_OUT
-        if self.status.is_cold(
-                now_ms) and not self._cold_limit.try_acquire(now_ms):
-            return Reason.COLD
         return None
 
     def _refuse(self, origin: ids.Address, reason: Reason,
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -71,14 +71,18 @@
       last_packet_ms: Time of the last packet.
       failed_targets: Names of targets that refused the opening packet or did
         not answer it.
+      declined: Requests at the targets that have sent the opening packet back
+        because they are busy, by name.
       is_accepted: Whether a later packet than the opening packet has come.
     """
-    __slots__ = ('agent', 'last_packet_ms', 'failed_targets', 'is_accepted')
+    __slots__ = ('agent', 'last_packet_ms', 'failed_targets', 'declined',
+                 'is_accepted')
 
     def __init__(self, agent: ids.Address, now_ms: int):
         self.agent = agent
         self.last_packet_ms = now_ms
         self.failed_targets: set[str] = set()
+        self.declined: dict[str, int] = {}
         self.is_accepted = False
 
 
@@ -248,6 +252,8 @@
             return self._on_denial(now_ms, origin, message)
         if isinstance(message, messages.Refused):
             return self._on_refused(now_ms, view, message)
+        if isinstance(message, messages.Declined):
+            return self._on_declined(now_ms, view, message)
         return []
 
     def on_timer(self, now_ms: int) -> actions.Actions:
@@ -302,6 +308,7 @@
             if view is not None:
                 flow.failed_targets.add(view.name)
                 view.record_unanswered(flow.last_packet_ms)
+            flow.declined.clear()
         return self._place_flow(now_ms, route, segment, flow)
 
     def _place_flow(self, now_ms: int, route: routes.Route,
@@ -313,8 +320,16 @@
         failed_targets = flow.failed_targets if flow is not None else ()
         candidates = placement.eligible_targets(now_ms, ordered,
                                                 self._zones_out, failed_targets)
-        view = placement.choose_target(candidates, self._zone,
-                                       self.targets.busy_per_flow(tag))
+        declined = flow.declined if flow is not None else {}
+        untried = [view for view in candidates if view.name not in declined]
+        may_decline = (len(declined) < placement.MAX_DECLINES and
+                       len(candidates) > 1 and bool(untried))
+        view = None
+        if declined and not may_decline:
+            view = placement.least_busy_target(candidates, declined)
+        if view is None:
+            view = placement.choose_target(untried, self._zone,
+                                           self.targets.busy_per_flow(tag))
         if view is None:
             self._flows.pop(segment.key, None)
             if (len(self.targets) == 0 or
@@ -345,21 +360,43 @@
                                   if view.last_heard_ms is not None else None),
                 'copies': segment.ack
             })
-        data = messages.encode_forwarded_packet(tag, False, segment.raw)
+        data = messages.encode_forwarded_packet(tag, False, segment.raw,
+                                                may_decline)
         return [actions.SendToPeer(view.agent, data), log_event]
 
-    def _on_refused(self, now_ms: int, view: target_view.TargetView,
-                    message: messages.Refused) -> actions.Actions:
-        segment = self._packets.parse_client(message.raw)
+    def _find_unplaced(
+        self, view: target_view.TargetView, raw: bytes
+    ) -> tuple[routes.Route, segment_module.Segment, _Flow] | None:
+        """Returns the flow whose opening packet an agent has sent back.
+
+        The result is None if the flow has been placed elsewhere meanwhile, or
+        if the target has accepted another copy of the opening packet.
+        """
+        segment = self._packets.parse_client(raw)
         if segment is None or self._cfg is None:
-            return []
+            return None
         route = self._cfg.routes.get(self._packets.service_address(segment.key))
         flow = self._flows.get(segment.key)
-        if route is None or flow is None or flow.agent != view.agent:
+        if (route is None or flow is None or flow.agent != view.agent or
+                flow.is_accepted):
+            return None
+        return route, segment, flow
+
+    def _on_declined(self, now_ms: int, view: target_view.TargetView,
+                     message: messages.Declined) -> actions.Actions:
+        unplaced = self._find_unplaced(view, message.raw)
+        if unplaced is None:
             return []
-        if flow.is_accepted:
-            # The target accepted another copy of the opening packet.
+        route, segment, flow = unplaced
+        flow.declined[view.name] = message.requests
+        return self._place_flow(now_ms, route, segment, flow)
+
+    def _on_refused(self, now_ms: int, view: target_view.TargetView,
+                    message: messages.Refused) -> actions.Actions:
+        unplaced = self._find_unplaced(view, message.raw)
+        if unplaced is None:
             return []
+        route, segment, flow = unplaced
         flow.failed_targets.add(view.name)
         log_event = actions.LogEvent(
             'target refused', {
--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -25,12 +25,14 @@
 # far longer.
 EXPIRY_PERIOD_MS = 1_000
 
-
 # Time in ms after a target's acceptance within which the client's first request
 # arrives. It takes one round trip of 6 ms to a client. A flow without a request
 # for longer was probably opened by a copy of the opening packet.
 FIRST_REQUEST_TIMEOUT_MS = 100
 
+# Weight of one flow in the average that tells short flows from long ones.
+SHORT_FLOW_WEIGHT = 0.25
+
 
 class FlowPhase(enum.Enum):
     """What the target has to do for a flow.
@@ -62,6 +64,7 @@
       is_open: Whether the client has acknowledged this server, or the server
         has sent more than its answer to the opening packet.
       phase: What the target has to do for the flow.
+      request_count: Number of requests that the agent has seen.
       request_started_ms: Start time of the request in progress or, if there is
         none, of the last one.
       request_id: Id of that request, or ''.
@@ -69,8 +72,8 @@
       server_closed: Whether the server has sent its last byte.
     """
     __slots__ = ('key', 'opened_ms', 'last_packet_ms', 'target', 'server_first',
-                 'server_next', 'client_next', 'client_ack', 'is_open',
-                 'phase', 'client_closed', 'server_closed',
+                 'server_next', 'client_next', 'client_ack', 'is_open', 'phase',
+                 'client_closed', 'server_closed', 'request_count',
                  'request_started_ms', 'request_id')
 
     def __init__(self, key: bytes, now_ms: int, target: str):
@@ -84,6 +87,7 @@
         self.client_ack = 0
         self.is_open = False
         self.phase = FlowPhase.IDLE
+        self.request_count = 0
         self.request_started_ms = now_ms
         self.request_id = ''
         self.client_closed = False
@@ -125,8 +129,9 @@
     def __init__(self, now_ms: int):
         self._flows: dict[bytes, Flow] = {}
         self._counts: collections.Counter[FlowPhase] = collections.Counter()
-        self._accepted: collections.deque[tuple[int, Flow]] = (
-            collections.deque())
+        self._accepted: collections.deque[tuple[int,
+                                                Flow]] = (collections.deque())
+        self._short_flow_share = 0.0
         self._expired_ms = now_ms
         self.meter = load_meter.LoadMeter(now_ms)
 
@@ -152,6 +157,16 @@
                 self._set_phase(now_ms, flow, FlowPhase.IDLE)
         return self._counts[FlowPhase.BUSY] + self._counts[FlowPhase.ACCEPTED]
 
+    @property
+    def has_short_flows(self) -> bool:
+        """Whether most flows are closed after their first request.
+
+        It is False until a few flows have been closed, so that flows which many
+        clients open at the same time, for example after a mass restart, are
+        taken to be long.
+        """
+        return self._short_flow_share > 0.5
+
     def get(self, key: bytes) -> Flow | None:
         """Returns the flow `key`, or None."""
         return self._flows.get(key)
@@ -182,6 +197,8 @@
         flow.client_ack = segment.ack
         if flow.server_first is not None:
             flow.is_open = True
+        if segment.is_closing:
+            self._record_closing(flow)
         if segment.is_closing or segment.is_reset:
             flow.client_closed = True
         if segment.length:
@@ -209,6 +226,8 @@
             flow.server_next = end
         if segment.length and flow.phase is not FlowPhase.CLOSED:
             self._set_phase(now_ms, flow, FlowPhase.IDLE)
+        if segment.is_closing:
+            self._record_closing(flow)
         if segment.is_closing or segment.is_reset:
             flow.server_closed = True
             self._set_phase(now_ms, flow, FlowPhase.CLOSED)
@@ -238,12 +257,26 @@
                   segment_module.follows(flow.client_next, end))
         if is_new:
             flow.client_next = end
+            if not flow.is_busy:
+                flow.request_count += 1
+                if flow.request_count > 1:
+                    self._observe_flow(False)
         if flow.phase is FlowPhase.CLOSED:
             return
         # A retransmission shows that a silent client still waits.
         if is_new or flow.phase is FlowPhase.ABANDONED:
             self._set_phase(now_ms, flow, FlowPhase.BUSY)
 
+    def _record_closing(self, flow: Flow) -> None:
+        if flow.client_closed or flow.server_closed:
+            return
+        if flow.request_count == 1 and flow.server_first is not None:
+            self._observe_flow(True)
+
+    def _observe_flow(self, is_short: bool) -> None:
+        self._short_flow_share += SHORT_FLOW_WEIGHT * (is_short -
+                                                       self._short_flow_share)
+
     def _abandon(self, now_ms: int, flow: Flow) -> None:
         self._count_phase(flow, FlowPhase.ABANDONED)
         self.meter.withdraw(now_ms, flow.last_packet_ms)
--- a/figdrum/flows/messages.py
+++ b/figdrum/flows/messages.py
@@ -11,7 +11,8 @@
 ========
 
 >>> decode(encode_forwarded_packet(service_tag('fieldbook'), True, b'datagram'))
-ForwardedPacket(tag=3219963083, wants_reply=True, raw=b'datagram')
+ForwardedPacket(tag=3219963083, wants_reply=True, raw=b'datagram', \
+may_decline=False)
 >>> decode(encode(NotHeld(b'key', ended=True)))
 NotHeld(key=b'key', ended=True)
 """
@@ -33,10 +34,13 @@
       tag: `service_tag` of the service that the packet is for.
       wants_reply: Whether the agent answers with `Held` or `NotHeld`.
       raw: The datagram.
+      may_decline: Whether an agent with a busy target may send an opening
+        packet back with `Declined`.
     """
     tag: int
     wants_reply: bool
     raw: bytes
+    may_decline: bool = False
 
 
 class Ask(typing.NamedTuple):
@@ -90,6 +94,17 @@
     raw: bytes
 
 
+class Declined(typing.NamedTuple):
+    """An opening packet that the agent sent back because its target is busy.
+
+    Attributes:
+      requests: Requests at the target that are in progress or about to be.
+      raw: The datagram.
+    """
+    requests: int
+    raw: bytes
+
+
 class Knowledge(typing.NamedTuple):
     """The versions of the operators' settings that a node has.
 
@@ -162,11 +177,13 @@
     knowledge: Knowledge
 
 
-Message = (ForwardedPacket | Ask | Denial | Held | NotHeld | Refused | Hello |
-           Report)
+Message = (ForwardedPacket | Ask | Denial | Held | NotHeld | Refused |
+           Declined | Hello | Report)
 
 _FORWARDED_PACKET = struct.Struct('!BBI')
 _FORWARDED_PACKET_TYPE = 1
+_WANTS_REPLY = 1
+_MAY_DECLINE = 2
 _TYPES: dict[int, typing.Any] = {
     2: Held,
     3: NotHeld,
@@ -174,7 +191,8 @@
     5: Hello,
     6: Report,
     7: Ask,
-    8: Denial
+    8: Denial,
+    9: Declined
 }
 _CODES = {message_type: code for code, message_type in _TYPES.items()}
 
@@ -185,10 +203,13 @@
     return xxhash.xxh32_intdigest(service.encode())
 
 
-def encode_forwarded_packet(tag: int, wants_reply: bool, raw: bytes) -> bytes:
+def encode_forwarded_packet(tag: int,
+                            wants_reply: bool,
+                            raw: bytes,
+                            may_decline: bool = False) -> bytes:
     """Returns the datagram that forwards a client's packet to an agent."""
-    return _FORWARDED_PACKET.pack(_FORWARDED_PACKET_TYPE, wants_reply,
-                                  tag) + raw
+    options = _WANTS_REPLY * wants_reply | _MAY_DECLINE * may_decline
+    return _FORWARDED_PACKET.pack(_FORWARDED_PACKET_TYPE, options, tag) + raw
 
 
 def encode(message: Message) -> bytes:
@@ -203,9 +224,10 @@
       errors.MessageError: if `data` is not a valid message.
     """
     if data[:1] == b'\x01' and len(data) >= _FORWARDED_PACKET.size:
-        _, wants_reply, tag = _FORWARDED_PACKET.unpack_from(data)
-        return ForwardedPacket(tag, bool(wants_reply),
-                               data[_FORWARDED_PACKET.size:])
+        _, options, tag = _FORWARDED_PACKET.unpack_from(data)
+        return ForwardedPacket(tag, bool(options & _WANTS_REPLY),
+                               data[_FORWARDED_PACKET.size:],
+                               bool(options & _MAY_DECLINE))
     message_type = _TYPES.get(data[0]) if data else None
     if message_type is None:
         raise errors.MessageError('decode', 'peer', 'unknown message type')
--- a/figdrum/flows/pending_deliveries.py
+++ b/figdrum/flows/pending_deliveries.py
@@ -38,11 +38,16 @@
 
 
 class PendingDeliveries:
-    """Pending deliveries, and flows that the target is known not to hold."""
+    """Pending deliveries, and flows that the target is known not to hold.
+
+    Attributes:
+      opening_count: Number of opening packets among the deliveries.
+    """
 
     def __init__(self):
         self._deliveries: dict[bytes, PendingDelivery] = {}
         self._denials: dict[bytes, _Denial] = {}
+        self.opening_count = 0
 
     def __bool__(self) -> bool:
         return bool(self._deliveries)
@@ -59,6 +64,7 @@
         if delivery is None:
             delivery = self._deliveries[key] = PendingDelivery(
                 now_ms, is_opening, raw)
+            self.opening_count += is_opening
         delivery.origins.add(origin)
         if is_opening:
             self._denials.pop(key, None)
@@ -70,7 +76,10 @@
 
     def finish(self, key: bytes) -> PendingDelivery | None:
         """Removes and returns the pending delivery of a flow, or None."""
-        return self._deliveries.pop(key, None)
+        delivery = self._deliveries.pop(key, None)
+        if delivery is not None:
+            self.opening_count -= delivery.is_opening
+        return delivery
 
     def all(self) -> collections.abc.Iterable[tuple[bytes, PendingDelivery]]:
         """Returns a snapshot of the pending deliveries by flow key."""
--- a/figdrum/flows/placement.py
+++ b/figdrum/flows/placement.py
@@ -23,6 +23,12 @@
 # Number of candidates of a flow.
 CANDIDATE_COUNT = 3
 
+# Number of targets that may decline an opening packet because they are busy. An
+# agent's report is older than most requests last, so only the agent knows
+# whether its target has a free slot. Each attempt takes one round trip of a
+# message between zones.
+MAX_DECLINES = 4
+
 # Added to the load (requests in progress per slot) of a target in another zone,
 # so that targets in the balancer's own zone are preferred.
 OTHER_ZONE_PENALTY = 0.05
@@ -76,3 +82,21 @@
         return load
 
     return min(candidates[:CANDIDATE_COUNT], key=cost, default=None)
+
+
+def least_busy_target(
+    candidates: collections.abc.Iterable[target_view.TargetView],
+    requests: collections.abc.Mapping[str,
+                                      int]) -> target_view.TargetView | None:
+    """Returns the target for an opening packet that no target may decline.
+
+    It is the one with the fewest requests per slot when it declined, or None if
+    no eligible target has declined.
+
+    Args:
+      candidates: Eligible targets in the flow's order.
+      requests: Requests at each target that has declined the packet, by name.
+    """
+    return min((view for view in candidates if view.name in requests),
+               key=lambda view: requests[view.name] / view.slots,
+               default=None)
--- a/figdrum/flows/target_view.py
+++ b/figdrum/flows/target_view.py
@@ -105,6 +105,11 @@
         return (self.report.is_cold
                 if self.report else self.registration.is_cold)
 
+    @property
+    def slots(self) -> int:
+        """Requests that the target processes in parallel, 1 if unknown."""
+        return self.report.slots if self.report else 1
+
     def load(self, busy_per_flow: float) -> float:
         """Returns the expected requests in progress per slot.
 
@@ -121,13 +126,44 @@
         return expected / self.report.slots
 
 
+class _ServiceTargets:
+    """The targets of one service.
+
+    Attributes:
+      by_name: The targets by name.
+      busy: Sum of the requests in progress in their reports.
+      flows: Sum of the open flows in their reports.
+    """
+    __slots__ = ('by_name', 'busy', 'flows')
+
+    def __init__(self):
+        self.by_name: dict[str, TargetView] = {}
+        self.busy = 0.0
+        self.flows = 0
+
+    def add(self, view: TargetView) -> None:
+        """Adds a target."""
+        self.by_name[view.name] = view
+        self._count(view.report, 1)
+
+    def remove(self, view: TargetView) -> None:
+        """Removes a target."""
+        del self.by_name[view.name]
+        self._count(view.report, -1)
+
+    def _count(self, report: messages.Report | None, sign: int) -> None:
+        if report is not None:
+            self.busy += sign * report.busy
+            self.flows += sign * report.flows
+
+
 class TargetViews:
     """The registered targets, indexed by name, agent and service."""
 
     def __init__(self):
         self._by_name: dict[str, TargetView] = {}
         self._by_agent: dict[ids.Address, TargetView] = {}
-        self._by_tag: dict[int, dict[str, TargetView]] = {}
+        self._services: dict[int, _ServiceTargets] = {}
 
     def __len__(self) -> int:
         return len(self._by_name)
@@ -139,29 +175,29 @@
         if view is not None and view.agent == registration.agent:
             view.registration = registration
             if view.report is None:
-                self._set_tag(view, messages.service_tag(registration.service))
+                self._update(view, messages.service_tag(registration.service),
+                             None)
             return False
         self.remove(name)
         view = TargetView(name, registration, now_ms)
         self._by_name[name] = view
         self._by_agent[registration.agent] = view
-        self._by_tag.setdefault(view.tag, {})[name] = view
+        self._service(view.tag).add(view)
         return True
 
     def apply_report(self, now_ms: int, view: TargetView,
                      report: messages.Report) -> None:
         """Stores an agent's report and the service that it names."""
-        view.report = report
+        self._update(view, report.tag, report)
         view.record_contact(now_ms)
         view.openings_since_report = 0
-        self._set_tag(view, report.tag)
 
     def remove(self, name: str) -> None:
         """Removes a target, if it is known."""
         view = self._by_name.pop(name, None)
         if view is not None:
             self._by_agent.pop(view.agent, None)
-            self._by_tag[view.tag].pop(name)
+            self._service(view.tag).remove(view)
 
     def by_agent(self, agent: ids.Address) -> TargetView | None:
         """Returns the target of the agent at an address, or None."""
@@ -173,7 +209,7 @@
 
     def rendezvous_order(self, key: bytes, tag: int) -> list[TargetView]:
         """Returns the targets of a service in a flow's rendezvous order."""
-        by_name = self._by_tag.get(tag, {})
+        by_name = self._service(tag).by_name
         return [by_name[name] for name in rendezvous.order(key, by_name)]
 
     def owner_search_order(
@@ -194,15 +230,16 @@
 
     def busy_per_flow(self, tag: int) -> float:
         """Returns the requests in progress per open flow of a service."""
-        busy = flows = 0.0
-        for view in self._by_tag.get(tag, {}).values():
-            if view.report is not None:
-                busy += view.report.busy
-                flows += view.report.flows
-        return busy / flows if flows else OPENING_LOAD
-
-    def _set_tag(self, view: TargetView, tag: int) -> None:
-        if view.tag != tag:
-            self._by_tag[view.tag].pop(view.name)
-            view.tag = tag
-            self._by_tag.setdefault(tag, {})[view.name] = view
+        service = self._service(tag)
+        if not service.flows:
+            return OPENING_LOAD
+        return max(0.0, service.busy / service.flows)
+
+    def _service(self, tag: int) -> _ServiceTargets:
+        return self._services.setdefault(tag, _ServiceTargets())
+
+    def _update(self, view: TargetView, tag: int,
+                report: messages.Report | None) -> None:
+        self._service(view.tag).remove(view)
+        view.tag, view.report = tag, report
+        self._service(tag).add(view)
--- a/figdrum/flows/tests/simulation.py
+++ b/figdrum/flows/tests/simulation.py
@@ -57,6 +57,7 @@
         self.longest_queue = 0
         self.opening_times_ms: list[int] = []
         self.strays: collections.Counter[bytes] = collections.Counter()
+        self.on_request: typing.Callable[['Target'], None] | None = None
 
     def receive(self, raw: bytes) -> None:
         """Handles a packet from the agent."""
@@ -77,6 +78,8 @@
         self.open.add(key)
         if segment.length:
             self._on_request(key, segment.seq)
+        if segment.is_closing:
+            self._send(packets.build(packets.CLOSING, key, segment.ack, 0))
 
     def _on_request(self, key: bytes, seq: int) -> None:
         if (key, seq) in self.answered:
@@ -85,6 +88,8 @@
                 self._send(answer)
             return
         self.answered[key, seq] = None
+        if self.on_request is not None:
+            self.on_request(self)
         self.queue.append((key, seq))
         self.longest_queue = max(self.longest_queue, len(self.queue))
         self._start_request()
--- a/figdrum/flows/tests/test_flow_table.py
+++ b/figdrum/flows/tests/test_flow_table.py
@@ -76,3 +76,35 @@
     table.remove(30, KEY)
     assert table.active_count == 0
     assert len(table) == 0
+
+
+def _serve_flow(table: flow_table.FlowTable, number: int,
+                requests: int) -> None:
+    """Opens a flow that has some requests of two packets and is closed."""
+    key = packets.flow_key(number)
+    flow = table.open(0, key, 'i-1@1')
+    table.record_target_packet(0, flow, _target_packet(packets.ACCEPTING, 1000))
+    for index in range(requests):
+        for part in range(2):
+            table.record_client_packet(
+                10, flow, _client_packet(8 + 100 * index + 50 * part, 50))
+        table.record_target_packet(20, flow,
+                                   _target_packet(0, 1001 + 100 * index, 100))
+    table.record_target_packet(
+        20, flow, _target_packet(packets.CLOSING, 1001 + 100 * requests))
+
+
+def test_flows_with_one_request_each_are_short():
+    table = flow_table.FlowTable(0)
+    assert not table.has_short_flows
+    for number in range(4):
+        _serve_flow(table, number, requests=1)
+    assert table.has_short_flows
+
+
+def test_flows_with_many_requests_are_long():
+    """A few clients close their flow after the first request."""
+    table = flow_table.FlowTable(0)
+    for number in range(40):
+        _serve_flow(table, number, requests=1 if number % 10 == 0 else 10)
+        assert not table.has_short_flows
--- /dev/null
+++ b/figdrum/flows/tests/test_short_flows.py
@@ -0,0 +1,60 @@
+"""Placement when each request opens a flow.
+
+The pattern is that of an archive with 50 targets of one slot behind 24
+balancers: requests take some 30 ms, and an agent's report is 0.6 s old when a
+balancer chooses by it.
+"""
+
+from figdrum.flows.tests import short_flows
+from figdrum.flows.tests import simulation
+
+
+def test_requests_find_idle_targets_at_usual_load():
+    """840 requests a second keep the targets 54 % busy.
+
+    A choice at random leaves a request with 0.8 others, and one by the true
+    figures of three targets with 0.2.
+    """
+    sim, balancers = short_flows.start_grown_site(seed=1)
+    clients = short_flows.ShortFlows(sim, balancers)
+    clients.start(per_s=840, for_ms=5_000)
+    sim.run(7_000)
+    assert clients.mean_found < 0.5
+    assert len(clients.waited_ms) == clients.opened
+
+
+def test_requests_spread_over_targets_in_a_burst():
+    """1,250 requests a second keep the targets 80 % busy.
+
+    A choice at random leaves a request with 2.4 others.
+    """
+    sim, balancers = short_flows.start_grown_site(seed=2)
+    clients = short_flows.ShortFlows(sim, balancers)
+    clients.start(per_s=1_250, for_ms=5_000)
+    sim.run(8_000)
+    assert clients.mean_found < 1.2
+    assert len(clients.waited_ms) == clients.opened
+
+
+def test_targets_of_long_flows_decline_none_of_a_mass_opening():
+    """All clients open their flows at once, for example after a power loss.
+
+    Each target is busy with its first request then. The flows last for a
+    minute, so they have to be spread evenly.
+    """
+    sim, balancers = short_flows.start_grown_site(seed=3,
+                                                  target_count=9,
+                                                  balancer_count=3)
+    clients = [
+        simulation.Client(sim, balancers[number % 3], number)
+        for number in range(180)
+    ]
+    for client in clients:
+        client.open()
+    sim.run(20)
+    for client in clients:
+        client.request()
+    sim.run(5_000)
+    flows = [len(target.open) for target in sim.targets.values()]
+    assert sum(flows) == 180
+    assert max(flows) <= 1.2 * 180 / 9
