Find a flow's targets in time that does not grow with them

Cause: each opening packet hashed and sorted all targets of its service and summed all reports, and each owner search sorted all targets. Ruled out: precomputed name hashes with a partial selection; they still visit each target. The sums of reports are kept up to date.

--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -5,10 +5,11 @@
 
 An opening packet goes to the target that `placement` chooses. Later packets go
 to the agent whose target is known to hold the flow. If none is known, the
-balancer queries agents in the flow's rendezvous order, and buffers further
+balancer queries agents in the flow's order of targets, and buffers further
 packets of the flow until it has a result.
 """
 
+import itertools
 import typing
 
 from figdrum.core import errors
@@ -316,11 +317,11 @@
                     flow: _Flow | None) -> actions.Actions:
         service = routes.pick_service(route, segment.key)
         tag = messages.service_tag(service)
-        ordered = self.targets.rendezvous_order(segment.key, tag)
         failed_targets = flow.failed_targets if flow is not None else ()
-        candidates = placement.eligible_targets(now_ms, ordered,
-                                                self._zones_out, failed_targets)
         declined = flow.declined if flow is not None else {}
+        candidates = placement.eligible_targets(
+            now_ms, self.targets.flow_order(segment.key, tag), self._zones_out,
+            failed_targets, placement.CANDIDATE_COUNT + len(declined))
         untried = [view for view in candidates if view.name not in declined]
         may_decline = (len(declined) < placement.MAX_DECLINES and
                        len(candidates) > 1 and bool(untried))
@@ -332,8 +333,7 @@
                                            self.targets.busy_per_flow(tag))
         if view is None:
             self._flows.pop(segment.key, None)
-            if (len(self.targets) == 0 or
-                    any(view.is_state_unknown() for view in ordered)):
+            if (len(self.targets) == 0 or self.targets.has_unknown_state(tag)):
                 # The client retransmits after 200 and 600 ms, while a reset
                 # would cost it one of its attempts.
                 return [
@@ -419,13 +419,13 @@
         if len(self._searches) >= MAX_SEARCHES:
             return []
         tags = {messages.service_tag(share.service) for share in route.shares}
-        ordered = self.targets.owner_search_order(segment.key, tags)
-        # Silent agents come last. The sort is stable, so both groups keep their
-        # order.
-        ordered.sort(key=lambda view: view.is_silent(now_ms))
+        agents = (view.agent
+                  for view in self.targets.all_in_flow_order(segment.key, tags)
+                  if not view.is_silent(now_ms))
+        first = list(itertools.islice(agents, owner_search.INITIAL_QUERY_COUNT))
         tag = messages.service_tag(routes.pick_service(route, segment.key))
-        search = owner_search.OwnerSearch(now_ms, [v.agent for v in ordered],
-                                          segment.raw, segment.ack, tag)
+        search = owner_search.OwnerSearch(now_ms, first, segment.raw,
+                                          segment.ack, tag)
         self._searches[segment.key] = search
         return self._continue_search(now_ms, segment.key, search) + [
             actions.StartTimer(owner_search.QUERY_TIMEOUT_MS)
@@ -434,7 +434,11 @@
     def _continue_search(self, now_ms: int, key: bytes,
                          search: owner_search.OwnerSearch) -> actions.Actions:
         result: actions.Actions = []
-        for step in search.steps(now_ms):
+        steps = search.steps(now_ms)
+        if search.needs_all_agents:
+            search.add_agents(self._all_agents(now_ms, key))
+            steps = search.steps(now_ms)
+        for step in steps:
             if isinstance(step, owner_search.TrialDelivery):
                 data = messages.encode_forwarded_packet(search.tag, True,
                                                         search.raw)
@@ -461,6 +465,13 @@
             result += self._reset(key, search.ack, 'no owner')
         return result
 
+    def _all_agents(self, now_ms: int, key: bytes) -> list[ids.Address]:
+        """Returns all agents in a flow's order, the silent ones last."""
+        views = list(self.targets.all_in_flow_order(key, ()))
+        # The sort is stable, so both groups keep their order.
+        views.sort(key=lambda view: view.is_silent(now_ms))
+        return [view.agent for view in views]
+
     def _on_held(self, now_ms: int, origin: ids.Address,
                  key: bytes) -> actions.Actions:
         flow = self._flows.get(key)
--- a/figdrum/flows/owner_search.py
+++ b/figdrum/flows/owner_search.py
@@ -14,6 +14,7 @@
 ========
 
 >>> search = OwnerSearch(0, [('a', 1), ('b', 1)], b'packet', 9, 1)
+>>> search.add_agents([])
 >>> [step.agent for step in search.steps(0)]
 [('a', 1), ('b', 1)]
 >>> search.on_unsure(('a', 1))
@@ -26,6 +27,7 @@
 """
 
 import collections
+import collections.abc
 import enum
 import typing
 
@@ -89,11 +91,22 @@
         ends.
       silent: Agents that did not answer in time.
       query_count: Number of agents queried so far.
+      needs_all_agents: Whether the first agents have denied the flow, and the
+        search goes on once it has got all agents.
       verdict: Result of the search.
     """
 
-    def __init__(self, now_ms: int, order: list[ids.Address], raw: bytes,
+    def __init__(self, now_ms: int, first: list[ids.Address], raw: bytes,
                  ack: int, tag: int):
+        """Creates a search.
+
+        Args:
+          now_ms: Time.
+          first: Agents that are queried first.
+          raw: The packet that started the search.
+          ack: The client's acknowledgement number in that packet.
+          tag: `messages.service_tag` of the service of the flow's route.
+        """
         self.started_ms = now_ms
         self.raw = raw
         self.ack = ack
@@ -102,11 +115,20 @@
         self.silent: list[ids.Address] = []
         self.query_count = 0
         self.verdict = Verdict.OPEN
-        self._unqueried = order
+        self.needs_all_agents = False
+        self._unqueried = first
+        self._known = set(first)
+        self._has_all_agents = False
         self._pending: dict[ids.Address, int] = {}
         self._unsure: collections.deque[ids.Address] = collections.deque()
         self._delivered_to: set[ids.Address] = set()
 
+    def add_agents(self, agents: collections.abc.Iterable[ids.Address]) -> None:
+        """Sets all agents, in the order in which they are queried."""
+        self.needs_all_agents = False
+        self._has_all_agents = True
+        self._unqueried += [a for a in agents if a not in self._known]
+
     def buffer_packet(self, raw: bytes) -> None:
         """Buffers a later packet of the flow unless the buffer is full."""
         if len(self.buffered_packets) < segment.PACKETS_IN_FLIGHT:
@@ -145,16 +167,16 @@
                 for _ in range(count)
             ]
         if self._unqueried:
-            count = len(
-                self._unqueried) if self.query_count else INITIAL_QUERY_COUNT
-            batch = self._unqueried[:count]
-            self._unqueried = self._unqueried[count:]
+            is_urgent = not self._has_all_agents
+            batch, self._unqueried = self._unqueried, []
             self.query_count += len(batch)
-            is_urgent = self.query_count <= INITIAL_QUERY_COUNT
             return [
                 self._start_step(now_ms, OwnerQuery(agent, is_urgent))
                 for agent in batch
             ]
+        if not self._has_all_agents:
+            self.needs_all_agents = True
+            return []
         self.verdict = (Verdict.UNKNOWN if self.silent or not self.query_count
                         else Verdict.NO_OWNER)
         return []
--- a/figdrum/flows/placement.py
+++ b/figdrum/flows/placement.py
@@ -3,7 +3,7 @@
 Explanation
 ===========
 
-The first few eligible targets in the flow's rendezvous order are its
+The first few eligible targets in the flow's order on a hash ring are its
 candidates, and the flow goes to the least loaded of them. With few candidates,
 another balancer finds the flow's owner after few queries. Two or more balance
 the load almost as well as a choice among all targets.
@@ -38,27 +38,32 @@
 COLD_PENALTY = 0.5
 
 
-def eligible_targets(
-        now_ms: int, ordered: collections.abc.Iterable[target_view.TargetView],
-        zones_out: collections.abc.Container[ids.ZoneName],
-        excluded: collections.abc.Container[str]
-) -> list[target_view.TargetView]:
-    """Returns the targets that can get a new flow, in the given order.
+def eligible_targets(now_ms: int,
+                     ordered: collections.abc.Iterable[target_view.TargetView],
+                     zones_out: collections.abc.Container[ids.ZoneName],
+                     excluded: collections.abc.Container[str],
+                     count: int) -> list[target_view.TargetView]:
+    """Returns the first targets that can get a new flow, in the given order.
 
     Targets with silent agents are included only if there are no others.
 
     Args:
       now_ms: Time.
-      ordered: Targets of the service in the flow's rendezvous order.
+      ordered: Targets of the service in the flow's order.
       zones_out: Zones that operators have taken out.
       excluded: Names of targets that have refused the flow or did not answer.
+      count: Largest number of targets.
     """
-    ready = [
-        view for view in ordered if view.is_ready() and
-        view.name not in excluded and view.registration.zone not in zones_out
-    ]
-    answering = [view for view in ready if not view.is_silent(now_ms)]
-    return answering or ready
+    ready = (view for view in ordered
+             if view.is_ready() and view.name not in excluded and
+             view.registration.zone not in zones_out)
+    answering: list[target_view.TargetView] = []
+    silent: list[target_view.TargetView] = []
+    for view in ready:
+        (silent if view.is_silent(now_ms) else answering).append(view)
+        if len(answering) == count:
+            break
+    return answering or silent[:count]
 
 
 def choose_target(candidates: collections.abc.Sequence[target_view.TargetView],
--- a/figdrum/flows/target_view.py
+++ b/figdrum/flows/target_view.py
@@ -1,11 +1,12 @@
 """A balancer's state of each target."""
 
 import collections.abc
+import itertools
 
 from figdrum.core import ids
 from figdrum.flows import messages
 from figdrum.flows import target as target_module
-from figdrum.routing import rendezvous
+from figdrum.routing import hash_ring
 
 # Reports that may be missing before an agent is considered silent. A silent
 # agent gets new flows only if there is no other.
@@ -28,7 +29,8 @@
     """A balancer's state of one target and its agent.
 
     Attributes:
-      name: Name of the registration, which determines the rendezvous order.
+      name: Name of the registration, which determines the order of targets
+        for a flow.
       registration: The entry in the store.
       report: Last report of the agent, or None.
       last_heard_ms: Time of the agent's last message, or None.
@@ -131,27 +133,36 @@
 
     Attributes:
       by_name: The targets by name.
+      ring: Their order for each flow.
       busy: Sum of the requests in progress in their reports.
       flows: Sum of the open flows in their reports.
     """
-    __slots__ = ('by_name', 'busy', 'flows')
+    __slots__ = ('by_name', 'ring', 'busy', 'flows')
 
     def __init__(self):
         self.by_name: dict[str, TargetView] = {}
+        self.ring = hash_ring.HashRing()
         self.busy = 0.0
         self.flows = 0
 
     def add(self, view: TargetView) -> None:
         """Adds a target."""
         self.by_name[view.name] = view
-        self._count(view.report, 1)
+        self.ring.add(view.name)
+        self.count(view.report, 1)
 
     def remove(self, view: TargetView) -> None:
         """Removes a target."""
         del self.by_name[view.name]
-        self._count(view.report, -1)
+        self.ring.remove(view.name)
+        self.count(view.report, -1)
 
-    def _count(self, report: messages.Report | None, sign: int) -> None:
+    def order(self, key: bytes) -> collections.abc.Iterator[TargetView]:
+        """Yields the targets in a flow's order."""
+        return (self.by_name[name] for name in self.ring.walk(key))
+
+    def count(self, report: messages.Report | None, sign: int) -> None:
+        """Adds a report to the sums, or removes it with the sign -1."""
         if report is not None:
             self.busy += sign * report.busy
             self.flows += sign * report.flows
@@ -207,26 +218,31 @@
         """Returns all targets."""
         return self._by_name.values()
 
-    def rendezvous_order(self, key: bytes, tag: int) -> list[TargetView]:
-        """Returns the targets of a service in a flow's rendezvous order."""
-        by_name = self._service(tag).by_name
-        return [by_name[name] for name in rendezvous.order(key, by_name)]
+    def flow_order(self, key: bytes,
+                   tag: int) -> collections.abc.Iterator[TargetView]:
+        """Yields the targets of a service in a flow's order.
+
+        The targets must not change during the iteration.
+        """
+        return self._service(tag).order(key)
 
-    def owner_search_order(
-            self, key: bytes,
-            tags: collections.abc.Container[int]) -> list[TargetView]:
-        """Returns all targets in the order of the search for a flow's owner.
+    def all_in_flow_order(
+        self, key: bytes, tags: collections.abc.Collection[int]
+    ) -> collections.abc.Iterator[TargetView]:
+        """Yields all targets in the order of the search for a flow's owner.
 
         Targets of the services `tags` come first. The others follow because an
         open flow stays at its target when a new configuration routes its
         address to another service.
         """
-        ordered = [
-            self._by_name[name]
-            for name in rendezvous.order(key, self._by_name)
-        ]
-        return ([v for v in ordered if v.tag in tags] +
-                [v for v in ordered if v.tag not in tags])
+        others = (tag for tag in sorted(self._services) if tag not in tags)
+        for tag in itertools.chain(sorted(tags), others):
+            yield from self.flow_order(key, tag)
+
+    def has_unknown_state(self, tag: int) -> bool:
+        """Returns whether a target of a service has not reported its state."""
+        by_name = self._service(tag).by_name
+        return any(view.is_state_unknown() for view in by_name.values())
 
     def busy_per_flow(self, tag: int) -> float:
         """Returns the requests in progress per open flow of a service."""
@@ -240,6 +256,12 @@
 
     def _update(self, view: TargetView, tag: int,
                 report: messages.Report | None) -> None:
+        if tag == view.tag:
+            service = self._service(tag)
+            service.count(view.report, -1)
+            view.report = report
+            service.count(report, 1)
+            return
         self._service(view.tag).remove(view)
         view.tag, view.report = tag, report
         self._service(tag).add(view)
--- a/figdrum/flows/tests/test_placement.py
+++ b/figdrum/flows/tests/test_placement.py
@@ -50,7 +50,7 @@
     _apply_report(views, 't1', busy=0.1, flows=1)
     _apply_report(views, 't2', busy=0.1, flows=1)
     for number in range(20):
-        ordered = views.rendezvous_order(packets.flow_key(number), TAG)
+        ordered = list(views.flow_order(packets.flow_key(number), TAG))
         chosen = placement.choose_target(ordered, ids.ZoneName('a'), 0.1)
         assert chosen.name == 't2'
 
@@ -60,28 +60,30 @@
     _apply_report(views, 't0', state='draining')
     _apply_report(views, 't1', is_cold=True)
     _apply_report(views, 't2')
-    ordered = views.rendezvous_order(packets.flow_key(1), TAG)
+    ordered = list(views.flow_order(packets.flow_key(1), TAG))
     now_ms = 3 * 300 + 1
     views.by_agent(('t1', 2)).last_heard_ms = now_ms
     views.by_agent(('t2', 2)).last_heard_ms = now_ms
     names = {
-        v.name for v in placement.eligible_targets(now_ms, ordered, (), ())
+        v.name for v in placement.eligible_targets(now_ms, ordered, (), (), 4)
     }
     assert names == {'t1', 't2'}
     chosen = placement.choose_target(
-        placement.eligible_targets(now_ms, ordered, (), ()), ids.ZoneName('b'),
-        0.1)
+        placement.eligible_targets(now_ms, ordered, (), (), 4),
+        ids.ZoneName('b'), 0.1)
     assert chosen.name == 't2'
-    remaining = placement.eligible_targets(now_ms, ordered, (), ('t1', 't2'))
+    remaining = placement.eligible_targets(now_ms, ordered, (), ('t1', 't2'), 4)
     assert [v.name for v in remaining] == ['t3']
 
 
 def test_targets_in_a_zone_out_and_refusing_targets_get_no_flows():
     views = _make_views(2)
-    ordered = views.rendezvous_order(packets.flow_key(1), TAG)
-    names = [v.name for v in placement.eligible_targets(0, ordered, ('a',), ())]
+    ordered = list(views.flow_order(packets.flow_key(1), TAG))
+    names = [
+        v.name for v in placement.eligible_targets(0, ordered, ('a',), (), 4)
+    ]
     assert names == ['t1']
-    assert not placement.eligible_targets(0, ordered, ('a',), ('t1',))
+    assert not placement.eligible_targets(0, ordered, ('a',), ('t1',), 4)
 
 
 def test_target_that_changes_its_service_is_reindexed():
@@ -94,11 +96,11 @@
         0, view,
         messages.Report(other, '', READY.value, False, 2.0, 4, 1, 250,
                         messages.NO_KNOWLEDGE))
-    assert [v.name for v in views.rendezvous_order(key, TAG)] == ['t1']
-    assert [v.name for v in views.rendezvous_order(key, other)] == ['t0']
+    assert [v.name for v in views.flow_order(key, TAG)] == ['t1']
+    assert [v.name for v in views.flow_order(key, other)] == ['t0']
     assert views.busy_per_flow(other) == 0.5
     views.remove('t0')
-    assert not views.rendezvous_order(key, other)
+    assert not list(views.flow_order(key, other))
 
 
 def test_long_flows_are_balanced():
@@ -134,10 +136,10 @@
         _apply_report(views, f't{number}')
     counts: collections.Counter[str] = collections.Counter()
     for number in range(140):
-        ordered = views.rendezvous_order(packets.flow_key(number), TAG)
+        ordered = list(views.flow_order(packets.flow_key(number), TAG))
         view = placement.choose_target(
-            placement.eligible_targets(0, ordered, (), ()), ids.ZoneName('a'),
-            0.1)
+            placement.eligible_targets(0, ordered, (), (), 3),
+            ids.ZoneName('a'), 0.1)
         view.openings_since_report += 1
         counts[view.name] += 1
     assert max(counts.values()) <= 1.5 * 20
