Take a closing packet that overtakes the answer for an answer

Cause: the packets of an answer arrive at the agent at once, and the closing packet may be the first. Ruled out: real resets by targets; the trace shows a closing packet whose number is 12 KB after the last one, in each of the first six false alarms. Change: a closing packet breaks a request off only if its number follows the last byte that the target has sent. Before / after: test_closing_packet_that_overtakes_the_answer_breaks_off_no_request failed, passes.

--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -218,8 +218,10 @@
         Returns:
           Whether the packet ends a request without an answer.
         """
-        ends_flow = segment.is_closing or segment.is_reset
-        is_break = flow.is_busy and ends_flow and not segment.length
+        # A closing packet may overtake the answer. Its number is after that then.
+        ends_unanswered = segment.is_reset or (segment.is_closing and
+                                               segment.seq == flow.server_next)
+        is_break = flow.is_busy and ends_unanswered and not segment.length
         flow.last_packet_ms = now_ms
         if not segment.is_accepting:
             flow.is_open = True
--- a/figdrum/flows/tests/test_flow_table.py
+++ b/figdrum/flows/tests/test_flow_table.py
@@ -108,3 +108,20 @@
     for number in range(40):
         _serve_flow(table, number, requests=1 if number % 10 == 0 else 10)
         assert not table.has_short_flows
+
+
+def test_closing_packet_that_overtakes_the_answer_breaks_off_no_request():
+    """Seen on further-grown trouble-1: all packets of an answer come at once."""
+    table, flow = _open_flow(0)
+    table.record_client_packet(10, flow, _client_packet(8, 50))
+    assert not table.record_target_packet(20, flow,
+                                          _target_packet(packets.CLOSING, 1101))
+    assert not table.record_target_packet(20, flow, _target_packet(
+        0, 1001, 100))
+
+
+def test_reset_or_closing_packet_without_an_answer_breaks_a_request_off():
+    for flags in (packets.RESET, packets.CLOSING):
+        table, flow = _open_flow(0)
+        table.record_client_packet(10, flow, _client_packet(8, 50))
+        assert table.record_target_packet(20, flow, _target_packet(flags, 1001))
