Discard a second copy of a response on the nodes' HTTP connections

A server that sends a second copy of a response, with the first one or late, had it taken for the response to the next request on that connection: the store's client and the health probe read from one. Ruled out: matching by a header; HTTP/1.1 has none for this. Change: bytes that arrive while no request waits, or after the end of a response in the same read, end the connection. The next request uses a new one. Before / after: test_second_copy_of_an_answer_is_not_taken_for_the_next_one and test_queued_request_does_not_get_the_second_copy fail on the old client, pass.

--- a/figdrum/runtime/http_client.py
+++ b/figdrum/runtime/http_client.py
@@ -64,6 +64,10 @@
         self._timer: loop_module.Timer | None = None
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
+        self._response: Response | None = None
+        # Whether the connection ends with the current response, since its server
+        # says so or has sent more than one.
+        self._must_disconnect = False
 
     @property
     def peer(self) -> str:
@@ -119,10 +123,20 @@
         self._stream.write(call.data)
 
     def on_data(self, data: bytes) -> None:
+        if not self._calls or not self._calls[0].is_sent:
+            # A second copy of an earlier response. After it, no response on
+            # this connection can be matched to its request.
+            self._disconnect()
+            return
+        reason = ''
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
-            self.on_closed(f'malformed response: {exc}')
+            reason = f'malformed response: {exc}'
+        if self._response is not None:
+            self._finish(is_reusable=not reason)
+        elif reason:
+            self.on_closed(reason)
 
     def on_connected(self) -> None:
         self._is_connected = True
@@ -137,8 +151,19 @@
             self._calls.popleft().on_result(exc)
         self._send_next()
 
+    def _finish(self, is_reusable: bool) -> None:
+        response, self._response = self._response, None
+        if self._timer:
+            self._timer.cancel()
+        if not is_reusable or self._must_disconnect:
+            self._disconnect()
+        self._calls.popleft().on_result(response)
+        self._send_next()
+
     def on_message_begin(self) -> None:
         """Called by the parser at the start of a response."""
+        if self._response is not None:
+            self._must_disconnect = True
         self._headers = {}
         self._body = []
 
@@ -152,17 +177,10 @@
 
     def on_message_complete(self) -> None:
         """Called by the parser at the end of a response."""
-        if not self._calls:
-            return
-        response = Response(self._parser.get_status_code(), self._headers,
-                            b''.join(self._body))
-        if self._timer:
-            self._timer.cancel()
-        call = self._calls.popleft()
-        if not self._parser.should_keep_alive():
-            self._disconnect()
-        call.on_result(response)
-        self._send_next()
+        if self._response is None:
+            self._response = Response(self._parser.get_status_code(),
+                                      self._headers, b''.join(self._body))
+            self._must_disconnect = not self._parser.should_keep_alive()
 
     def _disconnect(self) -> None:
         if self._timer:
@@ -171,4 +189,6 @@
         if self._stream:
             self._stream.close()
             self._stream = None
+        self._response = None
+        self._must_disconnect = False
         self._is_connected = False
--- a/figdrum/runtime/tests/test_http.py
+++ b/figdrum/runtime/tests/test_http.py
@@ -110,3 +110,79 @@
     _run_until(loop, results, 1)
     assert not received
     server.close()
+
+
+class _RepeatingServer:
+    """Answers each request with its number, and sends copies of answers."""
+
+    def __init__(self, loop: loop_module.Loop, copies: int, delay_ms: int):
+        self._loop = loop
+        self._copies = copies
+        self._delay_ms = delay_ms
+        self._requests = 0
+        self._connections: list[socket.socket] = []
+        self._listener = socket.socket()
+        self._listener.bind(('127.0.0.1', 0))
+        self._listener.listen()
+        self._listener.setblocking(False)
+        self.address = self._listener.getsockname()
+        loop.watch(self._listener, self._accept)
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        for sock in (self._listener, *self._connections):
+            self._loop.watch(sock)
+            sock.close()
+
+    def _accept(self) -> None:
+        sock, _ = self._listener.accept()
+        self._connections.append(sock)
+        self._loop.watch(sock, lambda: self._answer(sock))
+
+    def _answer(self, sock: socket.socket) -> None:
+        if not sock.recv(65_536):
+            self._loop.watch(sock)
+            return
+        body = str(self._requests).encode()
+        self._requests += 1
+        answer = (f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+                 ).encode() + body
+        if not self._delay_ms:
+            sock.sendall(answer * (1 + self._copies))
+            return
+        sock.sendall(answer)
+        self._loop.call_later(self._delay_ms, lambda: sock.sendall(answer))
+
+
+@pytest.mark.parametrize('delay_ms', [0, 20])
+def test_second_copy_of_an_answer_is_not_taken_for_the_next_one(loop, delay_ms):
+    """The copy comes with the answer, or while no request waits."""
+    server = _RepeatingServer(loop, 1, delay_ms)
+    client = http_client.HttpClient(loop, server.address, 'test')
+    results: list[http_client.Result] = []
+
+    def call_next(result: http_client.Result) -> None:
+        results.append(result)
+        if len(results) < 3:
+            loop.call_later(
+                2 * delay_ms,
+                lambda: client.call('GET', '/', b'', 1_000, call_next))
+
+    client.call('GET', '/', b'', 1_000, call_next)
+    _run_until(loop, results, 3)
+    assert [r.body for r in results] == [b'0', b'1', b'2']
+    client.close()
+    server.close()
+
+
+def test_queued_request_does_not_get_the_second_copy(loop):
+    """The next request is sent as soon as the first one has its answer."""
+    server = _RepeatingServer(loop, 1, 0)
+    client = http_client.HttpClient(loop, server.address, 'test')
+    results: list[http_client.Result] = []
+    for _ in range(3):
+        client.call('GET', '/', b'', 1_000, results.append)
+    _run_until(loop, results, 3)
+    assert [r.body for r in results] == [b'0', b'1', b'2']
+    client.close()
+    server.close()
