Give each request to a target a connection of its own

A target that sends a second copy of an answer late, on a pooled connection that is in use again, had it taken for the answer to the next GET. Ruled out: a check of the pool before reuse; the copy may come after the next request was sent. Change: no pool. POST had a connection of its own already; the target is on the agent's machine. Before / after: test_late_copy_of_an_answer_is_not_taken_for_the_next_one fails on the old client, passes.

--- a/figdrum/agent/process.py
+++ b/figdrum/agent/process.py
@@ -55,8 +55,7 @@
                                            maxPacketSize=65_536)
         self.address: ids.Address = (cfg.agent.frame_host,
                                      self._listener.getHost().port)
-        self._target = http_client.HttpTarget(reactor, cfg.agent.target,
-                                              cfg.agent.slots)
+        self._target = http_client.HttpTarget(reactor, cfg.agent.target)
         self._store = http_store.HttpStore(reactor, cfg.platform.url,
                                            cfg.process.name,
                                            cfg.platform.timeout_ms)
@@ -100,7 +99,6 @@
         self.core.stop()
         self._subscriptions.stop()
         yield defer.maybeDeferred(self._listener.stopListening)
-        yield self._target.close()
         yield self._store.close()
         if isinstance(self._trace, trace_lib.TraceWriter):
             self._trace.close()
--- a/figdrum/coap/http_client.py
+++ b/figdrum/coap/http_client.py
@@ -3,9 +3,10 @@
 Explanation
 ===========
 
-Requests use a pool of persistent connections, except that each POST opens a
-connection of its own: if the target closed a persistent connection at the same
-moment, it would be unknown whether the request ran. Cancelling a call closes
+Each request opens a connection of its own. On a persistent connection, a second
+copy of a response that comes late would be taken for the response to the next
+request. Also, if the target closed a persistent connection while a request was
+sent, it would be unknown whether the request ran. Cancelling a call closes
 its connection. If a connection could not be established, the request certainly
 did not run; every other failure leaves the outcome unknown. A body without a
 length or with a wrong one is a failure, so that no caller takes part of a
@@ -102,32 +103,19 @@
     Args:
       reactor: Twisted reactor.
       address: The target's address.
-      connections: Maximum number of persistent connections.
     """
 
-    def __init__(self,
-                 reactor: typing.Any,
-                 address: ids.Address,
-                 connections: int = 8):
+    def __init__(self, reactor: typing.Any, address: ids.Address):
         self._reactor = reactor
         self._address = address
-        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
-        self._pool.maxPersistentPerHost = connections
-        # Retries are decided by `admission.retry_budget`.
-        self._pool.retryAutomatically = False
-        self._pooled = client.Agent(reactor,
-                                    connectTimeout=CONNECT_TIMEOUT_S,
-                                    pool=self._pool)
-        self._single_use = client.Agent(reactor,
-                                        connectTimeout=CONNECT_TIMEOUT_S)
+        self._agent = client.Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
 
     def call(self, req: ports.TargetRequest) -> defer.Deferred:
         host, port = self._address
-        agent = self._single_use if req.method == 'POST' else self._pooled
-        call = agent.request(req.method.encode(),
-                             f'http://{host}:{port}{req.path}'.encode(),
-                             _headers(req),
-                             _BodyProducer(req.body) if req.body else None)
+        call = self._agent.request(
+            req.method.encode(), f'http://{host}:{port}{req.path}'.encode(),
+            _headers(req),
+            _BodyProducer(req.body) if req.body else None)
         call.addCallback(_read_answer)
         timer = self._reactor.callLater(
             max(1, req.deadline_ms) / clock.MS_PER_S, call.cancel)
@@ -141,10 +129,6 @@
         call.addErrback(self._on_failure)
         return call
 
-    def close(self) -> defer.Deferred:
-        """Closes the persistent connections."""
-        return self._pool.closeCachedConnections()
-
     def _on_failure(self, failure) -> ports.TargetAnswer:
         peer = f'{self._address[0]}:{self._address[1]}'
         if failure.check(error.ConnectError):
--- a/figdrum/coap/tests/test_http_client.py
+++ b/figdrum/coap/tests/test_http_client.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP client against a server on a real port."""
 
+import itertools
+
 from twisted.internet import defer
 from twisted.internet import protocol
 from twisted.internet import reactor
@@ -47,6 +49,21 @@
         self.transport.loseConnection()
 
 
+class _RepeatingServer(protocol.Protocol):
+    """Answers with the number of the request among all connections.
+
+    The last answer comes again with the next request on a connection.
+    """
+    numbers = itertools.count(1)
+    last = b''
+
+    def dataReceived(self, data):
+        number = next(self.numbers)
+        answer = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d' % number
+        self.transport.write(self.last + answer)
+        self.last = answer
+
+
 class HttpTargetTest(unittest.TestCase):
     """Each test waits for an event; trial's timeout is its only limit."""
     timeout = 60
@@ -59,9 +76,7 @@
         self.target = self._target(self.port)
 
     def tearDown(self):
-        return defer.gatherResults(
-            [self.target.close(),
-             defer.maybeDeferred(self.port.stopListening)])
+        return defer.maybeDeferred(self.port.stopListening)
 
     def _target(self, port):
         return http_client.HttpTarget(reactor,
@@ -94,6 +109,17 @@
             yield self.target.call(request(path='/hang', deadline_ms=50))
         yield self.resource.closed
 
+    @defer.inlineCallbacks
+    def test_late_copy_of_an_answer_is_not_taken_for_the_next_one(self):
+        """A target sends an answer again when the next request comes."""
+        factory = protocol.Factory.forProtocol(_RepeatingServer)
+        port = reactor.listenTCP(0, factory, interface='127.0.0.1')
+        target = self._target(port)
+        for expected in (b'1', b'2', b'3'):
+            answer = yield target.call(request())
+            self.assertEqual(answer.body, expected)
+        yield port.stopListening()
+
     @defer.inlineCallbacks
     def test_truncated_body_is_no_answer(self):
         """Guards against a partial body that is taken for the whole (P5)."""
@@ -103,7 +129,6 @@
         with self.assertRaises(errors.TargetError):
             yield target.call(request())
         yield port.stopListening()
-        yield target.close()
 
     @defer.inlineCallbacks
     def test_connection_never_made_is_a_did_not_run(self):
