Let balancers without the store read from each other

Cause: a balancer that started while the store was away, or that the store turned away, had no routes and no targets until it was back, and one that was cut off did not learn of new targets (known gaps of docs/platform.md). Ruled out: reports of agents as the source; they do not know routes, and an agent does not know the balancers before their first message. Change: balancers serve the role `control`, so their settings name up to three others. A list from the store replaces what was adopted. Conclusion: the store stays the authority.

--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -8,8 +8,11 @@
 from figdrum.flows import routes
 from figdrum.flows import target
 from figdrum.node import node
+from figdrum.node import peer_reader
 from figdrum.registry import mirror
 from figdrum.registry import registrations
+from figdrum.runtime import http_client
+from figdrum.runtime import http_server
 from figdrum.runtime import udp
 
 # Shortest time in ms for which packets are still forwarded after SIGTERM. The
@@ -101,6 +104,13 @@
                                            _AgentObserver(self),
                                            REGISTRATION_WATCH_DELAY_MS,
                                            may_lag=True)
+        self._zones_out = self._mirror(self.adapter.zones_out_kind,
+                                       _ZonesOutObserver(self), 0)
+        self._peer_reader = peer_reader.PeerReader(
+            (self._configuration, self._zones_out, self._registrations),
+            tuple(peer for peer in cfg.peers if peer != cfg.control),
+            lambda address: http_client.HttpClient(self.loop, address, 'peer'),
+            self.loop, self.log)
 
     def run(self) -> None:
         """Runs until the process has stopped after SIGTERM."""
@@ -108,9 +118,11 @@
         assert cfg is not None
         self.serve_readiness(cfg.ready, self._is_ready)
         self._configuration.start()
-        self._mirror(self.adapter.zones_out_kind, _ZonesOutObserver(self),
-                     0).start()
+        self._zones_out.start()
         self._registrations.start()
+        http_server.HttpServer(self.loop, cfg.control,
+                               self._peer_reader.respond)
+        self._peer_reader.start()
         self.start(cfg.packets[0])
         self.loop.run()
 
--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -98,6 +98,36 @@
         self._is_refreshing = False
         self.revision = -1
         self.revisions: dict[str, int] = {}
+        self._entries: dict[str, object_store.Entry] = {}
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the last call has had a response, and a list is complete."""
+        return self._is_connected and self.revision >= 0
+
+    @property
+    def kind(self) -> str:
+        """Kind of the objects."""
+        return self._kind
+
+    def snapshot(self) -> object_store.Listing:
+        """Returns the copy, for a node that cannot reach the store."""
+        return object_store.Listing(tuple(self._entries.values()),
+                                    self.revision)
+
+    def adopt(self, listing: object_store.Listing) -> bool:
+        """Applies the complete copy of another node, if it is newer.
+
+        The store stays the authority: a list of it replaces the copy, and a
+        watch goes on from the revision of the copy.
+
+        Returns:
+          Whether the copy was newer.
+        """
+        if listing.revision <= self.revision:
+            return False
+        self._apply_listing(listing)
+        return True
 
     def start(self) -> None:
         """Lists the objects and then watches them."""
@@ -131,12 +161,15 @@
             self._retry(result, self.start)
             return
         self._on_contact()
-        found = {entry.name for entry in result.entries}
-        self._apply(result.entries,
-                    tuple(name for name in self.revisions if name not in found),
-                    result.revision)
+        self._apply_listing(result)
         self._watch()
 
+    def _apply_listing(self, listing: object_store.Listing) -> None:
+        found = {entry.name for entry in listing.entries}
+        self._apply(listing.entries,
+                    tuple(name for name in self.revisions if name not in found),
+                    listing.revision)
+
     def _watch(self) -> None:
         self._store.watch(self._kind, self.revision, self._may_lag,
                           self._on_changes)
@@ -163,6 +196,7 @@
             if self.revisions.get(entry.name, 0) >= entry.revision:
                 continue
             self.revisions[entry.name] = entry.revision
+            self._entries[entry.name] = entry
             if entry.value is None:
                 self._log.write('unreadable object',
                                 kind=self._kind,
@@ -172,6 +206,7 @@
                 self._observer.on_entry(entry.name, entry.value)
         for name in removed:
             if self.revisions.pop(name, None) is not None:
+                del self._entries[name]
                 self._observer.on_removed(name)
         self.revision = max(self.revision, revision)
         self._observer.on_synced(self.revision)
--- a/figdrum/settings/node.py
+++ b/figdrum/settings/node.py
@@ -23,9 +23,13 @@
 ... stop_s = 6
 ... cold_overage = 1.5
 ... cold_slack = 5
+... control = 10.0.0.2:7003
+... peers = 10.0.0.2:7003,10.0.0.3:7003
 ... ''', 'one.ini', 'balancer')
 >>> cfg.balancer.frames
 ('10.0.0.2', 7001)
+>>> cfg.balancer.peers
+(('10.0.0.2', 7003), ('10.0.0.3', 7003))
 """
 
 import configparser
@@ -51,6 +55,9 @@
       cold_overage: Multiple of a cold target's rate up to which opening packets
         are sent to it.
       cold_slack: Opening packets per second that are allowed in addition.
+      control: Address at which other balancers read what this one knows.
+      peers: Control addresses of some balancers. They may be down, and this
+        balancer may be among them.
     """
     packets: ids.Address
     frames: ids.Address
@@ -58,6 +65,8 @@
     stop_s: float
     cold_overage: float
     cold_slack: float
+    control: ids.Address
+    peers: tuple[ids.Address, ...]
 
 
 class AgentSettings(typing.NamedTuple):
@@ -115,6 +124,10 @@
     return host, int(port)
 
 
+def _parse_addresses(text: str) -> tuple[ids.Address, ...]:
+    return tuple(_parse_address(part) for part in text.split(',') if part)
+
+
 def _parse_positive_float(text: str) -> float:
     try:
         value = float(text)
@@ -139,6 +152,7 @@
 
 _PARSERS: dict[typing.Any, typing.Callable[[str], typing.Any]] = {
     ids.Address: _parse_address,
+    tuple[ids.Address, ...]: _parse_addresses,
     float: _parse_positive_float,
     bool: _parse_bool,
     str: _parse_name,
--- a/standins/soak/layout.py
+++ b/standins/soak/layout.py
@@ -76,18 +76,32 @@
     return machines
 
 
+# Number of balancers that the settings name, as on the platform.
+SEED_COUNT = 3
+
+
 def settings_fields(machine: Machine, store: str,
                     first_start: bool) -> dict[str, typing.Any]:
     """Returns the values of the placeholders in the platform's templates."""
     host = machine.host
     return {
-        'nodeName': machine.name,
-        'zone': machine.zone,
-        'ip': host,
-        'service': machine.service,
-        'app': f'{host}:{TARGET_PORT}',
-        'heartbeatMs': HEARTBEAT_MS,
-        'bootstrap': first_start,
+        'nodeName':
+            machine.name,
+        'zone':
+            machine.zone,
+        'ip':
+            host,
+        'service':
+            machine.service,
+        'app':
+            f'{host}:{TARGET_PORT}',
+        'heartbeatMs':
+            HEARTBEAT_MS,
+        'bootstrap':
+            first_start,
+        'seeds':
+            ','.join(f'{host.rpartition(".")[0]}.{number}:{CONTROL_PORT}'
+                     for number in range(1, SEED_COUNT + 1)),
         'internalPorts': [INTERNAL_PORT, INTERNAL_PORT + 1],
         'listen': {
             'datagramAddr': f'{host}:{PACKET_PORT}',
