Drop an opening packet when all targets that were tried have long queues

Cause: after a loss of power all clients that waited come back at once to cold targets. Ruled out: a reset, which costs a client one of its tries like a refusal of the target, while the client's copy of the packet finds a shorter queue 200 ms later. Change: a target of short flows with six requests per slot takes no further ones, 300 ms of work on a cold target. If the least busy of the targets that declined a packet declines it again, the balancer drops it and logs 'targets busy'.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -43,6 +43,12 @@
 # has run for this time has seen the packets of all open flows.
 FLOW_LIFETIME_MS = 60_000
 
+# Requests per slot at a target of short flows above which it gets no new flows.
+# Six requests of 50 ms, as long as they take on a cold target, wait for 300 ms,
+# which is longer than the users' strictest latency target. Longer queues make
+# targets refuse requests, which then count as tries of their clients.
+MAX_REQUESTS_PER_SLOT = 6
+
 # A balancer that has sent nothing for this time, in ms, gets no further
 # reports. Balancers send a hello every 2.5 s.
 BALANCER_TIMEOUT_MS = 8_000
@@ -371,8 +377,8 @@
                     segment: segment_module.Segment) -> actions.Actions:
         if self._table.get(segment.key) is None:
             reason = self._refusal_reason(now_ms, message.tag)
-            if (reason is None and message.may_decline and
-                    self._should_decline(now_ms)):
+            if reason is None and self._should_decline(now_ms,
+                                                       message.may_decline):
                 declined = messages.Declined(self._expected_requests(now_ms),
                                              segment.raw)
                 return self._send((origin,), declined)
@@ -390,14 +396,21 @@
             actions.StartTimer(ACCEPT_TIMEOUT_MS)
         ]
 
-    def _should_decline(self, now_ms: int) -> bool:
-        """Returns whether another target may serve a new flow earlier.
+    def _should_decline(self, now_ms: int, may_decline: bool) -> bool:
+        """Returns whether a new flow should go to another target or wait.
 
         The later requests of a long flow load its target, too. Its placement
         therefore follows the balancers' averages, and not whether the target
         has a free slot at the moment.
+
+        Args:
+          now_ms: Time.
+          may_decline: Whether the balancer knows further targets. Otherwise the
+            flow has to be accepted unless too many requests wait.
         """
-        return (self._expected_requests(now_ms) >= self.status.slots and
+        limit = self.status.slots * (1
+                                     if may_decline else MAX_REQUESTS_PER_SLOT)
+        return (self._expected_requests(now_ms) >= limit and
                 self._table.has_short_flows)
 
     def _expected_requests(self, now_ms: int) -> int:
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -306,7 +306,7 @@
             # The client retransmits, so the chosen target has not answered.
             # Another one is chosen.
             view = self.targets.by_agent(flow.agent)
-            if view is not None:
+            if view is not None and view.name not in flow.declined:
                 flow.failed_targets.add(view.name)
                 view.record_unanswered(flow.last_packet_ms)
             flow.declined.clear()
@@ -389,6 +389,16 @@
         if unplaced is None:
             return []
         route, segment, flow = unplaced
+        if view.name in flow.declined:
+            # The client retransmits after 200 and 600 ms, while a reset would
+            # cost it one of its attempts.
+            return [
+                actions.LogEvent(
+                    'targets busy', {
+                        'flow': self._packets.describe(segment.key),
+                        'declined': dict(flow.declined)
+                    })
+            ]
         flow.declined[view.name] = message.requests
         return self._place_flow(now_ms, route, segment, flow)
 
--- a/figdrum/flows/tests/short_flows.py
+++ b/figdrum/flows/tests/short_flows.py
@@ -1,6 +1,7 @@
 """Clients that open a flow for each request, in virtual time."""
 
 import functools
+import itertools
 import statistics
 import typing
 
@@ -11,6 +12,14 @@
 # Time between a client and a balancer or agent, one way, in ms.
 CLIENT_DELAY_MS = 3
 
+# Times before the first and the second copy of an opening packet, in ms.
+RETRANSMIT_MS = (200, 400)
+
+# Time after which a client gives an opening up, in ms, and the number of flows
+# that it opens after the first one.
+OPENING_TIMEOUT_MS = 1_400
+RETRIES = 2
+
 
 class ShortFlows:
     """Opens flows at random times, each for one request.
@@ -20,7 +29,7 @@
         arrived.
       waited_ms: Time from the opening packet to the answer, for each answered
         request.
-      opened: Number of flows opened.
+      opened: Number of requests, each of which opens a flow or more.
     """
 
     def __init__(self, sim: simulation.Simulation,
@@ -31,6 +40,7 @@
         self._sim = sim
         self._balancers = balancers
         self._until_ms = 0
+        self._flow_numbers = itertools.count(1)
         for target in sim.targets.values():
             target.on_request = self._record_request
 
@@ -52,16 +62,43 @@
                         functools.partial(self._open, per_s))
 
     def _open(self, per_s: float) -> None:
-        sim = self._sim
-        if sim.now_ms >= self._until_ms:
+        if self._sim.now_ms >= self._until_ms:
             return
-        self.opened += 1
-        key = packets.flow_key(self.opened)
+        self._open_one()
+        self._schedule_next(per_s)
+
+    def _open_one(self, tries: int = 0) -> None:
+        sim = self._sim
+        self.opened += not tries
+        key = packets.flow_key(next(self._flow_numbers))
         balancer = sim.rng.choice(self._balancers)
         sim.listeners[key] = functools.partial(self._on_packet, balancer, key,
                                                sim.now_ms)
-        sim.send(balancer, packets.build(packets.OPENING, key, 0, 0))
-        self._schedule_next(per_s)
+        self._send_opening(balancer, key, 0)
+        if tries < RETRIES:
+            sim.after(OPENING_TIMEOUT_MS,
+                      functools.partial(self._retry, key, tries + 1))
+
+    def _retry(self, key: bytes, tries: int) -> None:
+        if not self._sim.to_client[key]:
+            self._open_one(tries)
+
+    def open_many(self, count: int) -> None:
+        """Opens flows at once."""
+        for _ in range(count):
+            self._open_one()
+
+    def _send_opening(self, balancer: ids.Address, key: bytes,
+                      copies: int) -> None:
+        sim = self._sim
+        if sim.to_client[key]:
+            return
+        sim.send(balancer, packets.build(packets.OPENING, key, 0, copies))
+        if copies < len(RETRANSMIT_MS):
+            sim.after(
+                RETRANSMIT_MS[copies],
+                functools.partial(self._send_opening, balancer, key,
+                                  copies + 1))
 
     def _on_packet(self, balancer: ids.Address, key: bytes, opened_ms: int,
                    raw: bytes) -> None:
--- a/figdrum/flows/tests/test_short_flows.py
+++ b/figdrum/flows/tests/test_short_flows.py
@@ -5,6 +5,7 @@
 balancer chooses by it.
 """
 
+from figdrum.flows import agent as agent_module
 from figdrum.flows.tests import packets
 from figdrum.flows.tests import short_flows
 from figdrum.flows.tests import simulation
@@ -97,3 +98,23 @@
     assert not agent.has_short_flows
     agent.on_stored_flows(sim.now_ms, 'i-0@0', (), True)
     assert agent.has_short_flows
+
+
+def test_queues_stay_short_when_all_waiting_clients_come_back_at_once():
+    """All machines lose power for more than a second; targets are cold then.
+
+    Targets refuse requests when their queue is full. An opening packet that is
+    dropped comes again.
+    """
+    sim, balancers = short_flows.start_grown_site(seed=6)
+    for target in sim.targets.values():
+        target.work_ms = 50
+    for agent in sim.agents.values():
+        agent.on_stored_flows(sim.now_ms, 'i-0@0', (), True)
+    clients = short_flows.ShortFlows(sim, balancers)
+    clients.start(per_s=700, for_ms=3_000)
+    clients.open_many(600)
+    sim.run(8_000)
+    longest = max(target.longest_queue for target in sim.targets.values())
+    assert longest <= agent_module.MAX_REQUESTS_PER_SLOT
+    assert len(clients.waited_ms) > 0.95 * clients.opened
