--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import enum
+import typing
 
 from figdrum.flows import load_meter
 from figdrum.flows import segment as segment_module
@@ -119,6 +120,11 @@
                     self.server_first) % segment_module.SEQUENCE_MODULUS <= sent
 
 
+class _Acceptance(typing.NamedTuple):
+    accepted_ms: int
+    flow: Flow
+
+
 class FlowTable:
     """The flows of one target.
 
@@ -129,8 +135,7 @@
     def __init__(self, now_ms: int):
         self._flows: dict[bytes, Flow] = {}
         self._counts: collections.Counter[FlowPhase] = collections.Counter()
-        self._accepted: collections.deque[tuple[int,
-                                                Flow]] = (collections.deque())
+        self._accepted: collections.deque[_Acceptance] = collections.deque()
         self._short_flow_share = 0.0
         self._expired_ms = now_ms
         self.meter = load_meter.LoadMeter(now_ms)
@@ -151,8 +156,8 @@
         the target has just accepted.
         """
         start_ms = now_ms - FIRST_REQUEST_TIMEOUT_MS
-        while self._accepted and self._accepted[0][0] <= start_ms:
-            _, flow = self._accepted.popleft()
+        while self._accepted and self._accepted[0].accepted_ms <= start_ms:
+            flow = self._accepted.popleft().flow
             if flow.phase is FlowPhase.ACCEPTED:
                 self._set_phase(now_ms, flow, FlowPhase.IDLE)
         return self._counts[FlowPhase.BUSY] + self._counts[FlowPhase.ACCEPTED]
@@ -218,7 +223,7 @@
         Returns:
           Whether the packet ends a request without an answer.
         """
-        # A closing packet may overtake the answer. Its number is after that then.
+        # A closing packet may overtake the answer. Its number shows that.
         ends_unanswered = segment.is_reset or (segment.is_closing and
                                                segment.seq == flow.server_next)
         is_break = flow.is_busy and ends_unanswered and not segment.length
@@ -231,7 +236,7 @@
                                 1) % segment_module.SEQUENCE_MODULUS
             if flow.phase is FlowPhase.IDLE and flow.client_next is None:
                 self._set_phase(now_ms, flow, FlowPhase.ACCEPTED)
-                self._accepted.append((now_ms, flow))
+                self._accepted.append(_Acceptance(now_ms, flow))
         end = (segment.seq + segment.length +
                segment.is_closing) % segment_module.SEQUENCE_MODULUS
         if segment_module.follows(flow.server_next, end):
--- a/figdrum/flows/tests/test_flow_table.py
+++ b/figdrum/flows/tests/test_flow_table.py
@@ -111,7 +111,7 @@
 
 
 def test_closing_packet_that_overtakes_the_answer_breaks_off_no_request():
-    """Seen on further-grown trouble-1: all packets of an answer come at once."""
+    """All packets of an answer are sent at once, and their order may change."""
     table, flow = _open_flow(0)
     table.record_client_packet(10, flow, _client_packet(8, 50))
     assert not table.record_target_packet(20, flow,
--- a/figdrum/runtime/http_client.py
+++ b/figdrum/runtime/http_client.py
@@ -65,8 +65,8 @@
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._response: Response | None = None
-        # Whether the connection ends with the current response, since its server
-        # says so or has sent more than one.
+        # Whether the connection ends with the current response: the server says
+        # so, or it has sent more than one.
         self._must_disconnect = False
 
     @property
--- a/standins/soak/regressions.py
+++ b/standins/soak/regressions.py
@@ -37,6 +37,6 @@
         'a client of the soak took an acceptance that came after its deadline'),
     FailedSeed(
         527, 14,
-        'an agent counted requests that clients had given up as load until their '
-        'flows expired after 65 s'),
+        'an agent counted requests that clients had given up as load until '
+        'their flows expired after 65 s'),
 )
