Do not take a client that has left for a failing target

All targets were reported as failing, and 103 openings were reset for want of a target. The clients had given up and closed their flows just before. Ruled out: targets over a cap; requests of clients that stayed were served. Change: a reset on a flow that its client has closed is no failure of the target. Test: test_request_of_a_client_that_has_left_is_not_broken_off failed, passes.

--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -226,7 +226,9 @@
         # A closing packet may overtake the answer. Its number shows that.
         ends_unanswered = segment.is_reset or (segment.is_closing and
                                                segment.seq == flow.server_next)
-        is_break = flow.is_busy and ends_unanswered and not segment.length
+        # A target may also break off a request whose client has left.
+        is_break = (flow.is_busy and ends_unanswered and not segment.length and
+                    not flow.client_closed)
         flow.last_packet_ms = now_ms
         if not segment.is_accepting:
             flow.is_open = True
--- a/figdrum/flows/tests/test_flow_table.py
+++ b/figdrum/flows/tests/test_flow_table.py
@@ -125,3 +125,14 @@
         table, flow = _open_flow(0)
         table.record_client_packet(10, flow, _client_packet(8, 50))
         assert table.record_target_packet(20, flow, _target_packet(flags, 1001))
+
+
+def test_request_of_a_client_that_has_left_is_not_broken_off():
+    """Clients that waited for a start give up just when targets are back."""
+    table, flow = _open_flow(0)
+    table.record_client_packet(10, flow, _client_packet(8, 50))
+    closing = FORMAT.parse_client(
+        packets.build(packets.CLOSING, KEY, 58, 1001, 0))
+    table.record_client_packet(11, flow, closing)
+    assert not table.record_target_packet(12, flow,
+                                          _target_packet(packets.RESET, 1001))
