Log each watch, and each configuration that is discarded

Neither the sending nor an empty answer of a watch was logged, nor a configuration that is not newer. Change: the events 'watch sent', 'watch answered' and 'configuration not newer'; gauges for the age of a balancer's copies. No logic is changed.

--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -147,7 +147,12 @@
                          cfg: routes.Configuration) -> actions.Actions:
         """Applies a configuration unless it is older than the current one."""
         if self._cfg is not None and cfg.version <= self._cfg.version:
-            return []
+            return [
+                actions.LogEvent('configuration not newer', {
+                    'version': cfg.version,
+                    'current': self._cfg.version
+                })
+            ]
         self._cfg = cfg
         self._behind_since_ms = None
         log_event = actions.LogEvent(
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -157,6 +157,9 @@
         self._execute(self._balancer.on_tick(now_ms))
         self.figures.gauges['flows'] = self._balancer.flow_count
         self.figures.gauges['searches'] = self._balancer.search_count
+        self.figures.gauges['configuration_age_ms'] = self._configuration.age_ms
+        self.figures.gauges['zones_out_age_ms'] = self._zones_out.age_ms
+        self.figures.gauges['registrations_age_ms'] = self._registrations.age_ms
         self.figures.gauges['targets'] = len(self._balancer.targets)
         self.figures.gauges['packets_unsent'] = (self._packets.unsent_count +
                                                  self._frames.unsent_count)
@@ -185,7 +188,8 @@
                 watch_delay_ms: int,
                 may_lag: bool = False) -> mirror.Mirror:
         return mirror.Mirror(self.adapter.store, kind, observer, self.loop,
-                             self.log, self.rng, watch_delay_ms, may_lag)
+                             self.clock, self.log, self.rng, watch_delay_ms,
+                             may_lag)
 
     def _stop_when_idle(self, now_ms: int) -> None:
         cfg = self.cfg.balancer
--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+from figdrum.core import clock as clock_module
 from figdrum.core import errors
 from figdrum.core import ports
 from figdrum.registry import object_store
@@ -82,11 +83,13 @@
                  kind: str,
                  observer: Observer,
                  timers: ports.Timers,
+                 clock: clock_module.Clock,
                  log: event_log.EventLog,
                  rng: random.Random,
                  watch_delay_ms: int,
                  may_lag: bool = False):
         self._store = store
+        self._clock = clock
         self._kind = kind
         self._watch_delay_ms = watch_delay_ms
         self._may_lag = may_lag
@@ -98,6 +101,8 @@
         self._is_refreshing = False
         self.revision = -1
         self.revisions: dict[str, int] = {}
+        self._watch_sent_ms = 0
+        self._confirmed_ms = clock.now_ms()
         self._entries: dict[str, object_store.Entry] = {}
 
     @property
@@ -110,6 +115,14 @@
         """Kind of the objects."""
         return self._kind
 
+    @property
+    def age_ms(self) -> int:
+        """Time since the store last confirmed the copy or had changes, in ms.
+
+        Before the first list, it is the time since the start.
+        """
+        return self._clock.now_ms() - self._confirmed_ms
+
     def snapshot(self) -> object_store.Listing:
         """Returns the copy, for a node that cannot reach the store."""
         return object_store.Listing(tuple(self._entries.values()),
@@ -171,6 +184,8 @@
                     listing.revision)
 
     def _watch(self) -> None:
+        self._watch_sent_ms = self._clock.now_ms()
+        self._log.write('watch sent', kind=self._kind, revision=self.revision)
         self._store.watch(self._kind, self.revision, self._may_lag,
                           self._on_changes)
 
@@ -186,6 +201,12 @@
             self._retry(result, self._watch)
             return
         self._on_contact()
+        self._log.write('watch answered',
+                        kind=self._kind,
+                        revision=result.revision,
+                        changed=len(result.changed),
+                        removed=len(result.removed),
+                        waited_ms=self._clock.now_ms() - self._watch_sent_ms)
         self._apply(result.changed, result.removed, result.revision)
         # The delay lets changes in quick succession arrive in one response.
         self._timers.call_later(self._watch_delay_ms, self._watch)
@@ -213,6 +234,7 @@
 
     def _on_contact(self) -> None:
         self._backoff.reset()
+        self._confirmed_ms = self._clock.now_ms()
         if not self._is_connected:
             self._is_connected = True
             self._log.write('store regained', kind=self._kind)
--- a/figdrum/registry/tests/test_mirror.py
+++ b/figdrum/registry/tests/test_mirror.py
@@ -41,7 +41,8 @@
         self.lines = []
         log = event_log.EventLog('node', clock.ManualClock(), self.lines.append)
         self.mirror = mirror.Mirror(self.store, 'config', self.recorder,
-                                    self.timers, log, random.Random(1), 0)
+                                    self.timers, self.timers.clock, log,
+                                    random.Random(1), 0)
 
 
 @pytest.fixture(name='fixture')
