Show by two tests that a watch without an answer hides later changes

What callers saw: requests sent 3 s and more after a confirmed change were handled as the earlier configuration allows (CONFIG).

--- a/figdrum/registry/tests/fake_store.py
+++ b/figdrum/registry/tests/fake_store.py
@@ -27,8 +27,14 @@
             fn()
 
 
+# Time in ms after which the client gives up a call without an answer, and a
+# watch without one.
+CALL_TIMEOUT_MS = 1_000
+WATCH_TIMEOUT_MS = 31_000
+
+
 class FakeStore(object_store.ObjectStore):
-    """Returns results at once, unless it is down or loses responses.
+    """Returns results at once, unless it is down, silent or loses responses.
 
     Attributes:
       objects: The stored objects by kind and name.
@@ -38,11 +44,15 @@
       watches: Open watches as (kind, revision, callback).
       calls: Number of calls by method.
       is_down: Whether calls fail without effect.
+      is_silent: Whether calls have no effect and are never answered, so that
+        they fail when the client's timeout has passed. Watches that were open
+        before go on.
       lost_responses: Number of following writes that take effect but return an
         error.
     """
 
-    def __init__(self):
+    def __init__(self, timers: ports.Timers | None = None):
+        self._timers = timers
         self.objects: dict[tuple[str, str], object_store.Entry] = {}
         self.revision = 1
         self.oldest_revision = 0
@@ -50,6 +60,7 @@
         self.watches: list[tuple[str, int, object]] = []
         self.calls: collections.Counter[str] = collections.Counter()
         self.is_down = False
+        self.is_silent = False
         self.lost_responses = 0
 
     def put(self, kind: str, name: str, value) -> int:
@@ -74,6 +85,10 @@
         for _, _, on_result in watches:
             on_result(self._error('watch'))
 
+    def lose_watches(self) -> None:
+        """Never answers the open watches: their connections have died."""
+        self.watches.clear()
+
     def discard_history(self) -> None:
         """Discards the history, so that watches of older revisions fail."""
         self.oldest_revision = self.revision
@@ -81,6 +96,9 @@
 
     def list_all(self, kind, on_result):
         self.calls['list'] += 1
+        if self.is_silent:
+            self._time_out('list', CALL_TIMEOUT_MS, on_result)
+            return
         if self.is_down:
             on_result(self._error('list'))
             return
@@ -91,7 +109,9 @@
 
     def watch(self, kind, revision, may_lag, on_result):
         self.calls['watch'] += 1
-        if self.is_down:
+        if self.is_silent:
+            self._time_out('watch', WATCH_TIMEOUT_MS, on_result)
+        elif self.is_down:
             on_result(self._error('watch'))
         elif revision < self.oldest_revision:
             on_result(object_store.HistoryLostError('watch', 'store',
@@ -131,6 +151,10 @@
         self.delete(kind, name)
         on_result(entry)
 
+    def _time_out(self, step: str, timeout_ms: int, on_result) -> None:
+        self._timers.call_later(timeout_ms,
+                                lambda: on_result(self._error(step)))
+
     def _error(self, step: str) -> errors.StoreError:
         return errors.StoreError(step, 'store', 'down')
 
--- a/figdrum/registry/tests/test_mirror.py
+++ b/figdrum/registry/tests/test_mirror.py
@@ -12,6 +12,11 @@
 from figdrum.registry.tests import fake_store
 from figdrum.telemetry import event_log
 
+# Time in ms within which a configuration must be in force, and the time after a
+# disturbance after which this holds again.
+MAX_CHANGE_DELAY_MS = 3_000
+RECONNECT_MS = 4_000
+
 
 class _Recorder(mirror.Observer):
 
@@ -35,8 +40,8 @@
     """A mirror of the kind `config` with a fake store and manual timers."""
 
     def __init__(self):
-        self.store = fake_store.FakeStore()
         self.timers = fake_store.ManualTimers()
+        self.store = fake_store.FakeStore(self.timers)
         self.recorder = _Recorder()
         self.lines = []
         log = event_log.EventLog('node', clock.ManualClock(), self.lines.append)
@@ -44,6 +49,11 @@
                                     self.timers, self.timers.clock, log,
                                     random.Random(1), 0)
 
+    def run(self, for_ms: int) -> None:
+        """Advances the time in small steps."""
+        for _ in range(for_ms // 10):
+            self.timers.advance(10)
+
 
 @pytest.fixture(name='fixture')
 def _fixture() -> _MirrorFixture:
@@ -110,3 +120,30 @@
     fixture.mirror.start()
     assert fixture.recorder.values == {'good': 1}
     assert any(b'unreadable object' in line for line in fixture.lines)
+
+
+# A watch that a silent store swallowed kept balancers on an old configuration
+# until the watch's own timeout, 31 s later.
+def test_change_arrives_after_a_watch_was_sent_to_a_silent_store(fixture):
+    fixture.store.put('config', 'main', 1)
+    fixture.mirror.start()
+    fixture.run(100)
+    fixture.store.put('config', 'main', 2)
+    fixture.store.is_silent = True
+    fixture.run(3_000)
+    fixture.store.is_silent = False
+    fixture.run(RECONNECT_MS)
+    fixture.store.put('config', 'main', 3)
+    fixture.run(MAX_CHANGE_DELAY_MS)
+    assert fixture.recorder.values == {'main': 3}
+
+
+# The connection of an open watch may die without a word while others work.
+def test_change_arrives_though_the_connection_of_the_watch_is_dead(fixture):
+    fixture.store.put('config', 'main', 1)
+    fixture.mirror.start()
+    fixture.run(2_000)
+    fixture.store.lose_watches()
+    fixture.store.put('config', 'main', 2)
+    fixture.run(MAX_CHANGE_DELAY_MS)
+    assert fixture.recorder.values == {'main': 2}
