End watches of the soak's store after waitMs

Cause: the simulated store kept a watch open without limit, so the polls that check watches timed out in the soak, and a lost watch was never told from one that the store still held. Change: a watch without changes is answered after waitMs.

--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -104,6 +104,8 @@
         if method == 'GET':
             if b'watch' in req.args:
                 self._watch(parts[0], int(req.args[b'watch'][0]), req)
+                self._reactor.callLater(
+                    int(req.args[b'waitMs'][0]) / 1_000, self._end_watch, req)
             elif len(parts) == 1:
                 items = [
                     item for (kind, _), item in self._objects.items()
@@ -190,6 +192,12 @@
         else:
             self._watches.append((kind, since, req))
 
+    def _end_watch(self, req: server.Request) -> None:
+        """Answers a watch without changes when its time has passed."""
+        if any(watch[2] is req for watch in self._watches):
+            self._remove_watch(req)
+            self._send(req, 200, {'events': [], 'storeRevision': self.revision})
+
     def _remove_watch(self, req: server.Request) -> None:
         self._watches = [w for w in self._watches if w[2] is not req]
 
