--- a/figdrum/settings/node.py
+++ b/figdrum/settings/node.py
@@ -16,6 +16,7 @@
 ... [store]
 ... address = 10.0.0.1:80
 ... writes_per_s = 400
+... history_s = 20
 ... [balancer]
 ... packets = 10.0.0.2:7000
 ... frames = 10.0.0.2:7001
@@ -103,6 +104,7 @@
       store: Address of the platform's object store.
       store_writes_per_s: Writes per second that the store accepts from all
         nodes together.
+      store_history_s: Time in s for which the store keeps changes.
       balancer: Settings of a balancer, or None.
       agent: Settings of an agent, or None.
     """
@@ -110,6 +112,7 @@
     zone: ids.ZoneName
     store: ids.Address
     store_writes_per_s: float
+    store_history_s: float
     balancer: BalancerSettings | None
     agent: AgentSettings | None
 
@@ -227,6 +230,7 @@
                         reader.read('process', 'zone', ids.ZoneName),
                         reader.read('store', 'address', ids.Address),
                         reader.read('store', 'writes_per_s', float),
+                        reader.read('store', 'history_s', float),
                         sections['balancer'], sections['agent'])
 
 
--- a/standins/soak/layout.py
+++ b/standins/soak/layout.py
@@ -25,6 +25,9 @@
 HEARTBEAT_MS = 1_200
 GRACE_S = 6
 
+# Time in s for which the store says that it keeps changes.
+HISTORY_S = 20
+
 # Opening packets per second that a cold target can take, and how far the
 # requirements allow that rate to be exceeded: by a factor, and by a number of
 # packets.
@@ -111,7 +114,8 @@
         },
         'platform': {
             'address': store,
-            'writesPerS': 400
+            'writesPerS': 400,
+            'historyS': HISTORY_S
         },
         'bounds': {
             'graceS': GRACE_S,
