Take only config/main for the configuration, and only with a number as version

Cause: a balancer applied every object of the kind config whose version was higher, whatever its name, and read '7', 7.5 and true as versions. Documents may come from other writers. Change: the name of the object is decoded with it, and a version is a whole number.

--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -136,7 +136,7 @@
     def on_configuration(self, name: str, value: typing.Any) -> None:
         """Applies a stored configuration, unless it is malformed."""
         cfg: routes.Configuration | None = self.adapter.decode_configuration(
-            value)
+            name, value)
         if cfg is None:
             self.log.write('unreadable configuration', name=name)
             return
--- a/figdrum/node/platform_adapter.py
+++ b/figdrum/node/platform_adapter.py
@@ -43,9 +43,13 @@
     health_identity_header: str
 
     @abc.abstractmethod
-    def decode_configuration(self,
+    def decode_configuration(self, name: str,
                              value: typing.Any) -> routes.Configuration | None:
-        """Decodes a stored configuration; returns None if it is malformed."""
+        """Decodes a stored configuration.
+
+        The result is None if the object is malformed, or if another object of
+        its kind holds the configuration.
+        """
 
     @abc.abstractmethod
     def decode_target_request(self,
