--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -217,7 +217,10 @@
                     listing.revision)
 
     def _watch(self) -> None:
-        self._log.write('watch sent', kind=self._kind, revision=self.revision)
+        self._log.write('watch sent',
+                        kind=self._kind,
+                        revision=self.revision,
+                        era=self._store.era)
         wait = self._wait = _Wait(self._clock.now_ms())
         wait.watch = self._store.watch(self._kind, self.revision,
                                        self._options.may_lag, self._on_changes)
@@ -270,7 +273,10 @@
         wait.watch.cancel()
 
     def _on_history_lost(self) -> None:
-        self._log.write('history lost', kind=self._kind, revision=self.revision)
+        self._log.write('history lost',
+                        kind=self._kind,
+                        revision=self.revision,
+                        era=self._store.era)
         self._list()
 
     def _on_changes(self,
@@ -297,7 +303,14 @@
     def _apply(self, changed: collections.abc.Iterable[object_store.Entry],
                removed: collections.abc.Iterable[str], revision: int) -> None:
         for entry in changed:
-            if self.revisions.get(entry.name, 0) >= entry.revision:
+            known = self.revisions.get(entry.name, 0)
+            if known > entry.revision:
+                self._log.write('object not newer',
+                                kind=self._kind,
+                                name=entry.name,
+                                revision=entry.revision,
+                                known=known)
+            if known >= entry.revision:
                 continue
             self.revisions[entry.name] = entry.revision
             self._entries[entry.name] = entry
--- a/figdrum/registry/object_store.py
+++ b/figdrum/registry/object_store.py
@@ -81,7 +81,13 @@
 
 
 class ObjectStore(abc.ABC):
-    """Client of the platform's object store."""
+    """Client of the platform's object store.
+
+    Attributes:
+      era: Number of times that the store was restored from a copy, by the
+        newest response.
+    """
+    era: int = 0
 
     @abc.abstractmethod
     def list_all(self, kind: str, on_result: OnListing) -> None:
