Order revisions by the store's era before their number

Cause: a revision is taken for an order, but a restored store gives its numbers out again. A mirror discards an object whose number is not above the known one, and its own revision never goes back, so that each watch is answered with 410 and each list is followed by such a watch at once. The class: a number that orders events only within one life of its source. Ruled out: knowledge of other nodes as the only cause; the log has 'object not newer' for the store's own list (revision 36, known 37). A watch that is lost: the watches were answered, with 410. Change: a revision is the era of the response (Store-Era) in the upper bits of an integer and the store's number in the lower ones, decoded and encoded by the store's client alone. So copies, objects, copies taken from other balancers, zones taken out in reports and conditional writes are ordered by era first. A watch or poll from an earlier era ends as one whose history is lost, also where the store has reached its number again; a conditional write of an earlier era is not sent.

--- a/figdrum/core/ids.py
+++ b/figdrum/core/ids.py
@@ -20,6 +20,7 @@
 Incarnation = typing.NewType('Incarnation', int)
 Revision = typing.NewType('Revision', int)
 ServiceName = typing.NewType('ServiceName', str)
+StoreRevision = typing.NewType('StoreRevision', int)
 ZoneName = typing.NewType('ZoneName', str)
 
 
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -14,6 +14,7 @@
 
 from figdrum.core import errors
 from figdrum.core import ids
+from figdrum.core import revisions
 from figdrum.flows import actions
 from figdrum.flows import cold_limit
 from figdrum.flows import messages
@@ -120,7 +121,7 @@
         self._cfg: routes.Configuration | None = None
         self._behind_since_ms: int | None = None
         self._zones_out: frozenset[ids.ZoneName] = frozenset()
-        self._zones_out_revision = -1
+        self._zones_out_revision = ids.StoreRevision(-1)
         self._flows: dict[bytes, _Flow] = {}
         self._ended: dict[bytes, int] = {}
         self._searches: dict[bytes, owner_search.OwnerSearch] = {}
@@ -167,7 +168,7 @@
         return [log_event] + self._send_hellos(now_ms)
 
     def on_zones_out(self, now_ms: int, zones: frozenset[ids.ZoneName],
-                     revision: int) -> actions.Actions:
+                     revision: ids.StoreRevision) -> actions.Actions:
         """Applies the set of zones that operators have taken out.
 
         Args:
@@ -182,10 +183,11 @@
         if zones == self._zones_out:
             return []
         self._zones_out = zones
-        log_event = actions.LogEvent('zones out', {
-            'zones': ','.join(sorted(zones)),
-            'revision': revision
-        })
+        log_event = actions.LogEvent(
+            'zones out', {
+                'zones': ','.join(sorted(zones)),
+                'revision': revisions.describe(revision)
+            })
         return [log_event] + self._send_hellos(now_ms)
 
     def on_registration(
--- a/figdrum/flows/messages.py
+++ b/figdrum/flows/messages.py
@@ -25,6 +25,7 @@
 import xxhash
 
 from figdrum.core import errors
+from figdrum.core import ids
 
 
 class ForwardedPacket(typing.NamedTuple):
@@ -123,11 +124,11 @@
       zones_out: Zones taken out at `revision`, sorted.
     """
     version: int
-    revision: int
+    revision: ids.StoreRevision
     zones_out: tuple[str, ...]
 
 
-NO_KNOWLEDGE = Knowledge(-1, -1, ())
+NO_KNOWLEDGE = Knowledge(-1, ids.StoreRevision(-1), ())
 
 
 def merge_knowledge(one: Knowledge, other: Knowledge) -> Knowledge:
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -64,7 +64,7 @@
     def on_removed(self, name: str) -> None:
         self._zones.discard(ids.ZoneName(name))
 
-    def on_synced(self, revision: int) -> None:
+    def on_synced(self, revision: ids.StoreRevision) -> None:
         self._process.on_zones_out(frozenset(self._zones), revision)
 
 
@@ -143,7 +143,7 @@
         self._execute(self._balancer.on_configuration(self.clock.now_ms(), cfg))
 
     def on_zones_out(self, zones: frozenset[ids.ZoneName],
-                     revision: int) -> None:
+                     revision: ids.StoreRevision) -> None:
         """Applies the set of zones that operators have taken out."""
         self._execute(
             self._balancer.on_zones_out(self.clock.now_ms(), zones, revision))
--- a/figdrum/node/peer_reader.py
+++ b/figdrum/node/peer_reader.py
@@ -15,6 +15,7 @@
 from figdrum.core import errors
 from figdrum.core import ids
 from figdrum.core import ports
+from figdrum.core import revisions
 from figdrum.registry import mirror
 from figdrum.registry import peer_state
 from figdrum.runtime import http_client
@@ -70,13 +71,13 @@
 
     def respond(self, req: http_server.Request) -> http_server.Response:
         """Answers a request of another balancer."""
-        revisions = peer_state.parse_path(req.path)
-        if revisions is None:
+        known = peer_state.parse_path(req.path)
+        if known is None:
             return http_server.Response(404)
         newer = {
             copy.kind: copy.snapshot()
             for copy in self._mirrors
-            if copy.revision > revisions.get(copy.kind, copy.revision)
+            if copy.revision > known.get(copy.kind, copy.revision)
         }
         return http_server.Response(200, peer_state.encode(newer),
                                     'application/msgpack')
@@ -115,6 +116,6 @@
                     copy.adopt(listing)):
                 self._log.write('state of a peer adopted',
                                 kind=copy.kind,
-                                revision=listing.revision,
+                                revision=revisions.describe(listing.revision),
                                 peer=address[0],
                                 objects=len(listing.entries))
--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -7,7 +7,9 @@
 
 from figdrum.core import clock as clock_module
 from figdrum.core import errors
+from figdrum.core import ids
 from figdrum.core import ports
+from figdrum.core import revisions
 from figdrum.registry import object_store
 from figdrum.telemetry import event_log
 
@@ -27,6 +29,9 @@
 # must be in force within 3 s.
 WATCH_CHECK_PERIOD_MS = 1_500
 
+# Revision of a mirror without a copy.
+NO_REVISION = ids.StoreRevision(-1)
+
 
 class Backoff:
     """Exponential backoff with jitter.
@@ -65,7 +70,7 @@
     def on_removed(self, name: str) -> None:
         """Handles the removal of an object."""
 
-    def on_synced(self, revision: int) -> None:
+    def on_synced(self, revision: ids.StoreRevision) -> None:
         """Called when all changes up to a store revision were delivered."""
 
 
@@ -109,7 +114,8 @@
     once the store answers after a poll that had no answer.
 
     Attributes:
-      revision: Store revision up to which the copy is complete, or -1.
+      revision: Store revision up to which the copy is complete, or
+        `NO_REVISION`.
       revisions: Revisions of the objects in the copy, by name.
     """
 
@@ -128,8 +134,8 @@
         self._is_connected = True
         self._is_refreshing = False
         self._wait: _Wait | None = None
-        self.revision = -1
-        self.revisions: dict[str, int] = {}
+        self.revision = NO_REVISION
+        self.revisions: dict[str, ids.StoreRevision] = {}
         self._confirmed_ms = clock.now_ms()
         self._entries: dict[str, object_store.Entry] = {}
 
@@ -184,7 +190,9 @@
         if self._is_refreshing:
             return
         self._is_refreshing = True
-        self._log.write('refresh', kind=self._kind, revision=self.revision)
+        self._log.write('refresh',
+                        kind=self._kind,
+                        revision=revisions.describe(self.revision))
         self._timers.call_later(MIN_REFRESH_INTERVAL_MS, self._end_refresh)
         self._store.list_all(self._kind, self._on_refreshed)
 
@@ -219,7 +227,7 @@
     def _watch(self) -> None:
         self._log.write('watch sent',
                         kind=self._kind,
-                        revision=self.revision,
+                        revision=revisions.describe(self.revision),
                         era=self._store.era)
         wait = self._wait = _Wait(self._clock.now_ms())
         wait.watch = self._store.watch(self._kind, self.revision,
@@ -258,14 +266,14 @@
         self._timers.call_later(delay_ms, self._check_watch)
 
     def _has_news(self, changes: object_store.Changes) -> bool:
-        return (any(entry.revision > self.revisions.get(entry.name, 0)
+        return (any(entry.revision > self.revisions.get(entry.name, NO_REVISION)
                     for entry in changes.changed) or
                 any(name in self.revisions for name in changes.removed))
 
     def _cancel(self, wait: _Wait, reason: str) -> None:
         self._log.write('watch cancelled',
                         kind=self._kind,
-                        revision=self.revision,
+                        revision=revisions.describe(self.revision),
                         reason=reason,
                         waited_ms=self._clock.now_ms() - wait.sent_ms)
         self._wait = None
@@ -275,7 +283,7 @@
     def _on_history_lost(self) -> None:
         self._log.write('history lost',
                         kind=self._kind,
-                        revision=self.revision,
+                        revision=revisions.describe(self.revision),
                         era=self._store.era)
         self._list()
 
@@ -292,7 +300,7 @@
         self._on_contact()
         self._log.write('watch answered',
                         kind=self._kind,
-                        revision=result.revision,
+                        revision=revisions.describe(result.revision),
                         changed=len(result.changed),
                         removed=len(result.removed),
                         waited_ms=self._clock.now_ms() - wait.sent_ms)
@@ -301,15 +309,16 @@
         self._timers.call_later(self._options.delay_ms, self._watch)
 
     def _apply(self, changed: collections.abc.Iterable[object_store.Entry],
-               removed: collections.abc.Iterable[str], revision: int) -> None:
+               removed: collections.abc.Iterable[str],
+               revision: ids.StoreRevision) -> None:
         for entry in changed:
-            known = self.revisions.get(entry.name, 0)
+            known = self.revisions.get(entry.name, NO_REVISION)
             if known > entry.revision:
                 self._log.write('object not newer',
                                 kind=self._kind,
                                 name=entry.name,
-                                revision=entry.revision,
-                                known=known)
+                                revision=revisions.describe(entry.revision),
+                                known=revisions.describe(known))
             if known >= entry.revision:
                 continue
             self.revisions[entry.name] = entry.revision
@@ -318,7 +327,7 @@
                 self._log.write('unreadable object',
                                 kind=self._kind,
                                 name=entry.name,
-                                revision=entry.revision)
+                                revision=revisions.describe(entry.revision))
             else:
                 self._observer.on_entry(entry.name, entry.value)
         for name in removed:
--- a/figdrum/registry/object_store.py
+++ b/figdrum/registry/object_store.py
@@ -5,6 +5,10 @@
 
 Calls return at once and pass their result to a callback. If the result of a
 write is a `StoreError`, the write may or may not have taken effect.
+
+Revisions are those of `figdrum.core.revisions`. If the store was restored from
+a copy since a revision was read, a watch or poll from it and a conditional
+write with it end with a `HistoryLostError`.
 """
 
 import abc
@@ -12,6 +16,7 @@
 import typing
 
 from figdrum.core import errors
+from figdrum.core import ids
 
 
 class HistoryLostError(errors.StoreError):
@@ -24,11 +29,11 @@
 
     Attributes:
       name: Its name within its kind.
-      revision: Revision of its last change.
+      revision: Revision of its last change; later ones are higher.
       value: The stored value, decoded; None if it is malformed.
     """
     name: str
-    revision: int
+    revision: ids.StoreRevision
     value: typing.Any
 
 
@@ -40,7 +45,7 @@
       revision: Store revision at which the list is complete.
     """
     entries: tuple[Entry, ...]
-    revision: int
+    revision: ids.StoreRevision
 
 
 class Changes(typing.NamedTuple):
@@ -53,7 +58,7 @@
     """
     changed: tuple[Entry, ...]
     removed: tuple[str, ...]
-    revision: int
+    revision: ids.StoreRevision
 
 
 class Conflict(typing.NamedTuple):
@@ -94,7 +99,7 @@
         """Reads all objects of a kind as of the call or later."""
 
     @abc.abstractmethod
-    def watch(self, kind: str, revision: int, may_lag: bool,
+    def watch(self, kind: str, revision: ids.StoreRevision, may_lag: bool,
               on_result: OnChanges) -> Watch:
         """Waits for changes of a kind after `revision`.
 
@@ -110,7 +115,8 @@
         """
 
     @abc.abstractmethod
-    def poll(self, kind: str, revision: int, on_result: OnChanges) -> None:
+    def poll(self, kind: str, revision: ids.StoreRevision,
+             on_result: OnChanges) -> None:
         """Reads the changes of a kind after `revision` without waiting.
 
         The result is as that of a watch that may lag, and is empty if the store
@@ -122,14 +128,14 @@
         """Reads one object; the result is None if there is none."""
 
     @abc.abstractmethod
-    def write(self, kind: str, name: str, value: typing.Any, revision: int,
-              on_result: OnWritten) -> None:
+    def write(self, kind: str, name: str, value: typing.Any,
+              revision: ids.StoreRevision, on_result: OnWritten) -> None:
         """Writes an object if its current revision is `revision`.
 
         The revision 0 creates the object.
         """
 
     @abc.abstractmethod
-    def remove(self, kind: str, name: str, revision: int,
+    def remove(self, kind: str, name: str, revision: ids.StoreRevision,
                on_result: OnWritten) -> None:
         """Removes an object if its current revision is `revision`."""
--- a/figdrum/registry/object_writer.py
+++ b/figdrum/registry/object_writer.py
@@ -5,7 +5,9 @@
 import typing
 
 from figdrum.core import errors
+from figdrum.core import ids
 from figdrum.core import ports
+from figdrum.core import revisions
 from figdrum.registry import mirror
 from figdrum.registry import object_store
 from figdrum.telemetry import event_log
@@ -36,7 +38,7 @@
         self._backoff = mirror.Backoff(rng)
         self._wanted: typing.Any = None
         self._stored: typing.Any = None
-        self._revision: int | None = None
+        self._revision: ids.StoreRevision | None = None
         self._is_call_pending = False
         self._on_loaded: OnLoaded | None = None
         self._on_stored: OnStored | None = None
@@ -103,19 +105,19 @@
             self._log.write('write conflict',
                             kind=self._kind,
                             name=self._name,
-                            revision=self._revision)
+                            revision=revisions.describe(self._revision))
             self._set_stored(result.entry)
         else:
             self._set_stored(result)
             self._log.write('stored',
                             kind=self._kind,
                             name=self._name,
-                            revision=result.revision)
+                            revision=revisions.describe(result.revision))
         self._write_if_changed()
 
     def _set_stored(self, entry: object_store.Entry | None) -> None:
         self._backoff.reset()
-        self._revision = entry.revision if entry else 0
+        self._revision = entry.revision if entry else ids.StoreRevision(0)
         self._stored = entry.value if entry else None
         if entry and self._on_stored is not None:
             self._on_stored(entry.value)
