Keep objects for 3 s that a restored store does not have yet

Cause: the first list after a restore lacks what was written after the copy was made, until its writer has written it again. A mirror removes what a list lacks: a zone that is out would get flows, and a registered target would vanish, so that packets of its open flows find no owner. Change: an object that the store has not shown in its current era is removed 3 s after the first list of the era; what was shown in it is removed at once.

--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -29,6 +29,10 @@
 # must be in force within 3 s.
 WATCH_CHECK_PERIOD_MS = 1_500
 
+# Time in ms for which an object is kept that is missing in the first list after a
+# restore of the store. Its writer writes it again within about 2 s.
+RESTORE_GRACE_MS = 3_000
+
 # Revision of a mirror without a copy.
 NO_REVISION = ids.StoreRevision(-1)
 
@@ -113,6 +117,10 @@
     sent again if the poll finds changes that the watch has not delivered, and
     once the store answers after a poll that had no answer.
 
+    A store that was restored from a copy lacks what was written since, until it
+    is written again. So an object that the store has not shown in its current
+    era is removed only `RESTORE_GRACE_MS` after the first list.
+
     Attributes:
       revision: Store revision up to which the copy is complete, or
         `NO_REVISION`.
@@ -220,9 +228,30 @@
 
     def _apply_listing(self, listing: object_store.Listing) -> None:
         found = {entry.name for entry in listing.entries}
-        self._apply(listing.entries,
-                    tuple(name for name in self.revisions if name not in found),
-                    listing.revision)
+        era = revisions.era(listing.revision)
+        self._apply(
+            listing.entries,
+            tuple(name for name, revision in self.revisions.items()
+                  if name not in found and revisions.era(revision) == era),
+            listing.revision)
+        missing = self._missing_in(era)
+        if missing:
+            self._log.write('missing after a restore',
+                            kind=self._kind,
+                            era=era,
+                            objects=len(missing))
+            self._timers.call_later(RESTORE_GRACE_MS,
+                                    lambda: self._remove_missing(era))
+
+    def _missing_in(self, era: int) -> tuple[str, ...]:
+        """Returns the objects that the store has not shown since a restore."""
+        return tuple(name for name, revision in self.revisions.items()
+                     if revisions.era(revision) < era)
+
+    def _remove_missing(self, era: int) -> None:
+        missing = self._missing_in(era)
+        if missing:
+            self._apply((), missing, self.revision)
 
     def _watch(self) -> None:
         self._log.write('watch sent',
