Let agents write again what a restore of the store has lost

Cause: an agent writes its registration and its record of open flows only when they change. After a restore that lost them it noticed nothing: a target would vanish from balancers that start, and from all others once the time for which they keep it has passed. Change: the store's client tells when the era in a response has risen, and an agent then reads what it has stored, within a time spread by the store's write rate, 1 s at most, and writes what is missing. Balancers greet agents when they see a new era, and an agent that hears of a later era than its own reads, too. A call in progress at that moment is followed by another read.

--- a/figdrum/flows/actions.py
+++ b/figdrum/flows/actions.py
@@ -53,6 +53,15 @@
     """Write the agent's current registration to the store."""
 
 
+class CheckStoreEra(typing.NamedTuple):
+    """Check what is stored, if the store was restored and this is not known.
+
+    Attributes:
+      era: Era of the store that another node knows of.
+    """
+    era: int
+
+
 class RefreshConfiguration(typing.NamedTuple):
     """Read the configuration again, since other nodes have a newer version."""
 
@@ -89,6 +98,6 @@
 
 
 Action = (SendToTarget | SendToClient | SendToPeer | StartTimer | ProbeTarget |
-          SaveRegistration | RefreshConfiguration | ObserveHistogram |
-          RemoveRegistration | LogEvent)
+          SaveRegistration | CheckStoreEra | RefreshConfiguration |
+          ObserveHistogram | RemoveRegistration | LogEvent)
 Actions = list[Action]
--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -14,6 +14,7 @@
 
 from figdrum.core import errors
 from figdrum.core import ids
+from figdrum.core import revisions
 from figdrum.flows import actions
 from figdrum.flows import cold_limit
 from figdrum.flows import failure_breaker
@@ -622,9 +623,12 @@
         if hello.knowledge.version >= self._knowledge.version:
             self._cold_limit.set_rate(hello.cold_limit)
             self._agent_count = hello.agent_count
+        era = revisions.era(hello.knowledge.revision)
+        is_restored = era > revisions.era(self._knowledge.revision)
         self._knowledge = messages.merge_knowledge(self._knowledge,
                                                    hello.knowledge)
-        return self._send_due_reports(now_ms)
+        return self._send_due_reports(now_ms) + ([actions.CheckStoreEra(era)]
+                                                 if is_restored else [])
 
     def _record_balancer(self, now_ms: int, origin: ids.Address) -> bool:
         """Records a message of a balancer; returns whether it is a new one."""
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -179,9 +179,13 @@
         """
         if revision < self._zones_out_revision:
             return []
+        is_restored = 0 <= revisions.era(
+            self._zones_out_revision) < revisions.era(revision)
         self._zones_out_revision = revision
         if zones == self._zones_out:
-            return []
+            # Agents learn from a hello that the store may have lost their
+            # registrations.
+            return self._send_hellos(now_ms) if is_restored else []
         self._zones_out = zones
         log_event = actions.LogEvent(
             'zones out', {
--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -3,6 +3,7 @@
 import pytest
 
 from figdrum.core import ids
+from figdrum.core import revisions
 from figdrum.flows import actions
 from figdrum.flows import agent as agent_module
 from figdrum.flows import messages
@@ -114,6 +115,25 @@
     assert _delivered(_forward_packet(agent, 30, _opening()))
 
 
+# An agent makes few calls to the store, and learns from balancers that its
+# registration may be lost.
+def test_hello_of_a_later_era_makes_the_agent_check_what_is_stored():
+    agent = _make_agent()
+    results = [
+        agent.on_message(
+            0, BALANCER,
+            messages.encode(
+                messages.Hello(_make_knowledge(revisions.make(era, number)),
+                               None, 1)))
+        for era, number in ((1, 90), (2, 40), (2, 41), (1, 91))
+    ]
+    checks = [[a.era
+               for a in result
+               if isinstance(a, actions.CheckStoreEra)]
+              for result in results]
+    assert checks == [[1], [2], [], []]
+
+
 def test_cold_target_gets_at_most_the_limit_in_any_second():
     agent = _make_agent()
     _send_heartbeat(agent, 0, warmup_left_ms=10_000)
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -3,6 +3,7 @@
 import functools
 import typing
 
+from figdrum.core import clock
 from figdrum.core import errors
 from figdrum.core import ids
 from figdrum.flows import actions
@@ -24,6 +25,12 @@
 # is still in the store. Balancers send a hello every 2.5 s.
 HELLO_TIMEOUT_MS = 20_000
 
+# Share of the store's write rate that all agents together use when they check
+# what they have stored after a restore, and the longest time in ms that this
+# takes. Balancers keep the registrations for 3 s meanwhile.
+RESTORE_CHECK_SHARE = 0.5
+MAX_RESTORE_CHECK_MS = 1_000
+
 
 class AgentProcess(node.Node):
     """Connects an agent's flow controller to its sockets and the store."""
@@ -51,6 +58,8 @@
             self.adapter.store, flow_records.KIND,
             registrations.object_name(cfg.frames), self.loop, self.log,
             self.rng)
+        self._is_check_due = False
+        self.adapter.store.on_restored(self._check_after_restore)
         self._last_hello_ms = self.clock.now_ms()
         # Random within the period, so that agents do not all write at once.
         self._next_record_ms = self.clock.now_ms() + self.rng.randint(
@@ -127,6 +136,25 @@
                 () if is_short else self._agent.open_flows, is_short)
             self._flow_record_writer.save(flow_records.encode(record))
 
+    def _check_after_restore(self) -> None:
+        """Reads soon what this agent has stored, since it may be lost."""
+        if self._is_check_due:
+            return
+        self._is_check_due = True
+        period_ms = clock.MS_PER_S * self._agent.agent_count / (
+            self.cfg.store_writes_per_s * RESTORE_CHECK_SHARE)
+        delay_ms = self.rng.randint(0, min(int(period_ms),
+                                           MAX_RESTORE_CHECK_MS))
+        self.log.write('store restored',
+                       era=self.adapter.store.era,
+                       check_after_ms=delay_ms)
+        self.loop.call_later(delay_ms, self._verify_stored)
+
+    def _verify_stored(self) -> None:
+        self._is_check_due = False
+        self._registration_writer.verify()
+        self._flow_record_writer.verify()
+
     def _on_flow_record(self, value: object) -> None:
         record = flow_records.decode(value) if value else None
         if record is not None:
@@ -202,3 +230,6 @@
                 self._probe_target()
             elif isinstance(action, actions.SaveRegistration):
                 self._register()
+            elif isinstance(action, actions.CheckStoreEra):
+                if action.era > self.adapter.store.era:
+                    self._check_after_restore()
--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -29,8 +29,8 @@
 # must be in force within 3 s.
 WATCH_CHECK_PERIOD_MS = 1_500
 
-# Time in ms for which an object is kept that is missing in the first list after a
-# restore of the store. Its writer writes it again within about 2 s.
+# Time in ms for which an object is kept that is missing in the first list after
+# a restore of the store. Its writer writes it again within about 2 s.
 RESTORE_GRACE_MS = 3_000
 
 # Revision of a mirror without a copy.
--- a/figdrum/registry/object_store.py
+++ b/figdrum/registry/object_store.py
@@ -94,6 +94,13 @@
     """
     era: int = 0
 
+    @abc.abstractmethod
+    def on_restored(self, fn: collections.abc.Callable[[], None]) -> None:
+        """Calls `fn` when a response shows that the store was restored.
+
+        What was written since the copy was made is lost.
+        """
+
     @abc.abstractmethod
     def list_all(self, kind: str, on_result: OnListing) -> None:
         """Reads all objects of a kind as of the call or later."""
--- a/figdrum/registry/object_writer.py
+++ b/figdrum/registry/object_writer.py
@@ -40,6 +40,7 @@
         self._stored: typing.Any = None
         self._revision: ids.StoreRevision | None = None
         self._is_call_pending = False
+        self._is_unverified = False
         self._on_loaded: OnLoaded | None = None
         self._on_stored: OnStored | None = None
 
@@ -61,8 +62,13 @@
         self._write_if_changed()
 
     def verify(self) -> None:
-        """Reads the object again, and writes it if it was removed."""
+        """Reads the object again, and writes it if it was removed or changed.
+
+        A call in progress may have been answered before the change, so the
+        object is read after it.
+        """
         self._revision = None
+        self._is_unverified = self._is_call_pending
         self._write_if_changed()
 
     def _write_if_changed(self) -> None:
@@ -119,6 +125,9 @@
         self._backoff.reset()
         self._revision = entry.revision if entry else ids.StoreRevision(0)
         self._stored = entry.value if entry else None
+        if self._is_unverified:
+            self._is_unverified = False
+            self._revision = None
         if entry and self._on_stored is not None:
             self._on_stored(entry.value)
 
--- a/figdrum/registry/tests/fake_store.py
+++ b/figdrum/registry/tests/fake_store.py
@@ -63,6 +63,7 @@
       is_silent: Whether calls have no effect and are never answered, so that
         they fail when the client's timeout has passed. Watches that were open
         before go on.
+      holds_answers: Whether the answers to writes wait for `release_answers`.
       lost_responses: Number of following writes that take effect but return an
         error.
     """
@@ -78,6 +79,8 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.is_down = False
         self.is_silent = False
+        self.holds_answers = False
+        self._held: list[tuple[object, object]] = []
         self.lost_responses = 0
 
     def put(self, kind: str, name: str, value) -> int:
@@ -150,6 +153,9 @@
         else:
             on_result(self._changes_since(kind, revision))
 
+    def on_restored(self, fn):
+        pass
+
     def read(self, kind, name, on_result):
         self.calls['read'] += 1
         on_result(
@@ -169,9 +175,17 @@
         if self.lost_responses:
             self.lost_responses -= 1
             on_result(self._error('write'))
+        elif self.holds_answers:
+            self._held.append((on_result, self.objects[kind, name]))
         else:
             on_result(self.objects[kind, name])
 
+    def release_answers(self) -> None:
+        """Sends the answers that were held."""
+        held, self._held = self._held, []
+        for on_result, entry in held:
+            on_result(entry)
+
     def remove(self, kind, name, revision, on_result):
         self.calls['remove'] += 1
         entry = self.objects.get((kind, name))
--- a/figdrum/registry/tests/test_object_writer.py
+++ b/figdrum/registry/tests/test_object_writer.py
@@ -90,3 +90,15 @@
     fixture.store.delete('agents', 'one')
     fixture.writer.verify()
     assert fixture.stored() == {'state': 'ready'}
+
+
+# The answer to a write that was sent before a restore says nothing about the
+# restored store.
+def test_object_is_read_after_a_call_that_was_pending_when_verified(fixture):
+    fixture.store.holds_answers = True
+    fixture.writer.save({'state': 'ready'})
+    fixture.store.delete('agents', 'one')
+    fixture.writer.verify()
+    fixture.store.holds_answers = False
+    fixture.store.release_answers()
+    assert fixture.stored() == {'state': 'ready'}
