Keep zones out that reports of a restored store lack

Cause: a balancer that starts just after a restore reads the zones taken out before the operator has written them again. By the reports of agents, its set replaced that of every balancer that had not read the store in the new era. Change: the first set of a later era that comes in a report is added to the known one; the next set of that era replaces it. Before / after: test_zone_that_a_restored_store_lacks_stays_out_at_first fails before and passes after. The other new tests show that zones in reports and copies of other balancers are ordered by era; they hold since.

--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -624,9 +624,12 @@
         """
         result: actions.Actions = []
         if reported.revision > self._zones_out_revision >= 0:
-            result += self.on_zones_out(
-                now_ms, frozenset(ids.ZoneName(z) for z in reported.zones_out),
-                reported.revision)
+            zones = frozenset(ids.ZoneName(z) for z in reported.zones_out)
+            if revisions.era(reported.revision) > revisions.era(
+                    self._zones_out_revision):
+                # A restored store may lack the zones for some seconds.
+                zones |= self._zones_out
+            result += self.on_zones_out(now_ms, zones, reported.revision)
         if self._cfg is None or reported.version == self._cfg.version:
             return result
         if reported.version < self._cfg.version:
--- a/figdrum/flows/tests/test_knowledge.py
+++ b/figdrum/flows/tests/test_knowledge.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from figdrum.core import revisions
 from figdrum.flows.tests import simulation
 
 BALANCER = ('front-1', 1)
@@ -64,6 +65,44 @@
     assert len(sim.events('zones out')) == 2
 
 
+def _opened_zones(sim: simulation.Simulation) -> set[str]:
+    """Returns the zones in which the disconnected balancer opens flows."""
+    clients = [
+        simulation.Client(sim, DISCONNECTED_BALANCER, n) for n in range(20)
+    ]
+    for client in clients:
+        client.open()
+    sim.run(500)
+    return {t.zone for t in sim.targets.values() if t.opening_times_ms}
+
+
+# A zone taken out after a restore of the store has a lower revision number than
+# what was known before.
+def test_zone_out_after_a_restore_reaches_a_balancer_in_reports(sim):
+    sim.take_zones_out(set(), revisions.make(1, 90))
+    disconnected = sim.balancers.pop(DISCONNECTED_BALANCER)
+    sim.take_zones_out({'a'}, revisions.make(2, 40))
+    sim.balancers[DISCONNECTED_BALANCER] = disconnected
+    sim.run(2_000)
+    assert _opened_zones(sim) == {'b'}
+
+
+# A balancer that starts after a restore reads the zones before the operator has
+# written them again.
+def test_zone_that_a_restored_store_lacks_stays_out_at_first(sim):
+    sim.take_zones_out({'a'}, revisions.make(1, 90))
+    disconnected = sim.balancers.pop(DISCONNECTED_BALANCER)
+    sim.take_zones_out(set(), revisions.make(2, 40))
+    sim.balancers[DISCONNECTED_BALANCER] = disconnected
+    sim.run(1_000)
+    assert _opened_zones(sim) == {'b'}
+    sim.balancers.pop(DISCONNECTED_BALANCER)
+    sim.take_zones_out(set(), revisions.make(2, 41))
+    sim.balancers[DISCONNECTED_BALANCER] = disconnected
+    sim.run(2_000)
+    assert _opened_zones(sim) == {'a', 'b'}
+
+
 def test_registration_of_a_silent_agent_is_removed_after_two_minutes(sim):
     sim.silent.add(('target-1', 2))
     sim.run(100_000)
--- a/figdrum/node/tests/test_peer_reader.py
+++ b/figdrum/node/tests/test_peer_reader.py
@@ -7,6 +7,7 @@
 
 from figdrum.core import clock
 from figdrum.core import errors
+from figdrum.core import revisions
 from figdrum.node import peer_reader
 from figdrum.registry import mirror
 from figdrum.registry.tests import fake_store
@@ -178,3 +179,36 @@
     site.add(3, objects=OBJECTS).start()
     site.run(5_000)
     assert site.requests == 0
+
+
+# A copy of before a restore of the store has higher numbers than a later one.
+def test_copy_of_before_a_restore_is_not_adopted(site):
+    peer = site.add(1)
+    peer.store.revision = revisions.make(1, 90)
+    peer.store.put(*OBJECTS[1])
+    peer.start()
+    cut_off = site.add(3)
+    cut_off.store.revision = revisions.make(2, 5)
+    cut_off.store.put(*OBJECTS[2])
+    cut_off.start()
+    site.run(100)
+    cut_off.store.is_down = True
+    cut_off.store.fail_watches()
+    site.run(2_000)
+    assert cut_off.recorders['agents'].values == {'b': 'ready'}
+
+
+def test_copy_of_after_a_restore_is_adopted(site):
+    peer = site.add(1)
+    peer.store.revision = revisions.make(2, 5)
+    peer.store.put('config', 'main', {'version': 4})
+    peer.start()
+    cut_off = site.add(3)
+    cut_off.store.revision = revisions.make(1, 90)
+    cut_off.store.put('config', 'main', {'version': 3})
+    cut_off.start()
+    site.run(100)
+    cut_off.store.is_down = True
+    cut_off.store.fail_watches()
+    site.run(2_000)
+    assert cut_off.recorders['config'].values == {'main': {'version': 4}}
