Discard a list that is older than an adopted copy

Cause: a list that was on its way while a copy of another balancer was adopted could be older than the copy. It removed what the copy had in addition, and the watch, which starts at the later revision, did not bring it back. The same class: an older state replaces a later one. Change: such a list is discarded, and read again after the backoff. Before / after: test_list_that_is_older_than_an_adopted_copy_is_discarded fails before and passes after.

--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -222,6 +222,15 @@
         if isinstance(result, errors.StoreError):
             self._retry(result, self._list)
             return
+        if result.revision < self.revision:
+            # A copy of another node that was adopted meanwhile is newer. The
+            # list would remove what was added since.
+            self._log.write('older list',
+                            kind=self._kind,
+                            revision=revisions.describe(result.revision),
+                            known=revisions.describe(self.revision))
+            self._timers.call_later(self._backoff.next_ms(), self._list)
+            return
         self._on_contact()
         self._apply_listing(result)
         self._watch()
--- a/figdrum/registry/tests/test_mirror.py
+++ b/figdrum/registry/tests/test_mirror.py
@@ -208,3 +208,19 @@
         'watch': 1,
         'poll': 15_000 // mirror.WATCH_CHECK_PERIOD_MS
     }
+
+
+# A list that was on its way while a newer copy of another balancer was adopted
+# removed what the copy had in addition, and the watch did not bring it back.
+def test_list_that_is_older_than_an_adopted_copy_is_discarded(fixture):
+    fixture.store.put('config', 'one', 1)
+    results = []
+    list_all = fixture.store.list_all
+    fixture.store.list_all = lambda kind, _: list_all(kind, results.append)
+    fixture.mirror.start()
+    fixture.store.list_all = list_all
+    fixture.store.put('config', 'two', 2)
+    list_all('config', fixture.mirror.adopt)
+    fixture.mirror._on_listing(results[0])  # pylint: disable=protected-access
+    fixture.run(MAX_CHANGE_DELAY_MS)
+    assert fixture.recorder.values == {'one': 1, 'two': 2}
