Back off when the watch from a new list fails again and again

Cause: an answer that the history is lost is followed by a list at once, and the list by a watch. Change: the second such list in a row waits for the backoff, which starts anew once a watch or a poll is answered. Before / after: test_lists_are_limited_by_backoff_if_their_watches_fail fails before and passes after.

--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -141,6 +141,8 @@
         self._backoff = Backoff(rng)
         self._is_connected = True
         self._is_refreshing = False
+        # Lists since the store last answered a watch or poll.
+        self._unconfirmed_lists = 0
         self._wait: _Wait | None = None
         self.revision = NO_REVISION
         self.revisions: dict[str, ids.StoreRevision] = {}
@@ -232,6 +234,7 @@
             self._timers.call_later(self._backoff.next_ms(), self._list)
             return
         self._on_contact()
+        self._unconfirmed_lists += 1
         self._apply_listing(result)
         self._watch()
 
@@ -294,12 +297,14 @@
                 delay_ms = self._backoff.next_ms()
             elif not self._is_connected:
                 self._on_contact()
+                self._on_watch_confirmed()
                 self._cancel(wait, 'store regained')
                 self._watch()
             elif self._has_news(result):
                 self._cancel(wait, 'change not delivered')
                 self._watch()
             else:
+                self._on_watch_confirmed()
                 self._confirmed_ms = self._clock.now_ms()
         self._timers.call_later(delay_ms, self._check_watch)
 
@@ -323,7 +328,10 @@
                         kind=self._kind,
                         revision=revisions.describe(self.revision),
                         era=self._store.era)
-        self._list()
+        if self._unconfirmed_lists <= 1:
+            self._list()
+        else:
+            self._timers.call_later(self._backoff.next_ms(), self._list)
 
     def _on_changes(self,
                     result: object_store.Changes | errors.StoreError) -> None:
@@ -336,6 +344,7 @@
             self._retry(result, self._watch)
             return
         self._on_contact()
+        self._on_watch_confirmed()
         self._log.write('watch answered',
                         kind=self._kind,
                         revision=revisions.describe(result.revision),
@@ -375,8 +384,11 @@
         self.revision = max(self.revision, revision)
         self._observer.on_synced(self.revision)
 
-    def _on_contact(self) -> None:
+    def _on_watch_confirmed(self) -> None:
+        self._unconfirmed_lists = 0
         self._backoff.reset()
+
+    def _on_contact(self) -> None:
         self._confirmed_ms = self._clock.now_ms()
         if not self._is_connected:
             self._is_connected = True
--- a/figdrum/registry/tests/test_mirror.py
+++ b/figdrum/registry/tests/test_mirror.py
@@ -224,3 +224,15 @@
     fixture.mirror._on_listing(results[0])  # pylint: disable=protected-access
     fixture.run(MAX_CHANGE_DELAY_MS)
     assert fixture.recorder.values == {'one': 1, 'two': 2}
+
+
+# A store that had no history for a watch from its own list got a list and a
+# watch each 12 ms from every balancer.
+def test_lists_are_limited_by_backoff_if_their_watches_fail(fixture):
+    fixture.store.put('config', 'main', 1)
+    fixture.store.oldest_revision = fixture.store.revision + 100
+    fixture.mirror.start()
+    fixture.run(10_000)
+    assert fixture.recorder.values == {'main': 1}
+    assert fixture.store.calls['list'] <= 5 + 10_000 // (
+        mirror.MAX_BACKOFF_MS // 2)
