Let the soak restore and silence the store between changes of the configuration

It had no store that is restored, and a silence seldom began just after a change. Mechanisms watch-check and era can be switched off.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 	$(PY) -m bench
 
 soak: $(STAMP)
-	$(PY) -m standins.soak --seeds $(SOAK_SEEDS) --faults 12
+	$(PY) -m standins.soak --seeds $(SOAK_SEEDS) --faults 12 \
+		--store-faults 2
 
 dist: $(STAMP)
 	$(PY) -m bench.dist
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -33,7 +33,8 @@
         str(network), '--targets',
         str(args.targets), '--balancers',
         str(args.balancers), '--faults',
-        str(args.faults), '--logs', args.logs, '--without', args.without
+        str(args.faults), '--store-faults',
+        str(args.store_faults), '--logs', args.logs, '--without', args.without
     ]
     done = subprocess.run(command,
                           capture_output=True,
@@ -51,6 +52,10 @@
     parser.add_argument('--targets', type=int, default=6)
     parser.add_argument('--balancers', type=int, default=3)
     parser.add_argument('--faults', type=int, default=8)
+    parser.add_argument('--store-faults',
+                        type=int,
+                        default=0,
+                        help='store faults between changes, in addition')
     parser.add_argument('--logs', default='')
     parser.add_argument('--without',
                         default='',
@@ -64,7 +69,8 @@
         directory = directory / f'seed-{args.one}'
         directory.mkdir(parents=True, exist_ok=True)
         return run.run_seed(args.one, args.network, directory, args.balancers,
-                            args.targets, args.faults, args.without)
+                            args.targets, args.faults, args.store_faults,
+                            args.without)
     failed = []
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
         jobs = [
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -118,6 +118,7 @@
             self._store_addresses[machine.name] = (
                 f'{host}:{listening.getHost().port}')
         self.write_configuration()
+        self.store.make_copies()
         for machine in self.machines:
             if machine not in self.spare_machines:
                 self.add_machine(machine)
@@ -134,11 +135,16 @@
         for client in self.clients:
             client.start()
 
-    def write_configuration(self) -> None:
-        """Writes the next version of the configuration to the store."""
+    def write_configuration(self, has_optional: bool | None = None) -> None:
+        """Writes the next version of the configuration to the store.
+
+        Args:
+          has_optional: Whether it has the optional route; drawn if None.
+        """
         self.version += self.rng.randint(1, 3)
         services = dict(self._services)
-        if self.rng.random() < 0.5:
+        is_drawn = self.rng.random() < 0.5
+        if is_drawn if has_optional is None else has_optional:
             services[self._optional_address] = 'fieldbook'
         self.opening_checker.note_version(self.now_ms(), services)
         self.store.put(
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -1,5 +1,6 @@
 """Fault injection, with faults drawn from the seed."""
 
+import random
 import signal
 import typing
 
@@ -18,6 +19,15 @@
 # be checked even if the store was disturbed in the meantime.
 MIN_ZONE_OUT_S = (layout.ZONE_OUT_MS + layout.RECONNECT_MS) / 1_000
 
+# Changes of the configuration before a store fault, and the time between two of
+# them. Watches are sent during the fault, 0.25 s after the last change.
+CHANGES_BEFORE_FAULT = 10
+CHANGE_PERIOD_S = 0.1
+
+# Range of the age of a copy that the store loads, longer than these changes.
+MIN_COPY_AGE_S = 2.0
+MAX_COPY_AGE_S = 6.0
+
 # Longest time for which a draining server keeps running after the time from
 # which it must get no new flows.
 MAX_DRAIN_STAY_S = 5.0
@@ -64,6 +74,44 @@
             self.log.append(f'{start_s:.1f} s {name} for {duration_s:.1f} s')
             self._deployment.reactor.callLater(start_s, kind, duration_s)
 
+    def schedule_between_changes(self, seed: int, from_s: float, to_s: float,
+                                 count: int) -> None:
+        """Schedules store faults that follow changes of the configuration.
+
+        Another change, which drops a route, comes once machines have to be in
+        contact again. They have random numbers of their own, so that the other
+        faults of a seed stay as they are.
+
+        Args:
+          seed: Seed of the random numbers.
+          from_s: Earliest start, in seconds from now.
+          to_s: Latest start, in seconds from now.
+          count: Number of faults.
+        """
+        rng = random.Random(f'{seed} between changes')
+        for _ in range(count):
+            fault = rng.choice((self._fall_silent, self._load_copy))
+            start_s = rng.uniform(from_s, to_s)
+            duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+            name = fault.__name__.strip('_')
+            self.log.append(f'{start_s:.1f} s {name} for {duration_s:.1f} s')
+            write = self._deployment.write_configuration
+            for number in range(CHANGES_BEFORE_FAULT):
+                self._call_later(start_s - number * CHANGE_PERIOD_S, write,
+                                 True)
+            self._call_later(start_s + CHANGE_PERIOD_S, fault, duration_s,
+                             rng.uniform(MIN_COPY_AGE_S, MAX_COPY_AGE_S))
+            self._call_later(start_s + duration_s + layout.RECONNECT_MS / 1_000,
+                             write, False)
+
+    def _fall_silent(self, duration_s: float, _: float) -> None:
+        self._set_store_faults(duration_s, failure_mode='silent')
+
+    def _load_copy(self, duration_s: float, age_s: float) -> None:
+        self._deployment.store.reset_watches()
+        self._call_later(duration_s, self._deployment.store.load_copy, age_s)
+        self._set_store_faults(duration_s, failure_mode='reset')
+
     def _call_later(self, delay_s: float, fn: typing.Callable, *args:
                     typing.Any) -> None:
         self._deployment.reactor.callLater(delay_s, fn, *args)
--- a/standins/soak/program.py
+++ b/standins/soak/program.py
@@ -19,6 +19,7 @@
 from figdrum.flows import owner_search
 from figdrum.flows import target
 from figdrum.flows import target_view
+from figdrum.registry import mirror
 from figdrum.registry import object_writer
 from standins.soak import layout
 
@@ -109,6 +110,18 @@
     object_writer.ObjectWriter._on_written = assume_written
 
 
+def _without_watch_check() -> None:
+    mirror.Mirror._check_watch = lambda self: None
+
+
+def _without_era() -> None:
+    """Orders revisions by their number alone."""
+    # The module is found only once the adapter's folder is on the path.
+    # pylint: disable-next=import-outside-toplevel
+    import platform_store
+    platform_store._decode_era = lambda response: 0
+
+
 MECHANISMS: dict[str, typing.Callable[[], None]] = {
     'owner-search': _without_owner_search,
     'certainty': _without_certainty,
@@ -117,16 +130,18 @@
     'zones-out': _without_zones_out,
     'version-order': _without_version_order,
     'read-back': _without_read_back,
+    'watch-check': _without_watch_check,
+    'era': _without_era,
 }
 
 
 def main() -> None:
     """Switches the mechanism off and runs the program in this process."""
     _, role, *mechanisms = sys.argv
-    for name in filter(None, mechanisms):
-        MECHANISMS[name]()
     folder = layout.ROOT / 'platform'
     sys.path.insert(0, str(folder))
+    for name in filter(None, mechanisms):
+        MECHANISMS[name]()
     sys.argv = [str(folder / 'main.py'), role]
     runpy.run_path(sys.argv[0], run_name='__main__')
 
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -26,7 +26,8 @@
 
 
 def run_seed(seed: int, network: int, directory: pathlib.Path, balancers: int,
-             targets: int, fault_count: int, disabled_mechanism: str) -> int:
+             targets: int, fault_count: int, store_fault_count: int,
+             disabled_mechanism: str) -> int:
     """Runs a seed; returns 0 if no guarantee was violated, 1 otherwise.
 
     Args:
@@ -36,6 +37,8 @@
       balancers: Number of balancers.
       targets: Number of targets, with an agent each.
       fault_count: Number of faults.
+      store_fault_count: Number of store faults between two changes of the
+        configuration, in addition.
       disabled_mechanism: figdrum mechanism to switch off, or empty for none.
     """
     deployment = deployment_module.Deployment(reactor, seed, network, directory,
@@ -53,6 +56,9 @@
     deployment.watch_processes()
     faults.schedule(FAULTS_START_S, FAULTS_START_S + FAULTS_DURATION_S,
                     fault_count)
+    faults.schedule_between_changes(seed, FAULTS_START_S,
+                                    FAULTS_START_S + FAULTS_DURATION_S,
+                                    store_fault_count)
     reactor.callLater(
         recovered_s, lambda: times.setdefault('recovered', deployment.now_ms()))
     reactor.callLater(end_s, reactor.stop)
--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -31,10 +31,33 @@
     lost_answer_share: float = 0.0
 
 
+# Period and number of the copies that the store makes of itself.
+COPY_PERIOD_S = 0.5
+MAX_COPIES = 20
+
+
+class _Copy(typing.NamedTuple):
+    """The store's state at one moment.
+
+    Attributes:
+      made_s: When it was made, in seconds of the reactor.
+      objects: Objects by kind and name.
+      history: Changes, as `Store` keeps them.
+      oldest_revision: Revision after which the history is complete.
+      revision: Revision of the last change.
+    """
+    made_s: float
+    objects: dict[tuple[str, str], dict[str, typing.Any]]
+    history: list[tuple[int, str, dict[str, typing.Any], bool]]
+    oldest_revision: int
+    revision: int
+
+
 class Store(resource.Resource):
     """Stores objects by kind and name, with revisions and watches.
 
     Attributes:
+      era: Number of times that a copy was loaded, plus 1.
       revision: Revision of the last change.
       faults: Faults of the calls that arrive from now on.
       calls: Number of calls so far.
@@ -49,16 +72,22 @@
         self._history: list[tuple[int, str, dict[str, typing.Any], bool]] = []
         self._watches: list[tuple[str, int, server.Request]] = []
         self._oldest_revision = 0
+        # What the operator has written last, by kind and name; None if removed.
+        self._operator_specs: dict[tuple[str, str], typing.Any] = {}
+        self._copies: list[_Copy] = []
+        self.era = 1
         self.revision = 1
         self.faults = Faults()
         self.calls = 0
 
     def put(self, kind: str, name: str, spec: typing.Any) -> None:
         """Stores an object, as the operator does."""
+        self._operator_specs[kind, name] = spec
         self._change(kind, name, spec, False)
 
     def delete(self, kind: str, name: str) -> None:
         """Removes an object, as the operator does."""
+        self._operator_specs[kind, name] = None
         if (kind, name) in self._objects:
             self._change(kind, name, None, True)
 
@@ -66,6 +95,35 @@
         """Returns the names of all objects of a kind."""
         return [name for item_kind, name in self._objects if item_kind == kind]
 
+    def make_copies(self) -> None:
+        """Copies the state from now on, each `COPY_PERIOD_S`."""
+        self._copies.append(
+            _Copy(self._reactor.seconds(), dict(self._objects),
+                  list(self._history), self._oldest_revision, self.revision))
+        del self._copies[:-MAX_COPIES]
+        self._reactor.callLater(COPY_PERIOD_S, self.make_copies)
+
+    def load_copy(self, age_s: float) -> None:
+        """Loads the newest copy of at least an age, or the oldest one.
+
+        What nodes have written since is lost; the operator writes again.
+        """
+        made_s = self._reactor.seconds() - age_s
+        older = [copy for copy in self._copies if copy.made_s <= made_s]
+        copy = older[-1] if older else self._copies[0]
+        self.era += 1
+        self._objects = dict(copy.objects)
+        self._history = list(copy.history)
+        self._oldest_revision = copy.oldest_revision
+        self.revision = copy.revision
+        self._copies = [copy]
+        self.reset_watches()
+        for (kind, name), spec in self._operator_specs.items():
+            item = self._objects.get((kind, name))
+            if item is not None if spec is None else (item is None or
+                                                      item['spec'] != spec):
+                self._change(kind, name, spec, spec is None)
+
     def compact(self) -> None:
         """Discards the history and resets the watches.
 
@@ -89,6 +147,7 @@
         if faults.failure_mode:
             if faults.failure_mode == 'busy':
                 request.setResponseCode(http.SERVICE_UNAVAILABLE)
+                self._set_era(request)
                 return b''
             if faults.failure_mode == 'reset':
                 _reset(request)
@@ -175,7 +234,7 @@
             self._watch(item_kind, since, req)
 
     def _watch(self, kind: str, since: int, req: server.Request) -> None:
-        if since < self._oldest_revision:
+        if not self._oldest_revision <= since <= self.revision:
             self._send(req, 410, {})
             return
         events = [{
@@ -201,10 +260,14 @@
     def _remove_watch(self, req: server.Request) -> None:
         self._watches = [w for w in self._watches if w[2] is not req]
 
+    def _set_era(self, req: server.Request) -> None:
+        req.setHeader(b'Store-Era', str(self.era).encode())
+
     def _send(self, req: server.Request, status: int, body: typing.Any) -> None:
         if req.channel is None:
             return
         req.setResponseCode(status)
+        self._set_era(req)
         req.setHeader(b'Content-Type', b'application/json')
         req.write(json.dumps(body).encode())
         req.finish()
