Review case 3: open flows are reset in a planned restart of a balancer

Tried: SIGTERM to one balancer just after a server was added; the other one's serializable reads are 3 s old.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,68 @@
+"""A balancer is rolled while another one doesn't know a new server yet."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+
+import standins  # pylint: disable=wrong-import-position
+
+CLIENTS = 40
+LENGTH_S = 12.0
+
+# Age of what the second balancer's calls with `serializable` return.
+LAG_S = 3.0
+
+
+async def use_late_flow(world, client, start_s, end_s, counts):
+    await asyncio.sleep(max(0.0, start_s - standins.now_s()))
+    await standins.use_flow(world, client, end_s, counts, pause_s=0.25)
+
+
+async def main(folder):
+    world = standins.World(folder, ('a', 'b'),
+                           [('fieldbook', 'ab'[n % 2]) for n in range(6)])
+    try:
+        first, second = world.balancers
+        second.store_lag_s = LAG_S
+        address = world.service_address(1)
+        await world.configure({address: 'fieldbook'})
+        *agents, added = world.agents
+        if not await world.start_all(agents, world.balancers):
+            return None
+        # The second balancer's copy shows the servers after LAG_S.
+        await asyncio.sleep(LAG_S + 3.0)
+        # A server is added, with its machine.
+        world.launch(added)
+        await asyncio.sleep(0.5)
+        added.server = standins.Server(world, added)
+        await added.server.start()
+        added_s = standins.now_s()
+        world.record.write(f'server added beside {added.name}')
+        counts = {}
+        tasks = []
+        for n in range(CLIENTS):
+            client = standins.Client(world, f'127.{world.net}.8.{n + 1}', 'a',
+                                     address)
+            await client.start()
+            tasks.append(
+                asyncio.create_task(
+                    use_late_flow(world, client, added_s + 0.2 + 0.02 * n,
+                                  added_s + LENGTH_S, counts)))
+        await asyncio.sleep(0.3)
+        if standins.has_trouble():
+            # The first balancer is stopped and started again, as planned.
+            world.signal(first, signal.SIGTERM)
+        await asyncio.gather(*tasks)
+        standins.check_resets(world)
+        world.record.write(
+            f'outcomes {counts}; flows taken beside {added.name}: '
+            f'{len(added.server.openings)}')
+        return world.record.violations
+    finally:
+        world.end()
+
+
+standins.run_case(main)
