Review: end a case's process without waiting for its stand-ins

One run with TROUBLE=0 of case 1 had written its result but did not end, since a task of the stand-ins survived its cancellation.

--- a/review/standins.py
+++ b/review/standins.py
@@ -944,14 +944,18 @@
         folder = pathlib.Path(sys.argv[0]).resolve().parent
         return await asyncio.wait_for(main(folder), 110)
 
+    loop = asyncio.new_event_loop()
     try:
-        violations = asyncio.run(body())
+        violations = loop.run_until_complete(body())
     except Exception as exc:  # pylint: disable=broad-except
         print(f'the case could not run: {exc!r}', file=sys.stderr)
-        sys.exit(2)
-    if violations is None:
-        sys.exit(2)
-    for line in violations[:5]:
-        print(line)
-    print(f'{len(violations)} violations' if violations else 'the rule held')
-    sys.exit(1 if violations else 0)
+        violations = None
+    status = 2
+    if violations is not None:
+        for line in violations[:5]:
+            print(line)
+        print(f'{len(violations)} violations' if violations else 'the rule held')
+        status = 1 if violations else 0
+    sys.stdout.flush()
+    # Tasks of the stand-ins may still wait, and are not waited for.
+    os._exit(status)
