--- a/review/4/case.py
+++ b/review/4/case.py
@@ -42,9 +42,9 @@
         world.record.write(f'{crashed.name} beside {machine.name} has crashed')
         await asyncio.sleep(NEXT_AT_S - CRASH_AT_S)
         server = machine.server = standins.Server(world, machine)
-        await server.start()
+        await server.start(warmup_s=2.0)
         world.record.write(f'{server.name} has started in its place')
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(3.5)
         counts = {}
         tasks = []
         for n in range(CLIENTS):
