Review case 2 (entry): a second copy of an answer stops all balancers

Tried: after all processes were killed, the store repeats its answer to the list of config, late, once to each balancer. Command: review/2/run.sh, 5 times.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,6 @@
-"""A late check-in of a crashed server reaches a restarted agent."""
+"""A balancer is rolled while another one doesn't know a new server yet."""
 
 import asyncio
-import json
 import pathlib
 import signal
 import sys
@@ -10,73 +9,75 @@
 
 import standins  # pylint: disable=wrong-import-position
 
-CLIENTS = 30
-LENGTH_S = 20.0
+# Clients with open flows before the server is added, and others that come once
+# it isn't cold any more.
+EARLY_CLIENTS = 10
+CLIENTS = 40
+LENGTH_S = 12.0
 
-# The first server crashes and another one starts in its place, long before the
-# agent is restarted.
-CRASH_AT_S = 1.0
-NEXT_AT_S = 1.5
-RESTART_AT_S = 10.0
+# Age of what the second balancer's calls with `serializable` return.
+LAG_S = 5.0
 
-# How long before the live server's next check-in the late one arrives.
-LATE_BEFORE_S = 0.25
+# After its start, the added server is cold for this time. The first balancer is
+# stopped RESTART_AFTER_S after that start.
+WARMUP_S = 2.0
+RESTART_AFTER_S = 2.4
+
+
+async def use_late_flow(world, client, start_s, end_s, counts):
+    await asyncio.sleep(max(0.0, start_s - standins.now_s()))
+    await standins.use_flow(world, client, end_s, counts, pause_s=0.25)
 
 
 async def main(folder):
-    world = standins.World(folder, ('a', 'b'), (('fieldbook', 'a'),
-                                                ('fieldbook', 'b'),
-                                                ('fieldbook', 'b')))
+    world = standins.World(folder, ('a', 'b'),
+                           [('fieldbook', 'ab'[n % 2]) for n in range(6)])
     try:
+        first, second = world.balancers
+        second.store_lag_s = LAG_S
         address = world.service_address(1)
         await world.configure({address: 'fieldbook'})
-        if not await world.start_all(world.agents, world.balancers):
+        *agents, added = world.agents
+        if not await world.start_all(agents, world.balancers):
             return None
-        await asyncio.sleep(2.0)
-        start_s = standins.now_s()
-        machine = world.agents[0]
-        await asyncio.sleep(CRASH_AT_S)
-        crashed = machine.server
-        late = crashed.heartbeat()
-        await crashed.crash()
-        world.record.write(f'{crashed.name} beside {machine.name} has crashed')
-        await asyncio.sleep(NEXT_AT_S - CRASH_AT_S)
-        server = machine.server = standins.Server(world, machine)
-        await server.start(warmup_s=2.0)
-        world.record.write(f'{server.name} has started in its place')
-        await asyncio.sleep(3.5)
+        # The second balancer's copy shows the servers after LAG_S.
+        await asyncio.sleep(LAG_S + 3.0)
         counts = {}
         tasks = []
-        for n in range(CLIENTS):
-            client = standins.Client(world, f'127.{world.net}.8.{n + 1}',
-                                     'ab'[n % 2], address)
-            await client.start()
+        clients = []
+        for n in range(EARLY_CLIENTS + CLIENTS):
+            clients.append(
+                standins.Client(world, f'127.{world.net}.8.{n + 1}', 'a',
+                                address))
+            await clients[-1].start()
+        end_s = standins.now_s() + LENGTH_S
+        for n, client in enumerate(clients[:EARLY_CLIENTS]):
+            tasks.append(
+                asyncio.create_task(
+                    use_late_flow(world, client,
+                                  standins.now_s() + 0.02 * n, end_s, counts)))
+        # A server is added, with its machine.
+        world.launch(added)
+        await asyncio.sleep(0.5)
+        added.server = standins.Server(world, added)
+        await added.server.start(warmup_s=WARMUP_S)
+        added_s = standins.now_s()
+        world.record.write(f'server added beside {added.name}')
+        for n, client in enumerate(clients[EARLY_CLIENTS:]):
             tasks.append(
                 asyncio.create_task(
-                    standins.use_flow(world, client, start_s + LENGTH_S, counts,
-                                      pause_s=0.5)))
-        await asyncio.sleep(start_s + RESTART_AT_S - standins.now_s())
+                    use_late_flow(world, client,
+                                  added_s + WARMUP_S + 0.2 + 0.015 * n, end_s,
+                                  counts)))
+        await asyncio.sleep(RESTART_AFTER_S)
         if standins.has_trouble():
-            # Just after a check-in, the agent is stopped and started again, as
-            # planned; it runs again before the next check-in.
-            seq = server.seq
-            while server.seq == seq:
-                await asyncio.sleep(0.01)
-            await asyncio.sleep(0.05)
-            world.signal(machine, signal.SIGTERM)
-            # The agent takes check-ins again some 0.5 s later, and the live
-            # server's next check-in is due 1.2 s after its last one.
-            await asyncio.sleep(server.beat_s + standins.HEARTBEAT_MS / 1000 -
-                                LATE_BEFORE_S - standins.now_s())
-            answer = await standins.call_http(
-                (machine.host, world.ports['control']), 'POST',
-                f'/figdrum/Instances.Heartbeat/{crashed.name}',
-                json.dumps(late).encode())
-            world.record.write(f'late check-in of {crashed.name}: '
-                               f'{json.dumps(late)} -> {answer}')
+            # The first balancer is stopped and started again, as planned.
+            world.signal(first, signal.SIGTERM)
         await asyncio.gather(*tasks)
         standins.check_resets(world)
-        world.record.write(f'outcomes {counts}')
+        world.record.write(
+            f'outcomes {counts}; flows taken beside {added.name}: '
+            f'{len(added.server.openings)}')
         return world.record.violations
     finally:
         world.end()
--- a/review/standins.py
+++ b/review/standins.py
@@ -46,6 +46,9 @@
 
 # The platform takes a balancer out of rotation after two misses, 500 ms apart,
 # and starts a process that ended again after a short delay.
+# Marks an answer of which a second copy is sent.
+REPEAT = 'repeat'
+
 # How much slower a cold server is (`cold_x` in the site files).
 COLD_FACTOR = 1.6
 
@@ -122,27 +125,33 @@
 async def serve_http(host, port, handler):
     """Serves HTTP/1.1.
 
-    `handler` returns (status, headers, body), or None if the response is lost:
-    then the channel stays open and returns nothing further.
+    `handler` returns (status, headers, body). An answer with the header
+    `REPEAT` goes out once more, late: after the next request on the channel,
+    before that one's own answer.
     """
 
     async def on_connection(reader, writer):
+        second_copy = b''
         try:
             while True:
                 message = await _read_http(reader)
                 if message is None:
                     break
                 (method, path, _), _, body = message
-                answer = await handler(method, path, body)
-                if answer is None:
-                    while await reader.read(65_536):
-                        pass
-                    break
-                status, headers, out = answer
+                status, headers, out = await handler(method, path, body)
+                is_repeated = headers.pop(REPEAT, False)
                 head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(out)}\r\n'
                 head += ''.join(f'{k}: {v}\r\n' for k, v in headers.items())
-                writer.write(head.encode() + b'\r\n' + out)
+                if second_copy:
+                    writer.write(second_copy)
+                    second_copy = b''
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+                answer = head.encode() + b'\r\n' + out
+                writer.write(answer)
                 await writer.drain()
+                if is_repeated:
+                    second_copy = answer
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -186,9 +195,9 @@
 
     def __init__(self):
         self.revision = 1
-        # Kind of the objects whose waiting watches lose their next response.
-        self.loses_watches_of = ''
-        self.lost_count = 0
+        # Kind of the objects whose lists are answered twice.
+        self.repeats_lists_of = ''
+        self.repeated_count = 0
         self._objects = {}
         self._history = []
         self._changed = asyncio.Condition()
@@ -242,13 +251,7 @@
         args = dict(urllib.parse.parse_qsl(query))
         parts = [urllib.parse.unquote(p) for p in path.split('/')[3:]]
         if method == 'GET' and 'watch' in args:
-            asked_s = now_s()
             status, out = await self._watch(parts[0], args, lag_s)
-            # A poll does not wait.
-            if (self.loses_watches_of == parts[0] and out['events'] and
-                    now_s() - asked_s > 0.2):
-                self.lost_count += 1
-                return None
         elif method == 'GET' and len(parts) == 1:
             status, out = 200, {
                 'items': [
@@ -263,10 +266,12 @@
             status, out = (200, item) if item else (404, {})
         else:
             status, out = await self._write(method, parts, args, body)
-        return status, {
-            'Content-Type': 'application/json',
-            'Store-Era': '1'
-        }, json.dumps(out).encode()
+        headers = {'Content-Type': 'application/json', 'Store-Era': '1'}
+        if (method == 'GET' and parts == [self.repeats_lists_of] and
+                'watch' not in args):
+            self.repeated_count += 1
+            headers[REPEAT] = True
+        return status, headers, json.dumps(out).encode()
 
     async def _watch(self, kind, args, lag_s):
         since = int(args['watch'])
