Confirm a target's identity with the target itself

Cause: a heartbeat with another name and a later start than the known target's was a restart to its agent, whoever sent it.

Ruled out: a comparison of the service alone. A heartbeat with the agent's own service and another name resets the flows as well.

Change: a heartbeat with a name that the target has not stated itself is kept and answered with 503, and the agent asks the target's health endpoint for its name. Without an answer, a repeated heartbeat is accepted once the known target has missed one, but nothing is reset or denied because of it.

Why it works: only the process at the target's address answers health requests, so no other one can change what the agent resets.

--- a/figdrum/flows/actions.py
+++ b/figdrum/flows/actions.py
@@ -49,6 +49,14 @@
     """Query the target's health endpoint."""
 
 
+class IdentifyTarget(typing.NamedTuple):
+    """Ask the target's health endpoint for the name of the target."""
+
+
+class RefuseHeartbeat(typing.NamedTuple):
+    """Answer the target's request with an error, since it had no effect."""
+
+
 class SaveRegistration(typing.NamedTuple):
     """Write the agent's current registration to the store."""
 
@@ -98,6 +106,7 @@
 
 
 Action = (SendToTarget | SendToClient | SendToPeer | StartTimer | ProbeTarget |
-          SaveRegistration | CheckStoreEra | RefreshConfiguration |
-          ObserveHistogram | RemoveRegistration | LogEvent)
+          IdentifyTarget | RefuseHeartbeat | SaveRegistration | CheckStoreEra |
+          RefreshConfiguration | ObserveHistogram | RemoveRegistration |
+          LogEvent)
 Actions = list[Action]
--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -8,6 +8,10 @@
 and a limited rate to a cold one. The agent also tracks which flows its target
 holds. After a restart that table is empty. The agent then forwards a packet of
 an unknown flow to the target, which returns it if it does not hold the flow.
+
+Which target runs beside the agent is for that target to say. A heartbeat with
+another name counts only once the target's health response has that name, and
+flows are reset only if the name has changed between two such responses.
 """
 
 import typing
@@ -19,6 +23,7 @@
 from figdrum.flows import cold_limit
 from figdrum.flows import failure_breaker
 from figdrum.flows import flow_table
+from figdrum.flows import identity_check
 from figdrum.flows import messages
 from figdrum.flows import pending_deliveries
 from figdrum.flows import segment as segment_module
@@ -81,6 +86,17 @@
         self.next_report_ms = now_ms
 
 
+class _EarlierFlows(typing.NamedTuple):
+    """The stored record of flows from before the agent started.
+
+    Attributes:
+      target: Identity of the incarnation that held the flows.
+      flows: Key and last client acknowledgement of each flow.
+    """
+    target: str
+    flows: tuple[tuple[bytes, int], ...]
+
+
 class Agent:
     """Handles the packets and heartbeats of one target.
 
@@ -102,11 +118,11 @@
         self._cold_limit = cold_limit.ColdLimit()
         self._breaker = failure_breaker.FailureBreaker()
         self._pending = pending_deliveries.PendingDeliveries()
+        self._identity_check = identity_check.IdentityCheck(heartbeat_period_ms)
         self._balancers: dict[ids.Address, _Balancer] = {}
         self._zone = zone
         self._stored_target: str | None = None
-        self._earlier_target = ''
-        self._earlier_flows: tuple[tuple[bytes, int], ...] = ()
+        self._earlier = _EarlierFlows('', ())
         self._agent_count = 1
         self._registered = ''
         self._knowledge = messages.NO_KNOWLEDGE
@@ -173,21 +189,81 @@
 
     def on_heartbeat(self, now_ms: int, started_ms: int,
                      heartbeat: target_module.Heartbeat) -> actions.Actions:
-        """Handles a heartbeat of the target; ignores a stale one.
+        """Handles a heartbeat; ignores one that is stale or not the target's.
 
         Args:
           now_ms: Time.
           started_ms: Start of the target's incarnation, by the target's clock.
           heartbeat: The heartbeat.
         """
-        if self.status.is_stale(started_ms, heartbeat):
-            return []
+        if heartbeat.target not in (self._identity_check.stated_name,
+                                    self.status.name):
+            return self._on_unconfirmed(now_ms, started_ms, heartbeat)
+        if heartbeat.target == self.status.name:
+            if self.status.is_stale(started_ms, heartbeat):
+                return []
+            if (started_ms == self.status.started_ms and
+                    heartbeat.service != self.status.service):
+                return self._refuse_heartbeat(heartbeat, 'other service')
+        result = self._apply_heartbeat(now_ms, started_ms, heartbeat)
+        if not self.status.is_confirmed:
+            result += self._ask_for_name(now_ms)
+        return result
+
+    def _on_unconfirmed(self, now_ms: int, started_ms: int,
+                        heartbeat: target_module.Heartbeat) -> actions.Actions:
+        """Keeps a heartbeat until the target has said whether it is its own."""
+        self._identity_check.add(now_ms, started_ms, heartbeat)
+        repeated = self._identity_check.take_repeated(
+            now_ms, self.status.last_heartbeat_ms)
+        if repeated is not None:
+            return self._apply_heartbeat(now_ms, repeated.started_ms,
+                                         repeated.heartbeat)
+        return self._refuse_heartbeat(
+            heartbeat, 'target not confirmed') + self._ask_for_name(now_ms)
+
+    def _refuse_heartbeat(self, heartbeat: target_module.Heartbeat,
+                          reason: str) -> actions.Actions:
+        return [
+            actions.LogEvent(
+                'heartbeat refused', {
+                    'sender': heartbeat.target,
+                    'service': heartbeat.service,
+                    'target': self.status.identity,
+                    'reason': reason
+                }),
+            actions.RefuseHeartbeat()
+        ]
+
+    def _ask_for_name(self, now_ms: int) -> actions.Actions:
+        return [actions.IdentifyTarget()
+               ] if self._identity_check.try_start_query(now_ms) else []
+
+    def on_identified(self, now_ms: int, name: str) -> actions.Actions:
+        """Handles the name in a health response of the target."""
+        confirmed = self._identity_check.on_stated(name)
+        result: actions.Actions = []
+        if name == self.status.name and not self.status.is_confirmed:
+            self.status.is_confirmed = True
+            self._check_table_complete(now_ms)
+            result += self._reset_earlier_flows(now_ms)
+        if confirmed is not None:
+            result += self.on_heartbeat(now_ms, confirmed.started_ms,
+                                        confirmed.heartbeat)
+        return result
+
+    def _apply_heartbeat(self, now_ms: int, started_ms: int,
+                         heartbeat: target_module.Heartbeat) -> actions.Actions:
         before = self.status.identity
         last_heartbeat_ms = self.status.last_heartbeat_ms
         changed = self.status.apply_heartbeat(now_ms, started_ms, heartbeat)
         result: actions.Actions = []
         if self.status.identity != before:
-            result += self._on_incarnation(now_ms, before, last_heartbeat_ms)
+            was_confirmed = self.status.is_confirmed
+            self.status.is_confirmed = (
+                heartbeat.target == self._identity_check.stated_name)
+            result += self._on_incarnation(
+                now_ms, before, last_heartbeat_ms if was_confirmed else None)
         if changed:
             result += self._announce_state(now_ms, 'heartbeat')
         return result
@@ -233,19 +309,20 @@
           flows: Key and last client acknowledgement of each flow.
           has_short_flows: Whether its flows were short.
         """
-        self._earlier_target, self._earlier_flows = identity, flows
+        self._earlier = _EarlierFlows(identity, flows)
         if has_short_flows:
             self._table.assume_short_flows()
         return self._reset_earlier_flows(now_ms)
 
     def _reset_earlier_flows(self, now_ms: int) -> actions.Actions:
-        if (not self._earlier_flows or self.status.last_heartbeat_ms is None or
-                self.status.identity == self._earlier_target):
+        if (not self._earlier.flows or self.status.last_heartbeat_ms is None or
+                not self.status.is_confirmed or
+                self.status.identity == self._earlier.target):
             return []
         lost = [(key, ack)
-                for key, ack in self._earlier_flows
+                for key, ack in self._earlier.flows
                 if self._table.get(key) is None]
-        self._earlier_flows = ()
+        self._earlier = _EarlierFlows('', ())
         return self._reset_flows(now_ms, lost,
                                  'target lost before the agent started')
 
@@ -274,7 +351,7 @@
 
     def _check_table_complete(self, now_ms: int) -> None:
         status = self.status
-        if (self._stored_target is not None and status.identity and
+        if (self._stored_target is not None and self.status.is_confirmed and
                 status.identity != self._stored_target and
                 status.is_warming_up(now_ms)):
             self._mark_table_complete(now_ms)
@@ -307,6 +384,8 @@
                 registration.service != self.status.service):
             return []
         self.status.restore_registration(now_ms, registration)
+        self._identity_check.on_stated(healthy_name)
+        self.status.is_confirmed = True
         return self._announce_state(now_ms, 'registration')
 
     def on_probe_result(self, now_ms: int,
@@ -371,6 +450,9 @@
             result += self._report_at_once(now_ms)
         self._table.expire(now_ms)
         self._pending.expire(now_ms)
+        self._identity_check.expire(now_ms)
+        if self._identity_check.has_pending:
+            result += self._ask_for_name(now_ms)
         return result + self._send_due_reports(now_ms)
 
     def _on_opening(self, now_ms: int, origin: ids.Address,
@@ -386,8 +468,10 @@
             if reason is None and not self._breaker.try_admit(
                     now_ms, message.is_idempotent):
                 reason = Reason.FAILING
-            if reason is None and self.status.is_cold(
-                    now_ms) and not self._cold_limit.try_acquire(now_ms):
+            is_cold = (self.status.is_cold(now_ms) or
+                       self._identity_check.may_be_cold())
+            if (reason is None and is_cold and
+                    not self._cold_limit.try_acquire(now_ms)):
                 reason = Reason.COLD
             if reason is not None:
                 return self._refuse(origin, reason, segment.raw)
@@ -555,6 +639,14 @@
 
     def _on_incarnation(self, now_ms: int, before: str,
                         last_heartbeat_ms: int | None) -> actions.Actions:
+        """Handles a change of the target's identity.
+
+        Args:
+          now_ms: Time.
+          before: The previous identity, empty if unknown.
+          last_heartbeat_ms: Time of the last heartbeat of the previous
+            incarnation; None if it had none, or if it was not confirmed.
+        """
         self._check_table_complete(now_ms)
         self._breaker = failure_breaker.FailureBreaker()
         log_event = actions.LogEvent(
@@ -563,16 +655,17 @@
                 'sequence': self.status.sequence,
                 'before': before
             })
-        if before and last_heartbeat_ms is not None:
+        if (before and last_heartbeat_ms is not None and
+                self.status.is_confirmed):
             # Flows that were opened before the last heartbeat of the previous
             # incarnation ended with it. Later flows may belong to the new one:
             # the target returns their packets if it does not hold them.
             self._mark_table_complete(now_ms)
             return [log_event] + self._end_flows(now_ms, last_heartbeat_ms,
                                                  'target restarted')
-        if before:
-            return [log_event]
         result = [log_event] + self._reset_earlier_flows(now_ms)
+        if before:
+            return result
         # Flows that were seen before the first heartbeat belong to this target.
         for flow in self._table.flows():
             flow.target = self.status.identity
--- a/figdrum/flows/target_status.py
+++ b/figdrum/flows/target_status.py
@@ -52,6 +52,8 @@
       sequence: Number of the incarnation's last heartbeat, or -1.
       last_heartbeat_ms: Time of the last heartbeat of this incarnation, or
         None.
+      started_ms: Start of the incarnation, by the target's clock.
+      is_confirmed: Whether the target itself has stated the name in `identity`.
       last_heard_ms: Time of the last packet, heartbeat or health response of
         the target, or None.
     """
@@ -64,16 +66,25 @@
         self.last_heartbeat_ms: int | None = None
         self.last_heard_ms: int | None = None
         self._timeout_ms = MAX_MISSED_HEARTBEATS * heartbeat_period_ms
-        self._started_ms = 0
+        self.started_ms = 0
+        self.is_confirmed = False
         self.sequence = -1
         self._cold_until_ms: int | None = None
         self._last_probe_ms: int | None = None
 
+    @property
+    def name(self) -> str:
+        """Name of the target, empty if unknown."""
+        return target_name(self.identity)
+
     def is_stale(self, started_ms: int, heartbeat: target.Heartbeat) -> bool:
-        """Returns whether a heartbeat was overtaken by a later one."""
-        if make_identity(heartbeat.target, started_ms) == self.identity:
+        """Returns whether a heartbeat was overtaken by a later one.
+
+        The heartbeat has the name of the current target.
+        """
+        if started_ms == self.started_ms:
             return heartbeat.sequence < self.sequence
-        return started_ms < self._started_ms
+        return started_ms < self.started_ms
 
     def apply_heartbeat(self, now_ms: int, started_ms: int,
                         heartbeat: target.Heartbeat) -> bool:
@@ -84,7 +95,7 @@
         """
         before = (self.identity, self.state, self.is_cold(now_ms))
         self.identity = make_identity(heartbeat.target, started_ms)
-        self._started_ms = started_ms
+        self.started_ms = started_ms
         self.sequence = heartbeat.sequence
         self.slots = max(1, heartbeat.slots)
         self.last_heartbeat_ms = self.last_heard_ms = now_ms
--- a/figdrum/flows/tests/simulation.py
+++ b/figdrum/flows/tests/simulation.py
@@ -358,6 +358,8 @@
                 self._store_registration(address)
             elif isinstance(action, actions.ProbeTarget):
                 self._probe(address)
+            elif isinstance(action, actions.IdentifyTarget):
+                self.after(0, functools.partial(self._identify, address))
 
     def _wake(self, address: ids.Address, controller) -> None:
         if self._controller(address) is controller:
@@ -380,6 +382,13 @@
         agent = self.agents[address]
         self._execute(address, agent.on_probe_result(self.now_ms, is_alive))
 
+    def _identify(self, address: ids.Address) -> None:
+        target = self.targets[address]
+        if target.is_alive:
+            self._execute(
+                address,
+                self.agents[address].on_identified(self.now_ms, target.name))
+
     def _send_message(self, origin: ids.Address,
                       action: actions.SendToPeer) -> None:
         self.sent_bytes += len(action.data)
--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -27,6 +27,10 @@
     return messages.Knowledge(1, revision, zones_out)
 
 
+def _has(result: actions.Actions, kind: type) -> bool:
+    return any(isinstance(action, kind) for action in result)
+
+
 def _send_heartbeat(
         agent: agent_module.Agent,
         now_ms: int,
@@ -35,11 +39,22 @@
         state: target_module.TargetState = target_module.TargetState.READY,
         service: str = SERVICE,
         warmup_left_ms: int = 0,
-        stored: bool = True) -> actions.Actions:
+        *,
+        stored: bool = True,
+        name: str = 'i-1',
+        running: str | None = None) -> actions.Actions:
+    """Sends a heartbeat.
+
+    If the agent asks the target for its name, the answer is `running`, or
+    `name` by default; it does not answer if `running` is empty.
+    """
     result = agent.on_heartbeat(
         now_ms, started_ms,
-        target_module.Heartbeat('i-1', ids.ServiceName(service), state, 1,
+        target_module.Heartbeat(name, ids.ServiceName(service), state, 1,
                                 warmup_left_ms, sequence))
+    stated_name = name if running is None else running
+    if _has(result, actions.IdentifyTarget) and stated_name:
+        result = result + agent.on_identified(now_ms, stated_name)
     if stored:
         agent.on_registration_stored(agent.status.identity)
     return result
@@ -186,6 +201,108 @@
     assert agent.status.identity == 'i-1@50'
 
 
+def _clients_reset(result: actions.Actions) -> list[bytes]:
+    return [a.raw for a in result if isinstance(a, actions.SendToClient)]
+
+
+# A heartbeat of another process must neither reset the flows of the live
+# target nor take its place (review/3).
+@pytest.mark.parametrize('service', ['inventory', SERVICE])
+def test_heartbeat_of_another_process_changes_nothing(service):
+    agent = _make_agent()
+    _send_heartbeat(agent, 0)
+    _open_flow(agent, 10)
+    result = _send_heartbeat(agent,
+                             100,
+                             started_ms=90,
+                             name='i-other',
+                             service=service,
+                             running='i-1')
+    assert not _clients_reset(result)
+    assert _has(result, actions.RefuseHeartbeat)
+    assert agent.status.identity == 'i-1@1'
+    assert not _clients_reset(_send_heartbeat(agent, 1_200, sequence=2))
+    assert _delivered(_forward_packet(agent, 1_300, _opening(2)))
+    assert _delivered(
+        _forward_packet(agent, 1_400, packets.build(0, KEY, 8, 1001, 50)))
+
+
+# The agent keeps its own target when the target is too busy to answer.
+def test_repeated_heartbeat_of_another_process_changes_nothing():
+    agent = _make_agent()
+    _send_heartbeat(agent, 0)
+    _open_flow(agent, 10)
+    for number in range(2, 12):
+        now_ms = HEARTBEAT_MS * (number - 1)
+        _send_heartbeat(agent, now_ms, sequence=number)
+        result = _send_heartbeat(agent,
+                                 now_ms + 600,
+                                 sequence=number,
+                                 started_ms=90,
+                                 name='i-other',
+                                 running='')
+        assert not _clients_reset(result)
+        assert agent.status.identity == 'i-1@1'
+
+
+def test_heartbeat_of_the_live_target_that_names_another_service_is_refused():
+    agent = _make_agent()
+    _send_heartbeat(agent, 0)
+    result = _send_heartbeat(agent, 100, sequence=9, service='inventory')
+    assert _has(result, actions.RefuseHeartbeat)
+    assert agent.status.state is target_module.TargetState.READY
+    _send_heartbeat(agent, 1_200, sequence=2)
+    assert agent.status.last_heartbeat_ms == 1_200
+
+
+def test_flows_of_a_replaced_target_are_reset_once_the_next_one_says_so():
+    agent = _make_agent()
+    _send_heartbeat(agent, 0)
+    _open_flow(agent, 10)
+    _send_heartbeat(agent, 1_200, sequence=2)
+    result = _send_heartbeat(agent,
+                             2_000,
+                             started_ms=1_900,
+                             name='i-2',
+                             running='')
+    assert not _clients_reset(result)
+    assert _clients_reset(agent.on_identified(
+        2_100, 'i-2')) == [packets.build(packets.RESET, KEY, 1001, 0)]
+    assert agent.status.identity == 'i-2@1900'
+
+
+# Without an answer, a target that has replaced another one still gets flows.
+def test_target_that_does_not_say_its_name_is_accepted_without_resets():
+    agent = _make_agent()
+    _send_heartbeat(agent, 0)
+    _open_flow(agent, 10)
+    for number in (1, 2, 3):
+        result = _send_heartbeat(agent,
+                                 1_000 + HEARTBEAT_MS * number,
+                                 sequence=number,
+                                 started_ms=900,
+                                 name='i-2',
+                                 running='')
+        assert not _clients_reset(result)
+    assert agent.status.identity == 'i-2@900'
+    assert not _has(result, actions.RefuseHeartbeat)
+
+
+def test_unconfirmed_cold_target_gets_at_most_the_limit():
+    agent = _make_agent()
+    _send_heartbeat(agent, 0)
+    _send_heartbeat(agent,
+                    100,
+                    started_ms=90,
+                    name='i-2',
+                    warmup_left_ms=2_000,
+                    running='')
+    taken = sum(
+        bool(_delivered(_forward_packet(agent, 110, _opening(n))))
+        for n in range(30))
+    assert taken == 5
+
+
 def test_heartbeat_out_of_order_is_ignored():
     agent = _make_agent()
     _send_heartbeat(agent,
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -116,11 +116,15 @@
             return http_server.Response(400)
         now_ms = self.clock.now_ms()
         if event.heartbeat is None:
-            self._execute(self._agent.on_leave(now_ms))
+            result = self._agent.on_leave(now_ms)
         else:
-            self._execute(
-                self._agent.on_heartbeat(now_ms, event.started_ms,
-                                         event.heartbeat))
+            result = self._agent.on_heartbeat(now_ms, event.started_ms,
+                                              event.heartbeat)
+        self._execute(result)
+        if any(
+                isinstance(action, actions.RefuseHeartbeat)
+                for action in result):
+            return http_server.Response(503)
         return http_server.Response(200, b'{}', 'application/json')
 
     def _record_flows(self, now_ms: int) -> None:
@@ -181,10 +185,9 @@
                               result: http_client.Result) -> None:
         if isinstance(result, errors.StoreError) or result.status != 200:
             return
-        identity = result.headers.get(self.adapter.health_identity_header, '')
         self._execute(
             self._agent.on_registration(self.clock.now_ms(), registration,
-                                        identity))
+                                        self._stated_name(result)))
 
     def _probe_target(self) -> None:
 
@@ -199,6 +202,23 @@
 
         self._query_health(on_result)
 
+    def _identify_target(self) -> None:
+
+        def on_result(result: http_client.Result) -> None:
+            name = self._stated_name(result)
+            self.log.write('target identified', name=name)
+            if name:
+                self._execute(
+                    self._agent.on_identified(self.clock.now_ms(), name))
+
+        self._query_health(on_result)
+
+    def _stated_name(self, result: http_client.Result) -> str:
+        """Returns the target's name in a health response, or ''."""
+        if isinstance(result, errors.StoreError):
+            return ''
+        return result.headers.get(self.adapter.health_identity_header, '')
+
     def _query_health(self, on_result: http_client.OnResult) -> None:
         cfg = self.cfg.agent
         assert cfg is not None
@@ -228,6 +248,8 @@
                 self._to_target.send(action.raw)
             elif isinstance(action, actions.ProbeTarget):
                 self._probe_target()
+            elif isinstance(action, actions.IdentifyTarget):
+                self._identify_target()
             elif isinstance(action, actions.SaveRegistration):
                 self._register()
             elif isinstance(action, actions.CheckStoreEra):
--- a/spec/flow_owners.py
+++ b/spec/flow_owners.py
@@ -313,6 +313,10 @@
                 self._to_target(address, action.raw)
             elif isinstance(action, actions.SendToClient):
                 self._to_client(action.raw)
+            elif isinstance(action, actions.IdentifyTarget):
+                self._perform(
+                    address, self.agents[address].on_identified(
+                        self.now_ms, self.targets[address].name))
             elif isinstance(action, actions.SaveRegistration):
                 self._write_registration(address)
 
