Ignore the leave of a target that is not the agent's

The callers of a new flow were sent elsewhere, or reset where no other target was ready, until the target's next heartbeat.

Change: only a leave with the name of the known target counts.

Before / after: test_leave_of_another_target_changes_nothing; the earlier `on_leave` took no name, so the state was down after any leave.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -268,8 +268,18 @@
             result += self._announce_state(now_ms, 'heartbeat')
         return result
 
-    def on_leave(self, now_ms: int) -> actions.Actions:
-        """Marks the target as down, since it is about to exit."""
+    def on_leave(self, now_ms: int, name: str) -> actions.Actions:
+        """Marks the target as down, if it is the one that is about to exit."""
+        if not self.status.identity:
+            return []
+        if name != self.status.name:
+            return [
+                actions.LogEvent('leave refused', {
+                    'sender': name,
+                    'target': self.status.identity
+                }),
+                actions.RefuseHeartbeat()
+            ]
         self.status.state = TargetState.DOWN
         return self._announce_state(now_ms, 'leave')
 
--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -227,6 +227,17 @@
         _forward_packet(agent, 1_400, packets.build(0, KEY, 8, 1001, 50)))
 
 
+# A message that another target leaves must not take the agent's own out of
+# service.
+def test_leave_of_another_target_changes_nothing():
+    agent = _make_agent()
+    _send_heartbeat(agent, 0)
+    assert _has(agent.on_leave(100, 'i-other'), actions.RefuseHeartbeat)
+    assert agent.status.state is target_module.TargetState.READY
+    assert not _has(agent.on_leave(200, 'i-1'), actions.RefuseHeartbeat)
+    assert agent.status.state is target_module.TargetState.DOWN
+
+
 # The agent keeps its own target when the target is too busy to answer.
 def test_repeated_heartbeat_of_another_process_changes_nothing():
     agent = _make_agent()
--- a/figdrum/node/platform_adapter.py
+++ b/figdrum/node/platform_adapter.py
@@ -14,9 +14,11 @@
     """A message of a target to its agent.
 
     Attributes:
+      target: Name of the target.
       heartbeat: The heartbeat; None if the target is about to exit.
       started_ms: Start of the target's incarnation, in ms since the Unix epoch.
     """
+    target: str
     heartbeat: target.Heartbeat | None
     started_ms: int
 
