Reset a flow without an owner only after a current read of the agents

Cause: a search ended without an owner when each known agent had denied the flow. The list of agents comes from a watch that may lag by seconds, so the flow's own agent may not be in it.

Ruled out: an agent that denies a flow which its target holds; the owner's agent was not asked.

Change: such a search waits until the registrations' changes have been read without `serializable`, and asks the agents that are new. One read serves all searches that wait when it is sent, at most ten a second for each balancer. If it fails, or if the store was restored less than 3 s before, the packet is dropped and the client retransmits. A removal that the watch brings late does not touch an object that a read has shown since.

Why it works: a balancer opens flows only at agents that it knows from the store, so the agent of a flow is in any list that is read after the flow's packet has come.

--- a/figdrum/flows/actions.py
+++ b/figdrum/flows/actions.py
@@ -74,6 +74,14 @@
     """Read the configuration again, since other nodes have a newer version."""
 
 
+class ReadRegistrations(typing.NamedTuple):
+    """Read what the store has now, and pass on registrations that are new.
+
+    `Balancer.on_registrations_read` is called afterwards, also if the store
+    cannot be read.
+    """
+
+
 class ObserveHistogram(typing.NamedTuple):
     """Add a value to a histogram.
 
@@ -107,6 +115,6 @@
 
 Action = (SendToTarget | SendToClient | SendToPeer | StartTimer | ProbeTarget |
           IdentifyTarget | RefuseHeartbeat | SaveRegistration | CheckStoreEra |
-          RefreshConfiguration | ObserveHistogram | RemoveRegistration |
-          LogEvent)
+          RefreshConfiguration | ReadRegistrations | ObserveHistogram |
+          RemoveRegistration | LogEvent)
 Actions = list[Action]
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -6,7 +6,8 @@
 An opening packet goes to the target that `placement` chooses. Later packets go
 to the agent whose target is known to hold the flow. If none is known, the
 balancer queries agents in the flow's order of targets, and buffers further
-packets of the flow until it has a result.
+packets of the flow until it has a result. A flow that all known agents have
+denied is reset only after the store's current registrations were read.
 """
 
 import itertools
@@ -20,6 +21,7 @@
 from figdrum.flows import messages
 from figdrum.flows import owner_search
 from figdrum.flows import placement
+from figdrum.flows import proof_queue
 from figdrum.flows import routes
 from figdrum.flows import segment as segment_module
 from figdrum.flows import target as target_module
@@ -125,6 +127,9 @@
         self._flows: dict[bytes, _Flow] = {}
         self._ended: dict[bytes, int] = {}
         self._searches: dict[bytes, owner_search.OwnerSearch] = {}
+        # Searches that wait for the current registrations.
+        self._unproven: proof_queue.ProofQueue[owner_search.OwnerSearch] = (
+            proof_queue.ProofQueue())
         self._queries: dict[ids.Address, list[tuple[bytes, int]]] = {}
         self._hello_sent_ms = now_ms - HELLO_PERIOD_MS
         self.targets = target_view.TargetViews()
@@ -271,14 +276,17 @@
     def on_timer(self, now_ms: int) -> actions.Actions:
         """Sends batched queries and continues searches that have timed out."""
         result = self._send_queries()
-        for key, search in tuple(self._searches.items()):
+        running = [(key, search)
+                   for key, search in self._searches.items()
+                   if search.verdict is owner_search.Verdict.OPEN]
+        for key, search in running:
             search.expire_queries(now_ms)
             for agent in search.silent:
                 view = self.targets.by_agent(agent)
                 if view is not None:
                     view.record_unanswered(search.started_ms)
             result += self._continue_search(now_ms, key, search)
-        if self._searches:
+        if running:
             result.append(
                 actions.StartTimer(owner_search.TIMEOUT_CHECK_PERIOD_MS))
         return result
@@ -438,7 +446,7 @@
         if search is not None:
             search.buffer_packet(segment.raw)
             return []
-        if len(self._searches) >= MAX_SEARCHES:
+        if len(self._searches) - len(self._unproven) >= MAX_SEARCHES:
             return []
         tags = {messages.service_tag(share.service) for share in route.shares}
         agents = (view.agent
@@ -455,6 +463,8 @@
 
     def _continue_search(self, now_ms: int, key: bytes,
                          search: owner_search.OwnerSearch) -> actions.Actions:
+        if search.verdict is owner_search.Verdict.UNPROVEN:
+            return []
         result: actions.Actions = []
         steps = search.steps(now_ms)
         if search.needs_all_agents:
@@ -471,6 +481,11 @@
                 result += self._batch_query(step.agent, key, search.ack)
         if search.verdict is owner_search.Verdict.OPEN:
             return result
+        if (search.verdict is owner_search.Verdict.UNPROVEN and
+                len(self._unproven) < proof_queue.MAX_WAITING):
+            if self._unproven.add(key, search):
+                result.append(actions.ReadRegistrations())
+            return result
         del self._searches[key]
         result.append(
             actions.ObserveHistogram('search_ms', now_ms - search.started_ms))
@@ -487,6 +502,35 @@
             result += self._reset(key, search.ack, 'no owner')
         return result
 
+    def on_registrations_read(self, now_ms: int,
+                              is_current: bool) -> actions.Actions:
+        """Continues the searches that wait for the current registrations.
+
+        Args:
+          now_ms: Time.
+          is_current: Whether all registrations are known that the store had at
+            the time of the `ReadRegistrations` action.
+        """
+        result: actions.Actions = []
+        for key, search in self._unproven.finish().items():
+            if self._searches.get(key) is not search:
+                continue
+            if is_current:
+                search.add_agents(self._all_agents(now_ms, key), True)
+                result += self._continue_search(now_ms, key, search)
+            else:
+                # The client retransmits, which starts another search.
+                del self._searches[key]
+                result.append(
+                    actions.LogEvent(
+                        'registrations not current', {
+                            'flow': self._packets.describe(key),
+                            'ms': now_ms - search.started_ms
+                        }))
+        if self._unproven.try_start():
+            result.append(actions.ReadRegistrations())
+        return result
+
     def _all_agents(self, now_ms: int, key: bytes) -> list[ids.Address]:
         """Returns all agents in a flow's order, the silent ones last."""
         views = list(self.targets.all_in_flow_order(key, ()))
--- a/figdrum/flows/owner_search.py
+++ b/figdrum/flows/owner_search.py
@@ -10,6 +10,9 @@
 agents get the packet one after the other, since a flow's packets should reach
 as few targets as possible that do not hold it.
 
+The list of agents may lag, and an agent that it lacks may hold the flow. Before
+the search ends without an owner, it needs a list that was read after its start.
+
 Examples
 ========
 
@@ -23,6 +26,12 @@
 [TrialDelivery(agent=('a', 1))]
 >>> search.on_denied(('a', 1))
 >>> search.steps(2), search.verdict
+([], <Verdict.UNPROVEN: 'unproven'>)
+>>> search.add_agents([('a', 1), ('c', 1)], is_current=True)
+>>> search.steps(6)
+[OwnerQuery(agent=('c', 1), is_urgent=False)]
+>>> search.on_denied(('c', 1))
+>>> search.steps(7), search.verdict
 ([], <Verdict.NO_OWNER: 'no owner'>)
 """
 
@@ -52,8 +61,13 @@
 
 
 class Verdict(enum.Enum):
-    """Result of a search; UNKNOWN if an agent did not answer."""
+    """Result of a search.
+
+    It is UNKNOWN if an agent did not answer, and UNPROVEN while all known
+    agents have denied the flow and the list of agents may lag.
+    """
     OPEN = 'open'
+    UNPROVEN = 'unproven'
     NO_OWNER = 'no owner'
     UNKNOWN = 'unknown'
 
@@ -119,15 +133,27 @@
         self._unqueried = first
         self._known = set(first)
         self._has_all_agents = False
+        self._has_current_agents = False
         self._pending: dict[ids.Address, int] = {}
         self._unsure: collections.deque[ids.Address] = collections.deque()
         self._delivered_to: set[ids.Address] = set()
 
-    def add_agents(self, agents: collections.abc.Iterable[ids.Address]) -> None:
-        """Sets all agents, in the order in which they are queried."""
+    def add_agents(self,
+                   agents: collections.abc.Iterable[ids.Address],
+                   is_current: bool = False) -> None:
+        """Sets all agents, in the order in which they are queried.
+
+        Args:
+          agents: The agents.
+          is_current: Whether the list was read after the start of the search.
+        """
         self.needs_all_agents = False
         self._has_all_agents = True
-        self._unqueried += [a for a in agents if a not in self._known]
+        self._has_current_agents = is_current
+        self.verdict = Verdict.OPEN
+        added = [agent for agent in agents if agent not in self._known]
+        self._known.update(added)
+        self._unqueried += added
 
     def buffer_packet(self, raw: bytes) -> None:
         """Buffers a later packet of the flow unless the buffer is full."""
@@ -154,7 +180,7 @@
         """Returns the next steps.
 
         The list is empty while answers are pending, and at the end of the
-        search, which also sets `verdict`.
+        search or while it is unproven, which also set `verdict`.
         """
         if self._pending:
             return []
@@ -177,8 +203,12 @@
         if not self._has_all_agents:
             self.needs_all_agents = True
             return []
-        self.verdict = (Verdict.UNKNOWN if self.silent or not self.query_count
-                        else Verdict.NO_OWNER)
+        if self.silent or not self.query_count:
+            self.verdict = Verdict.UNKNOWN
+        elif not self._has_current_agents:
+            self.verdict = Verdict.UNPROVEN
+        else:
+            self.verdict = Verdict.NO_OWNER
         return []
 
     def has_delivered_to(self, agent: ids.Address) -> bool:
--- a/figdrum/flows/tests/simulation.py
+++ b/figdrum/flows/tests/simulation.py
@@ -161,6 +161,11 @@
         self.refreshed_balancers: list[ids.Address] = []
         self.stored: dict[ids.Address, str] = {}
         self.is_store_down = False
+        # Pairs of a balancer and an agent whose registration its watch has not
+        # delivered yet.
+        self.undelivered: set[tuple[ids.Address, ids.Address]] = set()
+        self.registration_reads = 0
+        self.read_ms = STORE_MS
         self.sent_bytes = 0
         self.removed_registrations: list[str] = []
         self.silent: set[ids.Address] = set()
@@ -317,6 +322,8 @@
 
     def _register(self, balancer: ids.Address, agent: ids.Address) -> None:
         target = self.targets[agent]
+        if (balancer, agent) in self.undelivered:
+            return
         self._execute(
             balancer, self.balancers[balancer].on_registration(
                 self.now_ms, target.name,
@@ -352,6 +359,8 @@
                 self.log_events.append(action)
             elif isinstance(action, actions.RefreshConfiguration):
                 self.refreshed_balancers.append(address)
+            elif isinstance(action, actions.ReadRegistrations):
+                self._read_registrations(address)
             elif isinstance(action, actions.RemoveRegistration):
                 self.removed_registrations.append(action.name)
             elif isinstance(action, actions.SaveRegistration):
@@ -382,6 +391,28 @@
         agent = self.agents[address]
         self._execute(address, agent.on_probe_result(self.now_ms, is_alive))
 
+    def _read_registrations(self, address: ids.Address) -> None:
+        self.registration_reads += 1
+        balancer = self.balancers[address]
+        # The result shows the store as of now.
+        missing = [
+            agent for front, agent in self.undelivered if front == address
+        ]
+
+        def finish() -> None:
+            if self.balancers.get(address) is not balancer:
+                return
+            if not self.is_store_down:
+                for agent in missing:
+                    self.undelivered.remove((address, agent))
+                    self._register(address, agent)
+            self._execute(
+                address,
+                balancer.on_registrations_read(self.now_ms,
+                                               not self.is_store_down))
+
+        self.after(self.read_ms, finish)
+
     def _identify(self, address: ids.Address) -> None:
         target = self.targets[address]
         if target.is_alive:
--- a/figdrum/flows/tests/test_owner_search.py
+++ b/figdrum/flows/tests/test_owner_search.py
@@ -119,6 +119,75 @@
     assert sim.resets(client.key) == 1
 
 
+def _open_flows_at_a_new_target(
+        sim: simulation.Simulation) -> list[simulation.Client]:
+    """Opens flows at a target that only one of two balancers knows."""
+    sim.undelivered.add((('front-2', 1), ('new', 2)))
+    sim.add_target('new')
+    sim.run(500)
+    clients = _open_flows(sim, 30)
+    return [client for client in clients if client.owner.name == 'new']
+
+
+# A balancer whose list of agents lags must not take their denials as a proof
+# that no target holds the flow (review/4).
+def test_flow_of_a_target_that_the_list_lacks_is_not_reset(sim):
+    clients = _open_flows_at_a_new_target(sim)
+    assert clients
+    for client in clients:
+        client.balancer = ('front-2', 1)
+        client.request()
+    sim.run(1_000)
+    assert not any(sim.resets(client.key) for client in clients)
+    assert [client.answers for client in clients] == [2] * len(clients)
+    assert sim.registration_reads < len(clients)
+
+
+def test_flow_is_not_reset_while_the_list_cannot_be_read(sim):
+    clients = _open_flows_at_a_new_target(sim)
+    sim.is_store_down = True
+    client = clients[0]
+    client.balancer = ('front-2', 1)
+    client.request()
+    sim.run(1_000)
+    assert not sim.resets(client.key)
+    sim.is_store_down = False
+    client.request()
+    sim.run(1_000)
+    assert client.answers == 2
+
+
+# A read in progress when a search starts may be older than the flow.
+def test_search_is_not_proved_by_a_read_that_started_before_it(sim):
+    sim.read_ms = 200
+    client = _open_flows_at_a_new_target(sim)[0]
+    undelivered, sim.undelivered = sim.undelivered, set()
+    lost = simulation.Client(sim, ('front-2', 1), 999)
+    lost.request()
+    sim.run(50)
+    assert sim.registration_reads == 1
+    sim.undelivered = undelivered
+    client.balancer = ('front-2', 1)
+    client.request()
+    sim.run(1_000)
+    assert sim.resets(lost.key) == 1 and not sim.resets(client.key)
+    assert client.answers == 2
+
+
+def test_many_lost_flows_share_the_reads_of_the_list(sim):
+    clients = [
+        simulation.Client(sim, ('front-2', 1), number)
+        for number in range(1_000, 1_200)
+    ]
+    for client in clients:
+        client.request()
+        sim.run(1)
+    sim.run(1_000)
+    assert all(sim.resets(client.key) == 1 for client in clients)
+    # A read takes 8 ms, and the requests come in 200 ms.
+    assert sim.registration_reads <= 200 / simulation.STORE_MS + 2
+
+
 def test_flows_lost_with_all_machines_are_reset_without_stray_packets(sim):
     """All machines lose power, and clients continue to use lost flows."""
     clients = _open_flows(sim, 30)
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -116,7 +116,7 @@
             return http_server.Response(400)
         now_ms = self.clock.now_ms()
         if event.heartbeat is None:
-            result = self._agent.on_leave(now_ms, event.target)
+            result = self._agent.on_leave(now_ms, event.sender)
         else:
             result = self._agent.on_heartbeat(now_ms, event.started_ms,
                                               event.heartbeat)
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -159,6 +159,11 @@
         """Handles the removal of an agent's registration."""
         self._execute(self._balancer.on_registration_removed(name))
 
+    def _on_registrations_read(self, is_current: bool) -> None:
+        self._execute(
+            self._balancer.on_registrations_read(self.clock.now_ms(),
+                                                 is_current))
+
     def on_tick(self) -> None:
         now_ms = self.clock.now_ms()
         self._execute(self._balancer.on_tick(now_ms))
@@ -220,5 +225,7 @@
         for action in unhandled:
             if isinstance(action, actions.RefreshConfiguration):
                 self._configuration.refresh()
+            elif isinstance(action, actions.ReadRegistrations):
+                self._registrations.read_current(self._on_registrations_read)
             elif isinstance(action, actions.RemoveRegistration):
                 self._remove_registration(action.name)
--- a/figdrum/node/platform_adapter.py
+++ b/figdrum/node/platform_adapter.py
@@ -14,11 +14,11 @@
     """A message of a target to its agent.
 
     Attributes:
-      target: Name of the target.
+      sender: Name of the target that the message is of.
       heartbeat: The heartbeat; None if the target is about to exit.
       started_ms: Start of the target's incarnation, in ms since the Unix epoch.
     """
-    target: str
+    sender: str
     heartbeat: target.Heartbeat | None
     started_ms: int
 
--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -33,6 +33,10 @@
 # a restore of the store. Its writer writes it again within about 2 s.
 RESTORE_GRACE_MS = 3_000
 
+# Shortest time in ms between two reads of what is current. Each is a call at the
+# full price, and several balancers may need one at the same time.
+MIN_CURRENT_READ_INTERVAL_MS = 100
+
 # Revision of a mirror without a copy.
 NO_REVISION = ids.StoreRevision(-1)
 
@@ -78,6 +82,10 @@
         """Called when all changes up to a store revision were delivered."""
 
 
+# Called with whether the copy is current.
+OnRead = collections.abc.Callable[[bool], None]
+
+
 class WatchOptions(typing.NamedTuple):
     """How a mirror watches its kind.
 
@@ -144,6 +152,9 @@
         # Lists since the store last answered a watch or poll.
         self._unconfirmed_lists = 0
         self._wait: _Wait | None = None
+        self._current_read_ms = clock.now_ms() - MIN_CURRENT_READ_INTERVAL_MS
+        # When the store was seen to be restored, or None.
+        self._restored_ms: int | None = None
         self.revision = NO_REVISION
         self.revisions: dict[str, ids.StoreRevision] = {}
         self._confirmed_ms = clock.now_ms()
@@ -206,6 +217,66 @@
         self._timers.call_later(MIN_REFRESH_INTERVAL_MS, self._end_refresh)
         self._store.list_all(self._kind, self._on_refreshed)
 
+    def read_current(self, on_read: OnRead) -> None:
+        """Adds the objects that the store has now, beside the watch.
+
+        Args:
+          on_read: Called with whether the copy has all objects that the store
+            had at the time of this call. A store that was restored lately may
+            still lack some.
+        """
+        wait_ms = (self._current_read_ms + MIN_CURRENT_READ_INTERVAL_MS -
+                   self._clock.now_ms())
+        if wait_ms > 0:
+            self._timers.call_later(wait_ms, lambda: self.read_current(on_read))
+            return
+        sent_ms = self._current_read_ms = self._clock.now_ms()
+
+        def finish(
+            result: object_store.Changes | object_store.Listing |
+            errors.StoreError
+        ) -> None:
+            is_current = self._apply_current(result)
+            self._log.write('current read',
+                            kind=self._kind,
+                            known=revisions.describe(self.revision),
+                            ms=self._clock.now_ms() - sent_ms,
+                            outcome='current' if is_current else str(result))
+            on_read(is_current)
+
+        def on_changes(
+                result: object_store.Changes | errors.StoreError) -> None:
+            if isinstance(result, object_store.HistoryLostError):
+                self._store.list_all(self._kind, finish)
+            else:
+                finish(result)
+
+        if self.revision < 0:
+            self._store.list_all(self._kind, finish)
+        else:
+            self._store.poll(self._kind, self.revision, False, on_changes)
+
+    def _apply_current(
+        self,
+        result: object_store.Changes | object_store.Listing | errors.StoreError
+    ) -> bool:
+        """Applies a read that is current; returns whether it is complete.
+
+        Only the watch applies removals; it continues from its own revision.
+        """
+        if isinstance(result, errors.StoreError):
+            return False
+        entries = (result.entries if isinstance(result, object_store.Listing)
+                   else result.changed)
+        is_restored = (0 <= revisions.era(self.revision) < revisions.era(
+            result.revision))
+        self._apply(entries, (), self.revision)
+        return not (is_restored or self._is_restore_recent())
+
+    def _is_restore_recent(self) -> bool:
+        return (self._restored_ms is not None and
+                self._clock.now_ms() - self._restored_ms < RESTORE_GRACE_MS)
+
     def _list(self) -> None:
         self._store.list_all(self._kind, self._on_listing)
 
@@ -241,6 +312,8 @@
     def _apply_listing(self, listing: object_store.Listing) -> None:
         found = {entry.name for entry in listing.entries}
         era = revisions.era(listing.revision)
+        if 0 <= revisions.era(self.revision) < era:
+            self._restored_ms = self._clock.now_ms()
         self._apply(
             listing.entries,
             tuple(name for name, revision in self.revisions.items()
@@ -281,7 +354,7 @@
             self._timers.call_later(self._options.check_period_ms,
                                     self._check_watch)
         else:
-            self._store.poll(self._kind, self.revision,
+            self._store.poll(self._kind, self.revision, True,
                              lambda result: self._on_checked(wait, result))
 
     def _on_checked(self, wait: _Wait,
@@ -378,6 +451,10 @@
             else:
                 self._observer.on_entry(entry.name, entry.value)
         for name in removed:
+            # An object that a read beside the watch has shown may have been
+            # created again after the removal.
+            if self.revisions.get(name, NO_REVISION) > revision:
+                continue
             if self.revisions.pop(name, None) is not None:
                 del self._entries[name]
                 self._observer.on_removed(name)
--- a/figdrum/registry/object_store.py
+++ b/figdrum/registry/object_store.py
@@ -122,12 +122,12 @@
         """
 
     @abc.abstractmethod
-    def poll(self, kind: str, revision: ids.StoreRevision,
+    def poll(self, kind: str, revision: ids.StoreRevision, may_lag: bool,
              on_result: OnChanges) -> None:
         """Reads the changes of a kind after `revision` without waiting.
 
-        The result is as that of a watch that may lag, and is empty if the store
-        has no changes yet. The call has a connection of its own.
+        The result is as that of a watch, and is empty if the store has no
+        changes yet. Polls that may lag and others have a connection each.
         """
 
     @abc.abstractmethod
--- a/figdrum/registry/tests/fake_store.py
+++ b/figdrum/registry/tests/fake_store.py
@@ -63,6 +63,7 @@
       is_silent: Whether calls have no effect and are never answered, so that
         they fail when the client's timeout has passed. Watches that were open
         before go on.
+      is_lagging: Whether watches and polls that may lag get no changes.
       holds_answers: Whether the answers to writes wait for `release_answers`.
       lost_responses: Number of following writes that take effect but return an
         error.
@@ -79,6 +80,7 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.is_down = False
         self.is_silent = False
+        self.is_lagging = False
         self.holds_answers = False
         self._held: list[tuple[object, object]] = []
         self.lost_responses = 0
@@ -142,8 +144,11 @@
             self._notify_watches(kind)
         return _Watch(self, watch)
 
-    def poll(self, kind, revision, on_result):
-        self.calls['poll'] += 1
+    def poll(self, kind, revision, may_lag, on_result):
+        self.calls['poll' if may_lag else 'current poll'] += 1
+        if may_lag and self.is_lagging:
+            on_result(object_store.Changes((), (), revision))
+            return
         if self.is_silent:
             self._time_out('poll', CALL_TIMEOUT_MS, on_result)
         elif self.is_down:
--- a/figdrum/registry/tests/test_mirror.py
+++ b/figdrum/registry/tests/test_mirror.py
@@ -11,6 +11,7 @@
 
 from figdrum.core import clock
 from figdrum.registry import mirror
+from figdrum.registry import object_store
 from figdrum.registry.tests import fake_store
 from figdrum.telemetry import event_log
 
@@ -236,3 +237,63 @@
     assert fixture.recorder.values == {'main': 1}
     assert fixture.store.calls['list'] <= 5 + 10_000 // (
         mirror.MAX_BACKOFF_MS // 2)
+
+
+def test_current_read_shows_what_the_watch_has_not_delivered(fixture):
+    fixture.store.put('config', 'a', 1)
+    fixture.mirror.start()
+    fixture.store.lose_watches()
+    fixture.store.put('config', 'b', 2)
+    outcomes = []
+    fixture.mirror.read_current(outcomes.append)
+    assert outcomes == [True]
+    assert fixture.recorder.values == {'a': 1, 'b': 2}
+
+
+def test_current_read_fails_while_the_store_is_away(fixture):
+    fixture.mirror.start()
+    outcomes = []
+    fixture.store.is_down = True
+    fixture.mirror.read_current(outcomes.append)
+    fixture.store.is_down, fixture.store.is_silent = False, True
+    fixture.run(200)
+    fixture.mirror.read_current(outcomes.append)
+    fixture.run(fake_store.CALL_TIMEOUT_MS + 10)
+    assert outcomes == [False, False]
+
+
+def test_current_read_lists_the_objects_if_the_history_is_lost(fixture):
+    fixture.store.put('config', 'a', 1)
+    fixture.mirror.start()
+    fixture.store.lose_watches()
+    fixture.store.put('config', 'b', 2)
+    fixture.store.oldest_revision = fixture.store.revision
+    outcomes = []
+    fixture.mirror.read_current(outcomes.append)
+    assert outcomes == [True]
+    assert fixture.recorder.values == {'a': 1, 'b': 2}
+
+
+# The watch may deliver a removal after a read has shown that the object was
+# created again.
+def test_late_removal_does_not_remove_an_object_that_was_created_again(fixture):
+    fixture.store.put('config', 'a', 1)
+    fixture.mirror.start()
+    (watch,) = fixture.store.watches
+    fixture.store.lose_watches()
+    fixture.store.delete('config', 'a')
+    removed_at = fixture.store.revision
+    fixture.store.put('config', 'a', 2)
+    fixture.mirror.read_current(lambda _: None)
+    watch[2](object_store.Changes((), ('a',), removed_at))
+    assert fixture.recorder.values == {'a': 2}
+
+
+def test_current_reads_are_limited(fixture):
+    fixture.mirror.start()
+    outcomes = []
+    for _ in range(3):
+        fixture.mirror.read_current(outcomes.append)
+    assert len(outcomes) == 1
+    fixture.run(1_000)
+    assert outcomes == [True] * 3
--- a/spec/flow_owners.py
+++ b/spec/flow_owners.py
@@ -55,11 +55,13 @@
       registration: A new target gets flows only after the store has its
         registration.
       service: An agent refuses opening packets of other services.
+      proof: A flow is reset only after a read of the current registrations.
     """
     certainty: bool = True
     trial: bool = True
     registration: bool = True
     service: bool = True
+    proof: bool = True
 
 
 class Budget(typing.NamedTuple):
@@ -154,6 +156,10 @@
         self.agents: dict[ids.Address, _Agent] = {}
         self.stored: dict[ids.Address, target_lib.Registration] = {}
         self.writing: dict[ids.Address, target_lib.Registration] = {}
+        # Agents that a new balancer does not know before it reads the current
+        # registrations.
+        self.undelivered: set[ids.Address] = set()
+        self.is_reading = False
         self.network: list[Message] = []
         self.ack = 0
         self.is_reset = False
@@ -174,6 +180,8 @@
                 result.append((f'message {what} lost', 'lose', index))
         result += [(f'{address[0]} stored', 'store', address)
                    for address in self.writing]
+        if self.is_reading:
+            result.append(('registrations read', 'read', None))
         if budget.packets and not self.is_reset:
             result.append(('client sends', 'send', None))
         if budget.steps:
@@ -218,6 +226,16 @@
         self.agents[address].on_registration_stored(registration.target)
         self._deliver_registration(address)
 
+    def read(self, _: None) -> None:
+        """Completes the balancer's read of the current registrations."""
+        self.is_reading = False
+        if self.rules.proof:
+            addresses, self.undelivered = self.undelivered, set()
+            for address in addresses:
+                self._deliver_registration(address)
+        self._perform(BALANCER_ADDRESS,
+                      self.balancer.on_registrations_read(self.now_ms, True))
+
     def send(self, _: None) -> None:
         """Sends the client's next packet."""
         self._use_budget('packets')
@@ -273,8 +291,10 @@
         self.balancer = _Balancer(self.rules, self.now_ms, self.format, ZONE,
                                   BOUNDS)
         self.balancer.on_configuration(self.now_ms, self.cfg)
+        self.is_reading = False
         for address in self.stored:
-            self._deliver_registration(address)
+            if address not in self.undelivered:
+                self._deliver_registration(address)
         return self.balancer
 
     def _deliver_registration(self, address: ids.Address) -> None:
@@ -313,6 +333,8 @@
                 self._to_target(address, action.raw)
             elif isinstance(action, actions.SendToClient):
                 self._to_client(action.raw)
+            elif isinstance(action, actions.ReadRegistrations):
+                self.is_reading = True
             elif isinstance(action, actions.IdentifyTarget):
                 self._perform(
                     address, self.agents[address].on_identified(
@@ -408,6 +430,15 @@
     return site
 
 
+def _with_late_list(rules: Rules, budget: Budget) -> Site:
+    """Returns a site where a new balancer lacks the flow's agent at first."""
+    site = _with_open_flow(rules, budget)
+    site.undelivered = {
+        address for address, target in site.targets.items() if target.open_flows
+    }
+    return site
+
+
 def _with_targets(rules: Rules, budget: Budget) -> Site:
     """Returns a site without flows."""
     return Site(rules, budget,
@@ -422,6 +453,8 @@
                                         agent_starts=1)),
     'mass restart': (_with_open_flow, Budget(losses=1, mass_starts=1)),
     'new target': (_with_new_target, Budget(packets=3, agent_starts=1)),
+    'list that lags': (_with_late_list,
+                       Budget(losses=1, steps=2, balancer_starts=1)),
     'reused address': (_with_targets, Budget(losses=1, replacements=1)),
 }
 
@@ -448,4 +481,5 @@
         case('mass restart', 'trial', Rules(trial=False)),
         case('new target', 'registration', Rules(registration=False)),
         case('reused address', 'service', Rules(service=False)),
+        case('list that lags', 'proof', Rules(proof=False)),
     ]
