Reset an open flow without a route only after a current read of the configuration

Between two balancers, a new configuration arrives up to its watch's delay apart, and seconds apart when a watch has failed. Callers of a new route would have their open flow reset when its packets came to a balancer that lags.

Change: such a flow waits for one read of the changes of the configuration, shared with the others that wait. It is reset if there is still no route. If the read fails, the packet is dropped. Opening packets are reset at once, as before: their flow is not open.

--- a/figdrum/flows/actions.py
+++ b/figdrum/flows/actions.py
@@ -74,6 +74,14 @@
     """Read the configuration again, since other nodes have a newer version."""
 
 
+class ReadConfiguration(typing.NamedTuple):
+    """Read what the store has now, and pass on a configuration that is new.
+
+    `Balancer.on_configuration_read` is called afterwards, also if the store
+    cannot be read.
+    """
+
+
 class ReadRegistrations(typing.NamedTuple):
     """Read what the store has now, and pass on registrations that are new.
 
@@ -115,6 +123,6 @@
 
 Action = (SendToTarget | SendToClient | SendToPeer | StartTimer | ProbeTarget |
           IdentifyTarget | RefuseHeartbeat | SaveRegistration | CheckStoreEra |
-          RefreshConfiguration | ReadRegistrations | ObserveHistogram |
-          RemoveRegistration | LogEvent)
+          RefreshConfiguration | ReadConfiguration | ReadRegistrations |
+          ObserveHistogram | RemoveRegistration | LogEvent)
 Actions = list[Action]
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -127,6 +127,9 @@
         self._flows: dict[bytes, _Flow] = {}
         self._ended: dict[bytes, int] = {}
         self._searches: dict[bytes, owner_search.OwnerSearch] = {}
+        # Acknowledgement numbers of flows without a route that wait for the
+        # current configuration.
+        self._unrouted: proof_queue.ProofQueue[int] = proof_queue.ProofQueue()
         # Searches that wait for the current registrations.
         self._unproven: proof_queue.ProofQueue[owner_search.OwnerSearch] = (
             proof_queue.ProofQueue())
@@ -229,7 +232,7 @@
         address = self._packets.service_address(segment.key)
         route = self._cfg.routes.get(address)
         if route is None:
-            return self._reset(segment.key, segment.ack, 'no route')
+            return self._on_unrouted(segment)
         if segment.is_opening:
             return self._on_opening(now_ms, route, segment)
         flow = self._flows.get(segment.key)
@@ -245,6 +248,38 @@
             return self._reset(segment.key, segment.ack, 'flow ended')
         return self._find_owner(now_ms, route, segment)
 
+    def _on_unrouted(self, segment: segment_module.Segment) -> actions.Actions:
+        """Resets a flow without a route; an open one only on proof.
+
+        The balancer's configuration may be older than the one by which another
+        balancer has opened the flow.
+        """
+        if segment.is_opening:
+            return self._reset(segment.key, segment.ack, 'no route')
+        if (segment.key in self._unrouted or
+                len(self._unrouted) >= proof_queue.MAX_WAITING):
+            return []
+        if self._unrouted.add(segment.key, segment.ack):
+            return [actions.ReadConfiguration()]
+        return []
+
+    def on_configuration_read(self, is_current: bool) -> actions.Actions:
+        """Resets the waiting flows that have no route.
+
+        Args:
+          is_current: Whether the configuration is at least as new as the
+            `ReadConfiguration` action.
+        """
+        result: actions.Actions = []
+        for key, ack in self._unrouted.finish().items():
+            address = self._packets.service_address(key)
+            if (is_current and self._cfg is not None and
+                    address not in self._cfg.routes):
+                result += self._reset(key, ack, 'no route')
+        if self._unrouted.try_start():
+            result.append(actions.ReadConfiguration())
+        return result
+
     def on_message(self, now_ms: int, origin: ids.Address,
                    data: bytes) -> actions.Actions:
         """Handles a datagram from an agent."""
--- a/figdrum/flows/tests/simulation.py
+++ b/figdrum/flows/tests/simulation.py
@@ -164,6 +164,8 @@
         # Pairs of a balancer and an agent whose registration its watch has not
         # delivered yet.
         self.undelivered: set[tuple[ids.Address, ids.Address]] = set()
+        # Balancers whose watch does not deliver configurations.
+        self.behind: set[ids.Address] = set()
         self.registration_reads = 0
         self.read_ms = STORE_MS
         self.sent_bytes = 0
@@ -213,8 +215,9 @@
                 for name in names
             })
         for address, balancer in self.balancers.items():
-            self._execute(address,
-                          balancer.on_configuration(self.now_ms, self.cfg))
+            if address not in self.behind:
+                self._execute(address,
+                              balancer.on_configuration(self.now_ms, self.cfg))
 
     def add_balancer(self, name: str, zone: str = 'a') -> ids.Address:
         """Starts a balancer with all targets and the configuration."""
@@ -359,6 +362,11 @@
                 self.log_events.append(action)
             elif isinstance(action, actions.RefreshConfiguration):
                 self.refreshed_balancers.append(address)
+            elif isinstance(action, actions.ReadConfiguration):
+                self.after(
+                    self.read_ms,
+                    functools.partial(self._finish_configuration_read, address,
+                                      self.balancers[address], self.cfg))
             elif isinstance(action, actions.ReadRegistrations):
                 self._read_registrations(address)
             elif isinstance(action, actions.RemoveRegistration):
@@ -391,6 +399,16 @@
         agent = self.agents[address]
         self._execute(address, agent.on_probe_result(self.now_ms, is_alive))
 
+    def _finish_configuration_read(self, address: ids.Address,
+                                   balancer: balancer_module.Balancer,
+                                   cfg: routes.Configuration) -> None:
+        if self.balancers.get(address) is not balancer:
+            return
+        if not self.is_store_down:
+            self._execute(address, balancer.on_configuration(self.now_ms, cfg))
+        self._execute(address,
+                      balancer.on_configuration_read(not self.is_store_down))
+
     def _read_registrations(self, address: ids.Address) -> None:
         self.registration_reads += 1
         balancer = self.balancers[address]
--- a/figdrum/flows/tests/test_owner_search.py
+++ b/figdrum/flows/tests/test_owner_search.py
@@ -174,6 +174,39 @@
     assert client.answers == 2
 
 
+# A balancer whose configuration lags must not take the lack of a route as a
+# proof that the route was dropped.
+def test_flow_of_a_route_that_the_configuration_lacks_is_not_reset(sim):
+    sim.behind.add(('front-2', 1))
+    sim.configure(2, {1: [('one', 1.0)], 2: [('one', 1.0)]})
+    client = simulation.Client(sim, ('front-1', 1), 5, service=2)
+    client.open()
+    sim.run(20)
+    client.request()
+    sim.run(100)
+    client.balancer = ('front-2', 1)
+    sim.is_store_down = True
+    client.request()
+    sim.run(200)
+    assert not sim.resets(client.key)
+    sim.is_store_down = False
+    client.request()
+    sim.run(200)
+    assert not sim.resets(client.key)
+    client.request()
+    sim.run(200)
+    assert client.answers >= 2
+
+
+def test_flow_of_a_dropped_route_is_reset_once(sim):
+    client, = _open_flows(sim, 1)
+    sim.configure(2, {2: [('one', 1.0)]})
+    client.request()
+    client.acknowledge()
+    sim.run(100)
+    assert sim.resets(client.key) == 1
+
+
 def test_many_lost_flows_share_the_reads_of_the_list(sim):
     clients = [
         simulation.Client(sim, ('front-2', 1), number)
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -159,6 +159,9 @@
         """Handles the removal of an agent's registration."""
         self._execute(self._balancer.on_registration_removed(name))
 
+    def _on_configuration_read(self, is_current: bool) -> None:
+        self._execute(self._balancer.on_configuration_read(is_current))
+
     def _on_registrations_read(self, is_current: bool) -> None:
         self._execute(
             self._balancer.on_registrations_read(self.clock.now_ms(),
@@ -225,6 +228,8 @@
         for action in unhandled:
             if isinstance(action, actions.RefreshConfiguration):
                 self._configuration.refresh()
+            elif isinstance(action, actions.ReadConfiguration):
+                self._configuration.read_current(self._on_configuration_read)
             elif isinstance(action, actions.ReadRegistrations):
                 self._registrations.read_current(self._on_registrations_read)
             elif isinstance(action, actions.RemoveRegistration):
