Check the fields of messages between nodes where they are decoded

Cause: `messages.decode` took fields of any type and range. A datagram with a report of 0 slots, a number beyond 64 bits or a text where a number belongs ended the balancer or agent when it used the field.

Change: figdrum/core/checks.py has a function for each kind of field; each message type has a decoder that calls them. A malformed message is logged and has no effect.

--- a/figdrum/flows/messages.py
+++ b/figdrum/flows/messages.py
@@ -13,8 +13,8 @@
 >>> decode(encode_forwarded_packet(service_tag('fieldbook'), True, b'datagram'))
 ForwardedPacket(tag=3219963083, wants_reply=True, raw=b'datagram', \
 may_decline=False, is_idempotent=False)
->>> decode(encode(NotHeld(b'key', ended=True)))
-NotHeld(key=b'key', ended=True)
+>>> decode(encode(NotHeld(b'0123456789ab', ended=True)))
+NotHeld(key=b'0123456789ab', ended=True)
 """
 
 import functools
@@ -24,8 +24,10 @@
 import msgpack
 import xxhash
 
+from figdrum.core import checks
 from figdrum.core import errors
 from figdrum.core import ids
+from figdrum.flows import target as target_module
 
 
 class ForwardedPacket(typing.NamedTuple):
@@ -181,6 +183,22 @@
     knowledge: Knowledge
 
 
+# Length in bytes of a flow's key: two addresses and two ports.
+FLOW_KEY_BYTES = 12
+
+# Largest number of requests, flows or slots that a node can report, and of
+# agents; a deployment of the size to plan for has 11 million flows.
+MAX_COUNT = 1_000_000_000
+
+# Longest period of reports, in ms.
+MAX_REPORT_PERIOD_MS = 3_600_000
+
+# Largest datagram of a client inside a message, in bytes.
+_MAX_RAW_BYTES = 4_096
+
+# Zones taken out at most; the deployment to plan for has 8 zones.
+MAX_ZONES = 1_024
+
 Message = (ForwardedPacket | Ask | Denial | Held | NotHeld | Refused |
            Declined | Hello | Report)
 
@@ -241,12 +259,93 @@
         raise errors.MessageError('decode', 'peer', 'unknown message type')
     try:
         fields = msgpack.unpackb(data[1:], use_list=False)
-        if message_type in (Hello, Report):
-            position = message_type._fields.index('knowledge')
-            knowledge = Knowledge(*fields[position])
-            fields = (*fields[:position], knowledge, *fields[position + 1:])
-        return message_type(*fields)
-    except (ValueError, TypeError, msgpack.UnpackException) as exc:
+        return _CHECKS[message_type](*checks.sequence(fields))
+    except (ValueError, TypeError, RecursionError,
+            msgpack.UnpackException) as exc:
         raise errors.MessageError(
-            'decode', 'peer',
-            f'malformed {message_type.__name__} message: {exc}') from exc
+            'decode', 'peer', f'malformed {message_type.__name__} message: '
+            f'{checks.show(exc)}') from exc
+
+
+def _key(value: object) -> bytes:
+    return checks.octets(value, FLOW_KEY_BYTES, FLOW_KEY_BYTES)
+
+
+def _keys(value: object) -> tuple[bytes, ...]:
+    return tuple(_key(key) for key in checks.sequence(value))
+
+
+def _raw(value: object) -> bytes:
+    return checks.octets(value, 0, _MAX_RAW_BYTES)
+
+
+def _count(value: object) -> int:
+    return checks.integer(value, 0, MAX_COUNT)
+
+
+def _check_ask(flows: object) -> Ask:
+    return Ask(
+        tuple((_key(key), checks.integer(ack, 0, checks.MAX_UINT32))
+              for key, ack in checks.sequence(flows)))
+
+
+def _check_denial(not_held: object, unsure: object) -> Denial:
+    return Denial(_keys(not_held), _keys(unsure))
+
+
+def _check_held(key: object) -> Held:
+    return Held(_key(key))
+
+
+def _check_not_held(key: object, ended: object) -> NotHeld:
+    return NotHeld(_key(key), checks.boolean(ended))
+
+
+def _check_refused(reason: object, raw: object) -> Refused:
+    return Refused(checks.text(reason), _raw(raw))
+
+
+def _check_declined(requests: object, raw: object) -> Declined:
+    return Declined(_count(requests), _raw(raw))
+
+
+def _check_knowledge(value: object) -> Knowledge:
+    version, revision, zones_out = checks.sequence(value)
+    names = checks.sequence(zones_out)
+    checks.integer(len(names), 0, MAX_ZONES)
+    return Knowledge(
+        checks.integer(version, -1, checks.MAX_INT64),
+        ids.StoreRevision(checks.integer(revision, -1, checks.MAX_INT64)),
+        tuple(checks.name(zone) for zone in names))
+
+
+def _check_hello(knowledge: object, limit: object, agents: object) -> Hello:
+    return Hello(_check_knowledge(knowledge),
+                 None if limit is None else _count(limit), _count(agents))
+
+
+# One parameter for each field of the message.
+# pylint: disable-next=too-many-positional-arguments
+def _check_report(tag: object, target: object, state: object, is_cold: object,
+                  busy: object, flows: object, slots: object, period_ms: object,
+                  knowledge: object) -> Report:
+    return Report(checks.integer(tag, 0,
+                                 checks.MAX_UINT32), checks.text(target),
+                  target_module.TargetState(state).value,
+                  checks.boolean(is_cold),
+                  max(0.0, checks.number(busy, -MAX_COUNT, MAX_COUNT)),
+                  _count(flows), checks.integer(slots, 1, MAX_COUNT),
+                  checks.integer(period_ms, 0, MAX_REPORT_PERIOD_MS),
+                  _check_knowledge(knowledge))
+
+
+_CHECKS: dict[typing.Any, typing.Callable[..., Message]] = {
+    Ask: _check_ask,
+    Denial: _check_denial,
+    Held: _check_held,
+    NotHeld: _check_not_held,
+    Refused: _check_refused,
+    Declined: _check_declined,
+    Hello: _check_hello,
+    Report: _check_report,
+}
--- a/figdrum/flows/tests/packets.py
+++ b/figdrum/flows/tests/packets.py
@@ -23,6 +23,8 @@
     __test__ = False
 
     def parse_client(self, raw: bytes) -> segment.Segment | None:
+        if len(raw) != _HEAD.size:
+            return None
         flags, key, length, seq, ack = _HEAD.unpack(raw)
         parsed = segment.Segment(raw, key)
         parsed.is_opening = bool(flags & OPENING)
