Keep HTTP requests to upgrade, and faults of a handler, from misleading a process

Cause: httptools raises HttpParserUpgrade, which is no HttpParserError, so one request or response with `Upgrade` ended the process.

Change: an upgrade is a malformed message; complete requests are handled after the parser has returned; a path is limited to 8 KB.

--- a/figdrum/runtime/http_client.py
+++ b/figdrum/runtime/http_client.py
@@ -131,7 +131,7 @@
         reason = ''
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             reason = f'malformed response: {exc}'
         if self._response is not None:
             self._finish(is_reusable=not reason)
--- a/figdrum/runtime/http_server.py
+++ b/figdrum/runtime/http_server.py
@@ -24,14 +24,16 @@
 # Length of the queue of connections to accept.
 BACKLOG = 64
 
-# Largest request body in bytes; a heartbeat has a few hundred.
+# Largest request body and path in bytes; a heartbeat has a few hundred.
 MAX_BODY_BYTES = 65_536
+MAX_PATH_BYTES = 8_192
 
 REASON_PHRASES = {
     200: 'OK',
     400: 'Bad Request',
     404: 'Not Found',
     413: 'Content Too Large',
+    414: 'URI Too Long',
     503: 'Service Unavailable',
 }
 
@@ -84,14 +86,29 @@
         self._parser = httptools.HttpRequestParser(self)
         self._path = ''
         self._body = b''
+        # Complete requests without a response yet, and whether the connection
+        # stays open after each.
+        self._requests: list[tuple[Request, bool]] = []
         self.stream = stream_module.Stream(loop, sock, self, is_connected=True)
 
     def on_data(self, data: bytes) -> None:
+        is_malformed = False
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.stream.write(Response(400).to_bytes())
-            self._finish()
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            # An upgrade to another protocol is not supported.
+            is_malformed = True
+        # The parser reports an exception in its callbacks as a malformed
+        # request, so the requests are handled outside of them.
+        requests, self._requests = self._requests, []
+        for req, stays_open in requests:
+            if not self.stream.is_open:
+                return
+            self.stream.write(self._on_request(req).to_bytes())
+            if not stays_open:
+                self._finish()
+        if is_malformed:
+            self._reject(400)
 
     def on_closed(self, reason: str) -> None:
         self._on_end(self)
@@ -104,22 +121,24 @@
     def on_url(self, url: bytes) -> None:
         """Called by the parser with the path or a part of it."""
         self._path += url.decode('latin-1')
+        if len(self._path) > MAX_PATH_BYTES:
+            self._reject(414)
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a part of the body."""
         self._body += body
         if len(self._body) > MAX_BODY_BYTES:
-            self.stream.write(Response(413).to_bytes())
-            self._finish()
+            self._reject(413)
 
     def on_message_complete(self) -> None:
         """Called by the parser at the end of a request."""
-        if not self.stream.is_open:
-            return
         req = Request(self._parser.get_method().decode(), self._path,
                       self._body)
-        self.stream.write(self._on_request(req).to_bytes())
-        if not self._parser.should_keep_alive():
+        self._requests.append((req, self._parser.should_keep_alive()))
+
+    def _reject(self, status: int) -> None:
+        if self.stream.is_open:
+            self.stream.write(Response(status).to_bytes())
             self._finish()
 
     def _finish(self) -> None:
--- a/figdrum/runtime/tests/test_http.py
+++ b/figdrum/runtime/tests/test_http.py
@@ -95,6 +95,68 @@
     server.close()
 
 
+def _exchange(loop: loop_module.Loop, address, data: bytes) -> bytes:
+    """Sends bytes to a server; returns the first bytes of its response."""
+    responses: list[bytes] = []
+    sock = socket.create_connection(address)
+    sock.sendall(data)
+    sock.setblocking(False)
+    loop.watch(sock, lambda: responses.append(sock.recv(1_000)))
+    _run_until(loop, responses, 1)
+    loop.watch(sock)
+    sock.close()
+    return responses[0]
+
+
+# The parser raises an error of another type for these, which ended the process.
+@pytest.mark.parametrize('data', [
+    b'GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n',
+    b'CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n',
+    b'GET /' + b'a' * 10_000 + b' HTTP/1.1\r\n\r\n',
+    b'POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n',
+    b'POST / HTTP/1.1\r\nContent-Length: ' + b'9' * 400 + b'\r\n\r\n',
+])
+def test_odd_request_does_not_end_the_server(loop, data):
+    server = http_server.HttpServer(loop, ('127.0.0.1', 0),
+                                    lambda req: http_server.Response(200))
+    _exchange(loop, server.address, data)
+    assert _exchange(loop, server.address,
+                     b'GET / HTTP/1.1\r\n\r\n').startswith(b'HTTP/1.1 200')
+    server.close()
+
+
+# An exception of the handler was reported to the client as a malformed request,
+# and the process went on with a state that was changed in part.
+def test_exception_of_the_handler_is_not_hidden(loop):
+
+    def respond(req: http_server.Request) -> http_server.Response:
+        raise LookupError(req.path)
+
+    server = http_server.HttpServer(loop, ('127.0.0.1', 0), respond)
+    with pytest.raises(LookupError):
+        _exchange(loop, server.address, b'GET /x HTTP/1.1\r\n\r\n')
+    server.close()
+
+
+def test_response_that_changes_the_protocol_is_an_error(loop):
+    listener = socket.socket()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen()
+    results: list[http_client.Result] = []
+    client = http_client.HttpClient(loop, listener.getsockname(), 'test')
+    client.call('GET', '/', b'', 1_000, results.append)
+    listener.settimeout(DEADLINE_MS / 1000)
+    loop.call_later(0, lambda: accepted.append(listener.accept()[0]))
+    accepted: list[socket.socket] = []
+    loop.call_later(
+        20, lambda: accepted[0].sendall(
+            b'HTTP/1.1 101 X\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n'))
+    _run_until(loop, results, 1)
+    client.close()
+    listener.close()
+    accepted[0].close()
+
+
 def test_large_body_is_refused(loop):
     received: list[http_server.Request] = []
 
