Check the fields of heartbeats, registrations and the configuration

Cause: decoders converted what they got, or passed it on. An entry under another name took the place of the agent whose address it had, and its removal took that agent away.

Change: each field is checked once, in its decoder; an agent's entry counts only under the name of its address. Names in the log lines of odd messages are limited to 80 characters.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -16,6 +16,7 @@
 
 import typing
 
+from figdrum.core import checks
 from figdrum.core import errors
 from figdrum.core import ids
 from figdrum.core import revisions
@@ -227,8 +228,8 @@
         return [
             actions.LogEvent(
                 'heartbeat refused', {
-                    'sender': heartbeat.target,
-                    'service': heartbeat.service,
+                    'sender': checks.show(heartbeat.target),
+                    'service': checks.show(heartbeat.service),
                     'target': self.status.identity,
                     'reason': reason
                 }),
@@ -275,7 +276,7 @@
         if name != self.status.name:
             return [
                 actions.LogEvent('leave refused', {
-                    'sender': name,
+                    'sender': checks.show(name),
                     'target': self.status.identity
                 }),
                 actions.RefuseHeartbeat()
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -3,6 +3,7 @@
 import functools
 import typing
 
+from figdrum.core import checks
 from figdrum.core import clock
 from figdrum.core import errors
 from figdrum.core import ids
@@ -49,15 +50,14 @@
         self._to_target = udp.ConnectedUdpSocket(self.loop, cfg.frames[0],
                                                  cfg.target,
                                                  self._on_target_refused)
+        self._object_name = registrations.object_name(cfg.frames)
         self._registration_writer = object_writer.ObjectWriter(
-            self.adapter.store, registrations.KIND,
-            registrations.object_name(cfg.frames), self.loop, self.log,
-            self.rng)
+            self.adapter.store, registrations.KIND, self._object_name,
+            self.loop, self.log, self.rng)
 
         self._flow_record_writer = object_writer.ObjectWriter(
-            self.adapter.store, flow_records.KIND,
-            registrations.object_name(cfg.frames), self.loop, self.log,
-            self.rng)
+            self.adapter.store, flow_records.KIND, self._object_name, self.loop,
+            self.log, self.rng)
         self._is_check_due = False
         self.adapter.store.on_restored(self._check_after_restore)
         self._last_hello_ms = self.clock.now_ms()
@@ -112,7 +112,7 @@
     def _on_control(self, req: http_server.Request) -> http_server.Response:
         event = self.adapter.decode_target_request(req)
         if event is None:
-            self.log.write('unreadable heartbeat', path=req.path)
+            self.log.write('unreadable heartbeat', path=checks.show(req.path))
             return http_server.Response(400)
         now_ms = self.clock.now_ms()
         if event.heartbeat is None:
@@ -160,7 +160,7 @@
         self._flow_record_writer.verify()
 
     def _on_flow_record(self, value: object) -> None:
-        record = flow_records.decode(value) if value else None
+        record = flow_records.decode(value)
         if record is not None:
             self._execute(
                 self._agent.on_stored_flows(self.clock.now_ms(), record.target,
@@ -168,7 +168,7 @@
                                             record.has_short_flows))
 
     def _on_registration(self, value: object) -> None:
-        registration = registrations.decode(value) if value else None
+        registration = registrations.decode(self._object_name, value)
         identity = registration.target if registration else ''
         self._agent.on_stored_target(self.clock.now_ms(), identity)
         if registration is None:
@@ -177,7 +177,7 @@
             functools.partial(self._restore_registration, registration))
 
     def _on_stored(self, value: object) -> None:
-        registration = registrations.decode(value)
+        registration = registrations.decode(self._object_name, value)
         if registration is not None:
             self._agent.on_registration_stored(registration.target)
 
@@ -206,7 +206,7 @@
 
         def on_result(result: http_client.Result) -> None:
             name = self._stated_name(result)
-            self.log.write('target identified', name=name)
+            self.log.write('target identified', name=checks.show(name))
             if name:
                 self._execute(
                     self._agent.on_identified(self.clock.now_ms(), name))
--- a/figdrum/registry/flow_records.py
+++ b/figdrum/registry/flow_records.py
@@ -23,6 +23,8 @@
 import struct
 import typing
 
+from figdrum.core import checks
+
 KIND = 'figdrum-flows'
 
 # Shortest time in ms between two writes of an agent. Flows last for up to a
@@ -38,6 +40,9 @@
 
 _FLOW = struct.Struct('!12sI')
 
+# Base64 has four characters for each three bytes.
+MAX_ENCODED_LENGTH = MAX_FLOWS * _FLOW.size * 4 // 3 + 4
+
 
 class FlowRecord(typing.NamedTuple):
     """The open flows of a target.
@@ -83,9 +88,11 @@
 def decode(value: typing.Any) -> FlowRecord | None:
     """Returns the record in a stored object, or None if it is malformed."""
     try:
-        packed = base64.b64decode(value['flows'], validate=True)
-        return FlowRecord(str(value['target']),
+        packed = base64.b64decode(checks.text(value['flows'],
+                                              MAX_ENCODED_LENGTH),
+                                  validate=True)
+        return FlowRecord(checks.text(value['target']),
                           tuple(_FLOW.iter_unpack(packed)),
-                          value.get('short') is True)
+                          checks.boolean(value.get('short', False)))
     except (AttributeError, KeyError, TypeError, ValueError, struct.error):
         return None
--- a/figdrum/registry/registrations.py
+++ b/figdrum/registry/registrations.py
@@ -5,14 +5,15 @@
 
 >>> one = target.Registration(('10.0.0.1', 7000), 'a', 'booking', 'i-1@5',
 ...                           target.TargetState.READY, False)
->>> decode(encode(one)) == one
+>>> decode('10.0.0.1-7000', encode(one)) == one
 True
->>> decode({'service': 'booking'}) is None
+>>> decode('10.0.0.1-7000', {'service': 'booking'}) is None
 True
 """
 
 import typing
 
+from figdrum.core import checks
 from figdrum.core import ids
 from figdrum.flows import target
 
@@ -36,15 +37,20 @@
     }
 
 
-def decode(value: typing.Any) -> target.Registration | None:
-    """Returns the registration in a stored object, or None if malformed."""
+def decode(name: str, value: typing.Any) -> target.Registration | None:
+    """Returns the registration in a stored object, or None if malformed.
+
+    The object of an agent has the name of its address, so that no other object
+    can take the place of that agent.
+    """
     try:
-        host, port = value['agent']
-        return target.Registration((str(host), int(port)),
-                                   ids.ZoneName(value['zone']),
-                                   ids.ServiceName(value['service']),
-                                   str(value['target']),
-                                   target.TargetState(value['state']),
-                                   bool(value['is_cold']))
+        host, port = checks.sequence(value['agent'])
+        registration = target.Registration(
+            checks.address(host, port),
+            ids.ZoneName(checks.name(value['zone'])),
+            ids.ServiceName(checks.name(value['service'])),
+            checks.text(value['target']), target.TargetState(value['state']),
+            checks.boolean(value['is_cold']))
     except (KeyError, TypeError, ValueError):
         return None
+    return registration if object_name(registration.agent) == name else None
