Check the requests and copies of other balancers

Cause: `isdigit` takes a superscript two for a digit and `int` does not, and a number with more than 4,300 digits is a ValueError, so one request to a balancer's control address ended it. Entries in copies had any type.

Change: a pattern for revisions in requests; names and revisions in copies are checked.

--- a/figdrum/registry/peer_state.py
+++ b/figdrum/registry/peer_state.py
@@ -17,14 +17,20 @@
 True
 """
 
+import re
 import typing
 
 import msgpack
 
+from figdrum.core import checks
+from figdrum.core import ids
 from figdrum.registry import object_store
 
 PATH = '/figdrum/peer-state'
 
+# One revision in a query; 19 digits hold 64 bits.
+_REVISION = re.compile(r'([^=]{1,64})=(-?[0-9]{1,19})')
+
 
 def make_path(revisions: dict[str, int]) -> str:
     """Returns the path of a request by a node with copies at `revisions`.
@@ -50,10 +56,10 @@
         return None
     revisions: dict[str, int] = {}
     for part in query.split('&'):
-        kind, _, revision = part.partition('=')
-        if not revision.removeprefix('-').isdigit():
+        match = _REVISION.fullmatch(part)
+        if match is None:
             return None
-        revisions[kind] = int(revision)
+        revisions[match[1]] = int(match[2])
     return revisions
 
 
@@ -68,13 +74,27 @@
 def decode(body: bytes) -> dict[str, object_store.Listing] | None:
     """Returns the copies in a body, or None if it is malformed."""
     try:
-        copies: dict[str, typing.Any] = msgpack.unpackb(body)
+        copies = checks.mapping(msgpack.unpackb(body))
         return {
-            kind:
-                object_store.Listing(
-                    tuple(object_store.Entry(*entry) for entry in entries),
-                    int(revision))
-            for kind, (revision, entries) in copies.items()
+            checks.name(kind): _decode_listing(*checks.sequence(copy))
+            for kind, copy in copies.items()
         }
-    except (ValueError, TypeError, AttributeError, msgpack.UnpackException):
+    except (ValueError, TypeError, RecursionError, msgpack.UnpackException):
         return None
+
+
+def _decode_listing(revision: object, entries: object) -> object_store.Listing:
+    return object_store.Listing(
+        tuple(
+            _decode_entry(*checks.sequence(entry))
+            for entry in checks.sequence(entries)), _decode_revision(revision))
+
+
+def _decode_entry(name: object, revision: object,
+                  value: object) -> object_store.Entry:
+    return object_store.Entry(checks.name(name), _decode_revision(revision),
+                              value)
+
+
+def _decode_revision(value: object) -> ids.StoreRevision:
+    return ids.StoreRevision(checks.integer(value, -1, checks.MAX_INT64))
