--- a/figdrum/registry/peer_state.py
+++ b/figdrum/registry/peer_state.py
@@ -18,7 +18,6 @@
 """
 
 import re
-import typing
 
 import msgpack
 
