Take only a refused connection for the end of a target

Change: RefusedError for ECONNREFUSED alone. Other failures count like a request without an answer.

Before / after: test_connection_that_fails_otherwise_is_not_refused; the old client had one error for all of them.

--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -194,7 +194,7 @@
         def on_result(result: http_client.Result) -> None:
             alive: bool | None = True
             if isinstance(result, errors.StoreError):
-                is_refused = isinstance(result, http_client.NotConnectedError)
+                is_refused = isinstance(result, http_client.RefusedError)
                 alive = False if is_refused else None
             self.log.write('target probed', alive=alive)
             self._execute(
--- a/figdrum/runtime/http_client.py
+++ b/figdrum/runtime/http_client.py
@@ -8,6 +8,7 @@
 
 import collections
 import collections.abc
+import errno
 import typing
 
 import httptools
@@ -35,6 +36,10 @@
     """The connection to the server could not be established."""
 
 
+class RefusedError(NotConnectedError):
+    """Nothing listens at the server's address, by its machine's word."""
+
+
 Result = Response | errors.StoreError
 OnResult = collections.abc.Callable[[Result], None]
 
@@ -86,7 +91,7 @@
             response.
           on_result: Called with the response, or with a `StoreError` if there
             is none; a `NotConnectedError` if no connection could be
-            established.
+            established, and a `RefusedError` if nothing listens there.
         """
         head = f'{method} {path} HTTP/1.1\r\nHost: {self.peer}\r\n'
         if body:
@@ -116,8 +121,9 @@
                 self._stream = stream_module.connect(self._loop, self._address,
                                                      self)
             except OSError as exc:
-                reason = f'cannot connect: {exc.strerror}'
-                self._loop.call_later(0, lambda: self.on_closed(reason))
+                error = self._connect_error(f'cannot connect: {exc.strerror}',
+                                            exc.errno)
+                self._loop.call_later(0, lambda: self._fail(error))
                 return
             self._parser = httptools.HttpResponseParser(self)
         self._stream.write(call.data)
@@ -142,8 +148,16 @@
         self._is_connected = True
 
     def on_closed(self, reason: str) -> None:
-        kind = errors.StoreError if self._is_connected else NotConnectedError
-        self._fail(kind(self._name, self.peer, reason))
+        if self._is_connected or self._stream is None:
+            self._fail(errors.StoreError(self._name, self.peer, reason))
+        else:
+            self._fail(self._connect_error(reason, self._stream.connect_errno))
+
+    def _connect_error(self, reason: str,
+                       code: int | None) -> NotConnectedError:
+        kind = (RefusedError
+                if code == errno.ECONNREFUSED else NotConnectedError)
+        return kind(self._name, self.peer, reason)
 
     def _fail(self, exc: errors.StoreError) -> None:
         self._disconnect()
--- a/figdrum/runtime/stream.py
+++ b/figdrum/runtime/stream.py
@@ -39,6 +39,8 @@
 
     Attributes:
       is_open: Whether neither end has closed the connection.
+      connect_errno: Error with which the connection could not be established,
+        or 0.
     """
 
     def __init__(self, loop: loop_module.Loop, sock: socket.socket,
@@ -48,6 +50,7 @@
         self._handler = handler
         self._is_connected = is_connected
         self._output = b''
+        self.connect_errno = 0
         self.is_open = True
         self._update_watch()
 
@@ -80,6 +83,7 @@
         if not self._is_connected:
             code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
+                self.connect_errno = code
                 self._close_with_reason(f'connect failed with errno {code}')
                 return
             self._is_connected = True
--- a/figdrum/runtime/tests/test_http.py
+++ b/figdrum/runtime/tests/test_http.py
@@ -1,5 +1,6 @@
 """HTTP client and server over the loopback interface."""
 
+import errno
 import socket
 
 import pytest
@@ -9,6 +10,7 @@
 from figdrum.runtime import http_client
 from figdrum.runtime import http_server
 from figdrum.runtime import loop as loop_module
+from figdrum.runtime import stream as stream_module
 
 # Timeout of a test in ms. A call takes less than a millisecond.
 DEADLINE_MS = 20_000
@@ -58,7 +60,29 @@
     _run_until(loop, results, 1)
     assert isinstance(results[0], errors.StoreError)
     assert 'connect' in results[0].reason
+    assert isinstance(results[0], http_client.RefusedError)
+
+
+# An agent resets all flows of a target whose machine refuses a connection. A
+# connection that fails for want of a descriptor or a route says nothing about
+# the target.
+@pytest.mark.parametrize('code', [
+    errno.EMFILE, errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ETIMEDOUT,
+    errno.ECONNRESET
+])
+def test_connection_that_fails_otherwise_is_not_refused(loop, monkeypatch,
+                                                        code):
+
+    def connect(*_) -> stream_module.Stream:
+        raise OSError(code, 'no connection')
+
+    monkeypatch.setattr(stream_module, 'connect', connect)
+    results: list[http_client.Result] = []
+    client = http_client.HttpClient(loop, ('127.0.0.1', 1), 'test')
+    client.call('GET', '/', b'', 1_000, results.append)
+    _run_until(loop, results, 1)
     assert isinstance(results[0], http_client.NotConnectedError)
+    assert not isinstance(results[0], http_client.RefusedError)
 
 
 def test_call_after_a_timeout_uses_a_new_connection(loop):
