Remove an agent's registration only if no balancer hears the agent

Change: the entry is marked first (`is_doubted`), and removed 30 s later if the mark still stands. A balancer that hears the agent keeps it when its entry is marked, removed or unreadable, and sends CheckRegistration, on which the agent reads its entry, at most once a second, and writes it again.

--- a/figdrum/flows/actions.py
+++ b/figdrum/flows/actions.py
@@ -3,6 +3,7 @@
 import typing
 
 from figdrum.core import ids
+from figdrum.flows import target
 
 
 class SendToTarget(typing.NamedTuple):
@@ -101,8 +102,19 @@
     value: int
 
 
+class DoubtRegistration(typing.NamedTuple):
+    """Mark the registration of an unreachable agent in the store.
+
+    Attributes:
+      name: Name of the registration.
+      registration: The registration.
+    """
+    name: str
+    registration: target.Registration
+
+
 class RemoveRegistration(typing.NamedTuple):
-    """Remove the registration of an unreachable agent from the store.
+    """Remove a registration that was marked and not written since.
 
     Attributes:
       name: Name of the registration.
@@ -110,6 +122,10 @@
     name: str
 
 
+class VerifyRegistration(typing.NamedTuple):
+    """Read the agent's registration, and write it again if it has changed."""
+
+
 class LogEvent(typing.NamedTuple):
     """Write a line to the log.
 
--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -72,6 +72,10 @@
 # second take 2.2 KB/s of the 5 KB/s allowed for control messages.
 REPORT_SPACING_MS = 40
 
+# Shortest time in ms between two reads of the agent's registration because of
+# balancers, which all see the same entry.
+REGISTRATION_CHECK_PERIOD_MS = 1_000
+
 
 class _Balancer:
     """A balancer that receives reports.
@@ -98,6 +102,23 @@
     flows: tuple[tuple[bytes, int], ...]
 
 
+class _OwnEntry:
+    """What the agent knows of its registration in the store.
+
+    Attributes:
+      at_start: Identity of the target that the store held when the agent
+        started, empty if there was none; None until it was read.
+      target: Identity of the target that the store is known to hold.
+      next_check_ms: Time from which a balancer's request to check it counts.
+    """
+    __slots__ = ('at_start', 'target', 'next_check_ms')
+
+    def __init__(self, now_ms: int):
+        self.at_start: str | None = None
+        self.target = ''
+        self.next_check_ms = now_ms
+
+
 class Agent:
     """Handles the packets and heartbeats of one target.
 
@@ -122,10 +143,9 @@
         self._identity_check = identity_check.IdentityCheck(heartbeat_period_ms)
         self._balancers: dict[ids.Address, _Balancer] = {}
         self._zone = zone
-        self._stored_target: str | None = None
+        self._own_entry = _OwnEntry(now_ms)
         self._earlier = _EarlierFlows('', ())
         self._agent_count = 1
-        self._registered = ''
         self._knowledge = messages.NO_KNOWLEDGE
 
     @property
@@ -144,6 +164,8 @@
             ]
         if isinstance(message, messages.Hello):
             return self._on_hello(now_ms, origin, message)
+        if isinstance(message, messages.CheckRegistration):
+            return self._on_registration_check(now_ms)
         if not isinstance(message, messages.Ask | messages.ForwardedPacket):
             return []
         # A new balancer gets a report at once. It tells the balancer which
@@ -353,17 +375,24 @@
           identity: Identity of the registered incarnation, empty if none is
             registered.
         """
-        self._stored_target = self._registered = identity
+        self._own_entry.at_start = self._own_entry.target = identity
         self._check_table_complete(now_ms)
 
+    def _on_registration_check(self, now_ms: int) -> actions.Actions:
+        if now_ms < self._own_entry.next_check_ms:
+            return []
+        self._own_entry.next_check_ms = now_ms + REGISTRATION_CHECK_PERIOD_MS
+        return [actions.VerifyRegistration()]
+
     def on_registration_stored(self, identity: str) -> None:
         """Records which incarnation of the target the store now holds."""
-        self._registered = identity
+        self._own_entry.target = identity
 
     def _check_table_complete(self, now_ms: int) -> None:
         status = self.status
-        if (self._stored_target is not None and self.status.is_confirmed and
-                status.identity != self._stored_target and
+        if (self._own_entry.at_start is not None and
+                self.status.is_confirmed and
+                status.identity != self._own_entry.at_start and
                 status.is_warming_up(now_ms)):
             self._mark_table_complete(now_ms)
 
@@ -372,7 +401,7 @@
         self._complete_since_ms = now_ms - FLOW_LIFETIME_MS
 
     def _can_admit(self, now_ms: int) -> bool:
-        return (self._registered == self.status.identity or
+        return (self._own_entry.target == self.status.identity or
                 not self.status.is_warming_up(now_ms))
 
     def on_registration(self, now_ms: int,
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -53,10 +53,17 @@
 IDLE_TIMEOUT_MS = 65_000
 
 # Time in ms without a message of an agent after which its registration is
-# removed. It is far longer than any network outage that the users describe. An
-# agent that is still running registers again.
+# doubted. It is far longer than any network outage that the users describe.
 REGISTRATION_TIMEOUT_MS = 120_000
 
+# Time in ms from then until a registration that is still doubted is removed.
+# Other balancers, whose watches may lag by seconds, tell the agent meanwhile.
+REMOVAL_DELAY_MS = 30_000
+
+# Time in ms since the last message of an agent within which it is known to be
+# alive. Agents report to all balancers together each 40 ms.
+ALIVE_MS = 8_000
+
 # Period of the hello messages to each agent, in ms. An agent sends reports for
 # 8 s after a hello.
 HELLO_PERIOD_MS = 2_500
@@ -207,7 +214,8 @@
             registration: target_module.Registration) -> actions.Actions:
         """Adds or updates a target from its agent's entry in the store."""
         if not self.targets.register(now_ms, name, registration):
-            return []
+            return (self._check_live_agent(now_ms, name)
+                    if registration.is_doubted else [])
         view = self.targets.by_agent(registration.agent)
         log_event = actions.LogEvent(
             'target known', {
@@ -219,11 +227,34 @@
                 self._make_hello(view, self._own_knowledge())
                ] if view else [log_event]
 
-    def on_registration_removed(self, name: str) -> actions.Actions:
-        """Removes a target whose entry in the store was removed."""
+    def on_registration_removed(self, now_ms: int,
+                                name: str) -> actions.Actions:
+        """Removes a target whose entry was removed, unless its agent lives.
+
+        An agent that lives is told, and writes its entry again.
+        """
+        told = self._check_live_agent(now_ms, name)
+        if told:
+            return told
         self.targets.remove(name)
         return [actions.LogEvent('target removed', {'target': name})]
 
+    def on_registration_unreadable(self, now_ms: int,
+                                   name: str) -> actions.Actions:
+        """Tells a live agent that its entry cannot be read."""
+        return self._check_live_agent(now_ms, name)
+
+    def _check_live_agent(self, now_ms: int, name: str) -> actions.Actions:
+        view = self.targets.by_name(name)
+        if (view is None or view.last_heard_ms is None or
+                now_ms - view.last_heard_ms > ALIVE_MS):
+            return []
+        return [
+            actions.SendToPeer(view.agent,
+                               messages.encode(messages.CheckRegistration())),
+            actions.LogEvent('registration of a live agent', {'target': name})
+        ]
+
     def on_client_packet(self, now_ms: int, raw: bytes) -> actions.Actions:
         """Forwards a client's packet, or resets a flow that has no owner."""
         segment = self._packets.parse_client(raw)
@@ -338,20 +369,38 @@
         return []
 
     def _remove_silent_registrations(self, now_ms: int) -> actions.Actions:
+        """Removes the registrations of agents that nobody hears.
+
+        A registration is marked first. Its agent writes it again if another
+        balancer hears it, and only an entry that is still marked is removed.
+        """
         result: actions.Actions = []
         for view in self.targets.all():
-            if view.silence_ms(
-                    now_ms
-            ) >= REGISTRATION_TIMEOUT_MS and not view.is_removal_requested:
-                view.is_removal_requested = True
-                result.append(
-                    actions.LogEvent('agent gone', {
-                        'target': view.name,
-                        'silent_ms': view.silence_ms(now_ms)
-                    }))
+            if view.silence_ms(now_ms) < REGISTRATION_TIMEOUT_MS:
+                continue
+            if (view.doubted_ms is None or
+                    now_ms - view.doubted_ms >= REGISTRATION_TIMEOUT_MS):
+                view.doubted_ms = now_ms
+                result += self._doubt_registration(now_ms, view)
+            elif (view.registration.is_doubted and
+                  now_ms - view.doubted_ms >= REMOVAL_DELAY_MS):
                 result.append(actions.RemoveRegistration(view.name))
         return result
 
+    def _doubt_registration(self, now_ms: int,
+                            view: target_view.TargetView) -> actions.Actions:
+        result: actions.Actions = [
+            actions.LogEvent('agent gone', {
+                'target': view.name,
+                'silent_ms': view.silence_ms(now_ms)
+            })
+        ]
+        if not view.registration.is_doubted:
+            result.append(
+                actions.DoubtRegistration(
+                    view.name, view.registration._replace(is_doubted=True)))
+        return result
+
     def _on_opening(self, now_ms: int, route: routes.Route,
                     segment: segment_module.Segment) -> actions.Actions:
         flow = self._flows.get(segment.key)
--- a/figdrum/flows/messages.py
+++ b/figdrum/flows/messages.py
@@ -199,8 +199,13 @@
 # Zones taken out at most; the deployment to plan for has 8 zones.
 MAX_ZONES = 1_024
 
+
+class CheckRegistration(typing.NamedTuple):
+    """The agent's registration is missing or odd, or a balancer doubts it."""
+
+
 Message = (ForwardedPacket | Ask | Denial | Held | NotHeld | Refused |
-           Declined | Hello | Report)
+           Declined | Hello | Report | CheckRegistration)
 
 _FORWARDED_PACKET = struct.Struct('!BBI')
 _FORWARDED_PACKET_TYPE = 1
@@ -215,7 +220,8 @@
     6: Report,
     7: Ask,
     8: Denial,
-    9: Declined
+    9: Declined,
+    10: CheckRegistration
 }
 _CODES = {message_type: code for code, message_type in _TYPES.items()}
 
@@ -348,4 +354,5 @@
     Declined: _check_declined,
     Hello: _check_hello,
     Report: _check_report,
+    CheckRegistration: CheckRegistration,
 }
--- a/figdrum/flows/target.py
+++ b/figdrum/flows/target.py
@@ -40,6 +40,8 @@
       target: Identity of the target's incarnation, empty if unknown.
       state: State of the target when the entry was written.
       is_cold: Whether the target was cold then.
+      is_doubted: Whether a balancer has not heard the agent for long, and will
+        remove the entry unless the agent writes it again.
     """
     agent: ids.Address
     zone: ids.ZoneName
@@ -47,6 +49,7 @@
     target: str
     state: TargetState
     is_cold: bool
+    is_doubted: bool = False
 
 
 class Heartbeat(typing.NamedTuple):
--- a/figdrum/flows/target_view.py
+++ b/figdrum/flows/target_view.py
@@ -37,8 +37,8 @@
       registered_ms: Time at which the balancer learned of the target.
       is_unanswered: Whether a packet to the agent has timed out and no message
         has come since.
-      is_removal_requested: Whether the balancer has requested the removal of
-        the registration.
+      doubted_ms: Time at which the balancer has doubted the registration since
+        the agent's last message, or None.
       openings_since_report: Opening packets sent to the target since the last
         report.
       tag: `messages.service_tag` of its service.
@@ -46,7 +46,7 @@
     """
     __slots__ = ('name', 'registration', 'report', 'last_heard_ms',
                  'openings_since_report', 'tag', 'registered_ms',
-                 'is_unanswered', 'is_removal_requested', 'hello_sent_ms')
+                 'is_unanswered', 'doubted_ms', 'hello_sent_ms')
 
     def __init__(self, name: str, registration: target_module.Registration,
                  now_ms: int):
@@ -58,7 +58,7 @@
         self.tag = messages.service_tag(registration.service)
         self.registered_ms = now_ms
         self.is_unanswered = False
-        self.is_removal_requested = False
+        self.doubted_ms: int | None = None
         self.hello_sent_ms: int | None = None
 
     @property
@@ -70,7 +70,7 @@
         """Records a message from the agent."""
         self.last_heard_ms = now_ms
         self.is_unanswered = False
-        self.is_removal_requested = False
+        self.doubted_ms = None
 
     def record_unanswered(self, sent_ms: int) -> None:
         """Records that a packet sent at `sent_ms` has timed out."""
@@ -210,6 +210,10 @@
             self._by_agent.pop(view.agent, None)
             self._service(view.tag).remove(view)
 
+    def by_name(self, name: str) -> TargetView | None:
+        """Returns the target with a registration's name, or None."""
+        return self._by_name.get(name)
+
     def by_agent(self, agent: ids.Address) -> TargetView | None:
         """Returns the target of the agent at an address, or None."""
         return self._by_agent.get(agent)
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -252,6 +252,8 @@
                 self._identify_target()
             elif isinstance(action, actions.SaveRegistration):
                 self._register()
+            elif isinstance(action, actions.VerifyRegistration):
+                self._registration_writer.verify()
             elif isinstance(action, actions.CheckStoreEra):
                 if action.era > self.adapter.store.era:
                     self._check_after_restore()
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -92,9 +92,13 @@
             self._process.log.write('unreadable object',
                                     kind=registrations.KIND,
                                     name=checks.show(name))
+            self._process.on_registration_unreadable(name)
             return
         self._process.on_registration(name, registration)
 
+    def on_unreadable(self, name: str) -> None:
+        self._process.on_registration_unreadable(name)
+
     def on_removed(self, name: str) -> None:
         self._process.on_registration_removed(name)
 
@@ -170,7 +174,14 @@
 
     def on_registration_removed(self, name: str) -> None:
         """Handles the removal of an agent's registration."""
-        self._execute(self._balancer.on_registration_removed(name))
+        self._execute(
+            self._balancer.on_registration_removed(self.clock.now_ms(), name))
+
+    def on_registration_unreadable(self, name: str) -> None:
+        """Handles an agent's registration that cannot be read."""
+        self._execute(
+            self._balancer.on_registration_unreadable(self.clock.now_ms(),
+                                                      name))
 
     def _on_configuration_read(self, is_current: bool) -> None:
         self._execute(self._balancer.on_configuration_read(is_current))
@@ -202,13 +213,29 @@
             self._stop_requested_ms = self.clock.now_ms()
             self.log.write('stopping')
 
+    def _doubt_registration(self, action: actions.DoubtRegistration) -> None:
+        """Marks a registration if its revision has not changed."""
+        revision = self._registrations.revisions.get(action.name)
+        if revision is not None:
+            self.adapter.store.write(
+                registrations.KIND, action.name,
+                registrations.encode(action.registration), revision,
+                lambda result: self.log.write('registration doubted',
+                                              name=action.name,
+                                              outcome=type(result).__name__))
+
     def _remove_registration(self, name: str) -> None:
         """Removes a registration if its revision has not changed."""
         revision = self._registrations.revisions.get(name)
-        if revision is not None:
-            self.adapter.store.remove(
-                registrations.KIND, name, revision, lambda result: self.log.
-                write('registration removed', name=name, outcome=str(result)))
+        if revision is None:
+            # It was removed while the agent was known to live.
+            self.on_registration_removed(name)
+            return
+        self.adapter.store.remove(
+            registrations.KIND, name, revision,
+            lambda result: self.log.write('registration removed',
+                                          name=name,
+                                          outcome=type(result).__name__))
 
     def _mirror(self, kind: str, observer: mirror.Observer,
                 options: mirror.WatchOptions) -> mirror.Mirror:
@@ -245,5 +272,7 @@
                 self._configuration.read_current(self._on_configuration_read)
             elif isinstance(action, actions.ReadRegistrations):
                 self._registrations.read_current(self._on_registrations_read)
+            elif isinstance(action, actions.DoubtRegistration):
+                self._doubt_registration(action)
             elif isinstance(action, actions.RemoveRegistration):
                 self._remove_registration(action.name)
--- a/figdrum/registry/registrations.py
+++ b/figdrum/registry/registrations.py
@@ -27,7 +27,7 @@
 
 def encode(registration: target.Registration) -> dict[str, typing.Any]:
     """Returns the object that is stored for a registration."""
-    return {
+    value = {
         'agent': list(registration.agent),
         'zone': registration.zone,
         'service': registration.service,
@@ -35,6 +35,9 @@
         'state': registration.state.value,
         'is_cold': registration.is_cold,
     }
+    if registration.is_doubted:
+        value['is_doubted'] = True
+    return value
 
 
 def decode(name: str, value: typing.Any) -> target.Registration | None:
@@ -50,7 +53,8 @@
             ids.ZoneName(checks.name(value['zone'])),
             ids.ServiceName(checks.name(value['service'])),
             checks.text(value['target']), target.TargetState(value['state']),
-            checks.boolean(value['is_cold']))
+            checks.boolean(value['is_cold']),
+            checks.boolean(value.get('is_doubted', False)))
     except (KeyError, TypeError, ValueError):
         return None
     return registration if object_name(registration.agent) == name else None
