Let some of the polls beside a watch be current

Cause: a watch whose only answer was lost was confirmed by polls with `serializable`, which may be older than the change.

Ruled out: other balancers that know the newer version; all of them lose the answer.

Change: five polls a second of all balancers together, for each of the two kinds, ask without `serializable`. The number of balancers follows from the period of agents' reports, whose spacing moves to messages.py for that.

Before / after: test_change_arrives_in_time_though_its_answer_is_lost_and_polls_lag fails without current polls.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -67,11 +67,6 @@
 # A report is sent by a tick that is at most this early, in ms.
 TICK_TOLERANCE_MS = 25
 
-# Mean time in ms between two reports of one agent to any balancers; the more
-# balancers there are, the fewer reports each gets. 25 reports of 90 bytes per
-# second take 2.2 KB/s of the 5 KB/s allowed for control messages.
-REPORT_SPACING_MS = 40
-
 # Shortest time in ms between two reads of the agent's registration because of
 # balancers, which all see the same entry.
 REGISTRATION_CHECK_PERIOD_MS = 1_000
@@ -817,7 +812,7 @@
 
     def _report_period_ms(self) -> int:
         return max(MIN_REPORT_PERIOD_MS,
-                   REPORT_SPACING_MS * len(self._balancers))
+                   messages.REPORT_SPACING_MS * len(self._balancers))
 
     def _send_due_reports(self, now_ms: int) -> actions.Actions:
         due: list[ids.Address] = []
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -142,6 +142,7 @@
             proof_queue.ProofQueue())
         self._queries: dict[ids.Address, list[tuple[bytes, int]]] = {}
         self._hello_sent_ms = now_ms - HELLO_PERIOD_MS
+        self._balancer_count = 1
         self.targets = target_view.TargetViews()
 
     @property
@@ -154,6 +155,11 @@
         """Number of flows whose agent is known."""
         return len(self._flows)
 
+    @property
+    def balancer_count(self) -> int:
+        """Number of balancers, as an agent's reports show it; at least 6."""
+        return self._balancer_count
+
     @property
     def search_count(self) -> int:
         """Number of owner searches in progress."""
@@ -326,6 +332,8 @@
         view.record_contact(now_ms)
         if isinstance(message, messages.Report):
             self.targets.apply_report(now_ms, view, message)
+            self._balancer_count = (message.period_ms //
+                                    messages.REPORT_SPACING_MS)
             return self._compare_knowledge(now_ms, view, message.knowledge)
         if isinstance(message, messages.Held):
             return self._on_held(now_ms, origin, message.key)
--- a/figdrum/flows/messages.py
+++ b/figdrum/flows/messages.py
@@ -183,6 +183,11 @@
     knowledge: Knowledge
 
 
+# Mean time in ms between two reports of one agent to any balancers; the more
+# balancers there are, the fewer reports each gets. 25 reports of 90 bytes per
+# second take 2.2 KB/s of the 5 KB/s allowed for control messages.
+REPORT_SPACING_MS = 40
+
 # Length in bytes of a flow's key: two addresses and two ports.
 FLOW_KEY_BYTES = 12
 
--- a/figdrum/node/balancer_process.py
+++ b/figdrum/node/balancer_process.py
@@ -3,6 +3,7 @@
 import typing
 
 from figdrum.core import checks
+from figdrum.core import clock
 from figdrum.core import ids
 from figdrum.flows import actions
 from figdrum.flows import balancer
@@ -36,6 +37,11 @@
 # reports.
 OTHER_CHECK_PERIOD_MS = 3_000
 
+# Checks per second of all balancers together that show the current
+# configuration or zones. A change that one balancer has found reaches the
+# others in its hellos and in agents' reports.
+CURRENT_CHECKS_PER_S = 5
+
 # Share of the platform's stop timeout after which a balancer exits in any case.
 MAX_STOP_SHARE = 0.8
 
@@ -121,7 +127,9 @@
         self._packets = udp.UdpSocket(self.loop, cfg.packets, self._on_packet)
         self._configuration = self._mirror(
             self.adapter.configuration_kind, ConfigurationObserver(self),
-            mirror.WatchOptions(CONFIGURATION_WATCH_DELAY_MS))
+            mirror.WatchOptions(
+                CONFIGURATION_WATCH_DELAY_MS,
+                current_check_period_ms=self._current_check_period_ms))
         self._registrations = self._mirror(
             registrations.KIND, AgentObserver(self),
             mirror.WatchOptions(REGISTRATION_WATCH_DELAY_MS,
@@ -129,7 +137,10 @@
                                 may_lag=True))
         self._zones_out = self._mirror(
             self.adapter.zones_out_kind, ZonesOutObserver(self),
-            mirror.WatchOptions(0, OTHER_CHECK_PERIOD_MS))
+            mirror.WatchOptions(
+                0,
+                OTHER_CHECK_PERIOD_MS,
+                current_check_period_ms=self._current_check_period_ms))
         self._peer_reader = peer_reader.PeerReader(
             (self._configuration, self._zones_out, self._registrations),
             tuple(peer for peer in cfg.peers if peer != cfg.control),
@@ -237,6 +248,12 @@
                                           name=name,
                                           outcome=type(result).__name__))
 
+    def _current_check_period_ms(self) -> int:
+        # Random, so that the checks of several balancers are spread evenly.
+        mean_ms = (clock.MS_PER_S * self._balancer.balancer_count /
+                   CURRENT_CHECKS_PER_S)
+        return int(mean_ms * self.rng.uniform(0.7, 1.3))
+
     def _mirror(self, kind: str, observer: mirror.Observer,
                 options: mirror.WatchOptions) -> mirror.Mirror:
         return mirror.Mirror(self.adapter.store, kind, observer, self.loop,
--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -82,10 +82,14 @@
         in quick succession arrive in one response.
       check_period_ms: Time between two checks of an open watch, in ms.
       may_lag: Whether changes may arrive seconds late, at a lower price.
+      current_check_period_ms: Returns the time between two checks that show
+        what is current, in ms; None for no such checks. Other checks may lag
+        by seconds, and then confirm a watch whose answer was lost.
     """
     delay_ms: int
     check_period_ms: int = WATCH_CHECK_PERIOD_MS
     may_lag: bool = False
+    current_check_period_ms: collections.abc.Callable[[], int] | None = None
 
 
 class _Wait:
@@ -267,8 +271,11 @@
             self._timers.call_later(self._options.check_period_ms,
                                     self._check_watch)
         else:
-            self._store.poll(self._kind, self.revision, True,
-                             lambda result: self._on_checked(wait, result))
+            self._store.poll(
+                self._kind, self.revision,
+                not self._side_reads.try_start_current_check(
+                    self._options.current_check_period_ms),
+                lambda result: self._on_checked(wait, result))
 
     def _on_checked(self, wait: _Wait,
                     result: object_store.Changes | errors.StoreError) -> None:
--- a/figdrum/registry/side_reads.py
+++ b/figdrum/registry/side_reads.py
@@ -62,8 +62,23 @@
         self._log = log
         self._is_refreshing = False
         self._current_read_ms = clock.now_ms() - MIN_CURRENT_READ_INTERVAL_MS
+        self._next_current_check_ms = clock.now_ms()
         self._restored_ms: int | None = None
 
+    def try_start_current_check(
+            self, period_ms: collections.abc.Callable[[], int] | None) -> bool:
+        """Returns whether the next check of the watch has to be current.
+
+        Args:
+          period_ms: Returns the time until the one after it; None if no check
+            has to be.
+        """
+        now_ms = self._clock.now_ms()
+        if period_ms is None or now_ms < self._next_current_check_ms:
+            return False
+        self._next_current_check_ms = now_ms + period_ms()
+        return True
+
     def on_restored(self) -> None:
         """Records that the store was restored from an earlier copy."""
         self._restored_ms = self._clock.now_ms()
--- a/figdrum/registry/tests/test_mirror.py
+++ b/figdrum/registry/tests/test_mirror.py
@@ -42,15 +42,18 @@
 class _MirrorFixture:
     """A mirror of the kind `config` with a fake store and manual timers."""
 
-    def __init__(self):
+    def __init__(self, current_check_period_ms: int | None = None):
         self.timers = fake_store.ManualTimers()
         self.store = fake_store.FakeStore(self.timers)
         self.recorder = _Recorder()
         self.lines = []
         log = event_log.EventLog('node', clock.ManualClock(), self.lines.append)
-        self.mirror = mirror.Mirror(self.store, 'config', self.recorder,
-                                    self.timers, self.timers.clock, log,
-                                    random.Random(1), mirror.WatchOptions(0))
+        current = (None if current_check_period_ms is None else
+                   lambda: current_check_period_ms)
+        self.mirror = mirror.Mirror(
+            self.store, 'config', self.recorder, self.timers, self.timers.clock,
+            log, random.Random(1),
+            mirror.WatchOptions(0, current_check_period_ms=current))
 
     def run(self, for_ms: int) -> None:
         """Advances the time in small steps."""
@@ -239,6 +242,29 @@
         mirror.MAX_BACKOFF_MS // 2)
 
 
+# The watch's only answer was lost, and polls that may lag confirmed it for
+# seconds, while the change had to be in force within 3 s.
+def test_change_arrives_in_time_though_its_answer_is_lost_and_polls_lag():
+    fixture = _MirrorFixture(current_check_period_ms=1_400)
+    fixture.store.put('config', 'a', 1)
+    fixture.mirror.start()
+    fixture.run(4_000)
+    fixture.store.lose_watches()
+    fixture.store.is_lagging = True
+    fixture.store.put('config', 'a', 2)
+    fixture.run(MAX_CHANGE_DELAY_MS)
+    assert fixture.recorder.values == {'a': 2}
+
+
+# Several balancers share the current polls, which cost ten times as much.
+def test_current_polls_have_a_period_of_their_own():
+    fixture = _MirrorFixture(current_check_period_ms=9_000)
+    fixture.mirror.start()
+    fixture.run(36_000)
+    assert fixture.store.calls['current poll'] in (4, 5)
+    assert fixture.store.calls['poll'] >= 18
+
+
 def test_current_read_shows_what_the_watch_has_not_delivered(fixture):
     fixture.store.put('config', 'a', 1)
     fixture.mirror.start()
