Send each HTTP request of a node on a connection of its own

Cause: HTTP/1.1 does not say which request a response belongs to, and the lists of all kinds shared a connection.

Ruled out: a check that an answer fits its request; an older answer of the same kind fits.

Change: the client closes the connection after each response, so that only a request's own response can arrive on it.

--- a/figdrum/runtime/http_client.py
+++ b/figdrum/runtime/http_client.py
@@ -1,5 +1,12 @@
 """A non-blocking HTTP/1.1 client with one request in flight at a time.
 
+Explanation
+===========
+
+A response does not say which request it belongs to, and a server may send a
+copy of an earlier response late. So each request has a connection of its own,
+on which only its own response can arrive.
+
 References
 ==========
 
@@ -56,7 +63,7 @@
 
 
 class HttpClient(stream_module.Handler):
-    """Sends requests to a server in order, over one connection."""
+    """Sends requests to a server in order, each over its own connection."""
 
     def __init__(self, loop: loop_module.Loop, address: ids.Address, name: str):
         self._loop = loop
@@ -70,9 +77,6 @@
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._response: Response | None = None
-        # Whether the connection ends with the current response: the server says
-        # so, or it has sent more than one.
-        self._must_disconnect = False
 
     @property
     def peer(self) -> str:
@@ -93,7 +97,8 @@
             is none; a `NotConnectedError` if no connection could be
             established, and a `RefusedError` if nothing listens there.
         """
-        head = f'{method} {path} HTTP/1.1\r\nHost: {self.peer}\r\n'
+        head = (f'{method} {path} HTTP/1.1\r\nHost: {self.peer}\r\n'
+                'Connection: close\r\n')
         if body:
             head += 'Content-Type: application/json\r\n'
         if body or method in ('POST', 'PUT'):
@@ -129,18 +134,13 @@
         self._stream.write(call.data)
 
     def on_data(self, data: bytes) -> None:
-        if not self._calls or not self._calls[0].is_sent:
-            # A second copy of an earlier response. After it, no response on
-            # this connection can be matched to its request.
-            self._disconnect()
-            return
         reason = ''
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             reason = f'malformed response: {exc}'
         if self._response is not None:
-            self._finish(is_reusable=not reason)
+            self._finish()
         elif reason:
             self.on_closed(reason)
 
@@ -165,19 +165,14 @@
             self._calls.popleft().on_result(exc)
         self._send_next()
 
-    def _finish(self, is_reusable: bool) -> None:
-        response, self._response = self._response, None
-        if self._timer:
-            self._timer.cancel()
-        if not is_reusable or self._must_disconnect:
-            self._disconnect()
+    def _finish(self) -> None:
+        response = self._response
+        self._disconnect()
         self._calls.popleft().on_result(response)
         self._send_next()
 
     def on_message_begin(self) -> None:
         """Called by the parser at the start of a response."""
-        if self._response is not None:
-            self._must_disconnect = True
         self._headers = {}
         self._body = []
 
@@ -194,7 +189,6 @@
         if self._response is None:
             self._response = Response(self._parser.get_status_code(),
                                       self._headers, b''.join(self._body))
-            self._must_disconnect = not self._parser.should_keep_alive()
 
     def _disconnect(self) -> None:
         if self._timer:
@@ -204,5 +198,4 @@
             self._stream.close()
             self._stream = None
         self._response = None
-        self._must_disconnect = False
         self._is_connected = False
--- a/figdrum/runtime/tests/test_http.py
+++ b/figdrum/runtime/tests/test_http.py
@@ -261,6 +261,45 @@
     server.close()
 
 
+class _LateServer(_RepeatingServer):
+    """Sends a second copy of each answer after the next request.
+
+    The copy goes out on the connection of its own request, before the answer of
+    the next one if that has the same connection.
+    """
+
+    def __init__(self, loop: loop_module.Loop):
+        super().__init__(loop, 0, 0)
+        self._last: dict[socket.socket, bytes] = {}
+
+    def _answer(self, sock: socket.socket) -> None:
+        if not sock.recv(65_536):
+            self._loop.watch(sock)
+            return
+        if sock in self._last:
+            sock.sendall(self._last[sock])
+        body = str(self._requests).encode()
+        self._requests += 1
+        answer = (f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+                 ).encode() + body
+        self._last[sock] = answer
+        sock.sendall(answer)
+
+
+# The copy of a list of one kind was taken for that of another kind, and all
+# later ones were off by one (review/2).
+def test_late_copy_of_an_answer_is_not_taken_for_the_next_one(loop):
+    server = _LateServer(loop)
+    client = http_client.HttpClient(loop, server.address, 'test')
+    results: list[http_client.Result] = []
+    for _ in range(4):
+        client.call('GET', '/', b'', 1_000, results.append)
+    _run_until(loop, results, 4)
+    assert [r.body for r in results] == [b'0', b'1', b'2', b'3']
+    client.close()
+    server.close()
+
+
 def test_queued_request_does_not_get_the_second_copy(loop):
     """The next request is sent as soon as the first one has its answer."""
     server = _RepeatingServer(loop, 1, 0)
