Count a target as cold from its zone's return to its next heartbeat

Cause: an agent admitted flows without a limit for up to 1.2 s after its zone was taken back, since what it knew of its target was from before.

Ruled out: the limit itself, which holds once the heartbeat has come.

Change: the agent forgets that its target is warm when it learns that the zone is back, and reports so at once.

Before / after: test_target_counts_as_cold_from_its_zones_return_to_its_next_heartbeat failed before.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -764,10 +764,21 @@
             self._agent_count = hello.agent_count
         era = revisions.era(hello.knowledge.revision)
         is_restored = era > revisions.era(self._knowledge.revision)
+        was_out = self._zone in self._knowledge.zones_out
         self._knowledge = messages.merge_knowledge(self._knowledge,
                                                    hello.knowledge)
-        return self._send_due_reports(now_ms) + ([actions.CheckStoreEra(era)]
-                                                 if is_restored else [])
+        result: actions.Actions = []
+        if was_out and self._zone not in self._knowledge.zones_out:
+            # The zone's targets may have become cold while it was out.
+            self.status.forget_warmth()
+            result.append(
+                actions.LogEvent('zone returned',
+                                 {'target': self.status.identity}))
+            result += self._report_at_once(now_ms)
+        result += self._send_due_reports(now_ms)
+        if is_restored:
+            result.append(actions.CheckStoreEra(era))
+        return result
 
     def _record_balancer(self, now_ms: int, origin: ids.Address) -> bool:
         """Records a message of a balancer; returns whether it is a new one."""
--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -164,6 +164,35 @@
             start_ms <= now_ms < start_ms + 1_000 for now_ms in arrived) <= 8
 
 
+# A target may become cold shortly before its zone is taken back, and says so
+# only with its next heartbeat.
+def test_target_counts_as_cold_from_its_zones_return_to_its_next_heartbeat():
+    agent = _make_agent()
+    _send_heartbeat(agent, 0)
+
+    def take(now_ms: int, revision: int, *zones_out: str) -> actions.Actions:
+        hello = messages.Hello(_make_knowledge(revision, *zones_out), 8, 1)
+        return agent.on_message(now_ms, BALANCER, messages.encode(hello))
+
+    take(100, 5, 'a')
+    reports = [
+        message for message in _sent(take(900, 6))
+        if isinstance(message, messages.Report)
+    ]
+    assert [report.is_cold for report in reports] == [True]
+    taken = sum(
+        bool(_delivered(_forward_packet(agent, 910, _opening(n))))
+        for n in range(30))
+    assert taken == 8
+    take(950, 7)
+    take(960, 8, 'b')
+    _send_heartbeat(agent, 1_200, sequence=2)
+    take(1_250, 9)
+    assert all(
+        _delivered(_forward_packet(agent, 1_300, _opening(100 + n)))
+        for n in range(30))
+
+
 def test_cold_target_is_limited_before_the_first_hello():
     agent = _make_agent(is_first_start=False)
     _send_heartbeat(agent, 0, warmup_left_ms=2_000)
