Keep a target that warms up waiting for its registration when its zone returns

Cause: let a target whose zone returned count as cold for an unknown time. If it was warming up, it no longer counted as that, and was admitted flows before the store had its registration. A next agent could then deny these flows, and their clients would be reset.

Change: only a warm target is affected; one that warms up is cold already.

Before / after: test_zones_return_admits_nothing_to_a_target_without_a_registration failed before; now it passes.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -770,7 +770,7 @@
         result: actions.Actions = []
         if was_out and self._zone not in self._knowledge.zones_out:
             # The zone's targets may have become cold while it was out.
-            self.status.forget_warmth()
+            self.status.forget_warmth(now_ms)
             result.append(
                 actions.LogEvent('zone returned',
                                  {'target': self.status.identity}))
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -157,7 +157,10 @@
 
     @property
     def balancer_count(self) -> int:
-        """Number of balancers, as an agent's reports show it; at least 6."""
+        """Number of balancers, estimated from the period of agents' reports.
+
+        Reports have a shortest period, so it is at least 6 after the first one.
+        """
         return self._balancer_count
 
     @property
--- a/figdrum/flows/target_status.py
+++ b/figdrum/flows/target_status.py
@@ -144,9 +144,10 @@
         if not registration.is_cold:
             self._cold_until_ms = now_ms
 
-    def forget_warmth(self) -> None:
-        """Lets the target count as cold until its next heartbeat."""
-        self._cold_until_ms = None
+    def forget_warmth(self, now_ms: int) -> None:
+        """Lets a warm target count as cold until its next heartbeat."""
+        if not self.is_warming_up(now_ms):
+            self._cold_until_ms = None
 
     def is_cold(self, now_ms: int) -> bool:
         """Returns whether the target is warming up or may be."""
--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -193,6 +193,17 @@
         for n in range(30))
 
 
+# A target that warms up gets flows only once the store has its registration, so
+# that the next agent can tell which flows it has seen.
+def test_zones_return_admits_nothing_to_a_target_without_a_registration():
+    agent = _make_agent()
+    _send_heartbeat(agent, 0, warmup_left_ms=2_000, stored=False)
+    for now_ms, revision, zones_out in ((100, 5, ('a',)), (200, 6, ())):
+        hello = messages.Hello(_make_knowledge(revision, *zones_out), 8, 1)
+        agent.on_message(now_ms, BALANCER, messages.encode(hello))
+    assert not _delivered(_forward_packet(agent, 300, _opening()))
+
+
 def test_cold_target_is_limited_before_the_first_hello():
     agent = _make_agent(is_first_start=False)
     _send_heartbeat(agent, 0, warmup_left_ms=2_000)
