--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -470,6 +470,11 @@
                     now_ms):
                 self._pending.finish(key)
                 self._table.open(now_ms, key, self.status.identity)
+                result.append(
+                    actions.LogEvent('flow taken for held', {
+                        'flow': self._packets.describe(key),
+                        'waited_ms': waited_ms
+                    }))
                 result += self._confirm_held(key, delivery)
             elif waited_ms >= DELIVERY_TIMEOUT_MS:
                 self._pending.finish(key)
@@ -573,7 +578,8 @@
             return result
         ended = self._ended_if_not_held(now_ms, key)
         if ended is not None:
-            return self._send((origin,), messages.NotHeld(key, ended))
+            return self._log_denial(flow, key, segment.ack, ended) + self._send(
+                (origin,), messages.NotHeld(key, ended))
         if self._pending.start(now_ms, key, False, segment.raw, origin):
             return [
                 actions.SendToTarget(segment.raw),
@@ -603,6 +609,8 @@
                 result += self._send((origin,), messages.Held(key))
                 continue
             ended = self._ended_if_not_held(now_ms, key)
+            if ended is not None:
+                result += self._log_denial(flow, key, ack, ended)
             if ended:
                 result += self._send((origin,), messages.NotHeld(key, True))
             else:
@@ -612,6 +620,25 @@
             result += self._send((origin,), denial)
         return result
 
+    def _log_denial(self, flow: flow_table.Flow | None, key: bytes, ack: int,
+                    ended: bool) -> actions.Actions:
+        """Logs the denial of a flow whose addresses and ports are known.
+
+        Denials of other flows are the rule in a search, and are not logged.
+        """
+        if flow is None and not ended:
+            return []
+        return [
+            actions.LogEvent(
+                'flow denied', {
+                    'flow': self._packets.describe(key),
+                    'ack': ack,
+                    'server_first': flow.server_first if flow else None,
+                    'closed': flow.is_closed if flow else None,
+                    'ended': ended
+                })
+        ]
+
     def _current_flow(self, key: bytes) -> flow_table.Flow | None:
         """Returns the flow `key` of the target's current incarnation."""
         flow = self._table.get(key)
@@ -659,7 +686,9 @@
         ended = flow is not None and flow.is_open
         self._pending.add_denial(now_ms, segment.key, ended)
         origins = delivery.origins if delivery else tuple(self._balancers)
-        return self._send(origins, messages.NotHeld(segment.key, ended))
+        return self._log_denial(
+            flow, segment.key, segment.ack, ended) + self._send(
+                origins, messages.NotHeld(segment.key, ended))
 
     def _on_unanswered(
             self, now_ms: int, key: bytes,
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -721,6 +721,7 @@
                                  self._packets.build_reset(key, ack)),
             actions.LogEvent('flow reset', {
                 'flow': self._packets.describe(key),
+                'ack': ack,
                 'cause': cause
             })
         ]
--- a/figdrum/node/node.py
+++ b/figdrum/node/node.py
@@ -50,7 +50,11 @@
 
     def start(self, host: str) -> None:
         """Starts the metrics endpoint, signal handlers and periodic calls."""
-        self.log.write('start', role=self._role, zone=self.cfg.zone)
+        agent_cfg = self.cfg.agent
+        self.log.write('start',
+                       role=self._role,
+                       zone=self.cfg.zone,
+                       first_start=agent_cfg.first_start if agent_cfg else None)
         http_server.HttpServer(self.loop, (host, METRICS_PORT),
                                self._on_metrics)
         self.loop.on_signal(signal.SIGHUP, self._reload)
--- a/figdrum/registry/side_reads.py
+++ b/figdrum/registry/side_reads.py
@@ -64,6 +64,7 @@
         self._current_read_ms = clock.now_ms() - MIN_CURRENT_READ_INTERVAL_MS
         self._next_current_check_ms = clock.now_ms()
         self._restored_ms: int | None = None
+        self._created_ms = clock.now_ms()
 
     def try_start_current_check(
             self, period_ms: collections.abc.Callable[[], int] | None) -> bool:
@@ -129,6 +130,7 @@
                             kind=self._copy.kind,
                             known=revisions.describe(self._copy.revision),
                             ms=self._clock.now_ms() - sent_ms,
+                            process_ms=sent_ms - self._created_ms,
                             outcome='current' if is_current else 'not current',
                             reason=str(result) if isinstance(
                                 result, errors.StoreError) else '')
