Tell the flows of one address and port apart by their numbers

Callers saw: a flow from an address and port that they had used before got no answer but resets, or was reset though its target held it. Cause: agents and balancers knew flows, ends of flows, denials, pending deliveries and searches by key alone. An agent kept the first number of the earlier flow when its target accepted the later one, and denied the later one's packets; the end of the earlier flow was told to all balancers, and those reset the later one for 2 s. A used key also passed the agent's admission as a copy. Class: the word on one thing, taken for another that has the same name. Ruled out: that the targets mix the flows up; in the tests they hold the later one. Change: Held, NotHeld and Denial name the client's acknowledgement number, and count only for flows with a number near it; an acceptance with another number opens another flow; an opening packet with another number is admitted anew and ends what a balancer knows of the earlier flow; opening packets and later ones are pending apart; a late copy of an opening packet moves no open flow. Tests changed: the messages carry the number that was asked for; no check is weaker.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -188,10 +188,20 @@
         result: actions.Actions = [
             actions.SendToClient(self._packets.client_host(segment.key), raw)
         ]
+        opening = None
+        if segment.is_accepting or segment.is_reset:
+            opening = self._pending.finish_opening(segment.key)
         flow = self._table.get(segment.key)
-        if flow is None and not segment.is_reset:
+        if flow is None:
+            is_new = not segment.is_reset
+        else:
+            is_new = (segment.is_accepting and
+                      not flow.is_accepted_with(segment.seq))
+        if is_new:
             flow = self._table.open(now_ms, segment.key, self.status.identity)
         if flow is not None:
+            if opening is not None and segment.is_accepting:
+                flow.client_first = opening.seq
             was_busy = flow.is_busy
             if self._table.record_target_packet(now_ms, flow, segment):
                 result += self._on_request_broken(now_ms, flow)
@@ -200,9 +210,9 @@
                 result.append(
                     actions.ObserveHistogram('request_ms',
                                              now_ms - flow.request_started_ms))
-        delivery = self._pending.finish(segment.key)
-        if delivery is not None and not delivery.is_opening:
-            result += self._confirm_held(segment.key, delivery)
+        trial = self._pending.finish_trial(segment.key, segment.seq)
+        if trial is not None:
+            result += self._confirm_held(segment.key, trial)
         return result
 
     def on_heartbeat(self, now_ms: int, started_ms: int,
@@ -464,11 +474,11 @@
             waited_ms = now_ms - delivery.sent_ms
             if delivery.is_opening:
                 if waited_ms >= ACCEPT_TIMEOUT_MS:
-                    self._pending.finish(key)
+                    self._pending.finish_opening(key)
                     result += self._on_unanswered(now_ms, key, delivery)
             elif waited_ms >= RETURN_TIMEOUT_MS and self.status.is_alive(
                     now_ms):
-                self._pending.finish(key)
+                self._pending.finish_trial(key, delivery.ack)
                 self._table.open(now_ms, key, self.status.identity)
                 result.append(
                     actions.LogEvent('flow taken for held', {
@@ -477,7 +487,7 @@
                     }))
                 result += self._confirm_held(key, delivery)
             elif waited_ms >= DELIVERY_TIMEOUT_MS:
-                self._pending.finish(key)
+                self._pending.finish_trial(key, delivery.ack)
                 result += self._probe(now_ms)
         if self._pending:
             result.append(actions.StartTimer(RETURN_TIMEOUT_MS))
@@ -502,7 +512,7 @@
     def _on_opening(self, now_ms: int, origin: ids.Address,
                     message: messages.ForwardedPacket,
                     segment: segment_module.Segment) -> actions.Actions:
-        if self._table.get(segment.key) is None:
+        if not self._is_copy(segment.key, segment.seq):
             reason = self._refusal_reason(now_ms, message.tag)
             if reason is None and self._should_decline(now_ms,
                                                        message.may_decline):
@@ -519,12 +529,25 @@
                 reason = Reason.COLD
             if reason is not None:
                 return self._refuse(origin, reason, segment.raw)
-        self._pending.start(now_ms, segment.key, True, segment.raw, origin)
+        self._pending.start_opening(now_ms, segment, origin)
         return [
             actions.SendToTarget(segment.raw),
             actions.StartTimer(ACCEPT_TIMEOUT_MS)
         ]
 
+    def _is_copy(self, key: bytes, seq: int) -> bool:
+        """Returns whether the target has accepted the opening packet `seq`.
+
+        An opening packet of a later flow from the same address and port has
+        another number.
+        """
+        flow = self._table.get(key)
+        if flow is None:
+            return False
+        if flow.client_first is None:
+            return not flow.is_open
+        return flow.client_first == seq
+
     def _should_decline(self, now_ms: int, may_decline: bool) -> bool:
         """Returns whether a new flow should go to another target or wait.
 
@@ -574,13 +597,13 @@
             if flow.is_busy and not was_busy:
                 result.append(self._log_request(flow, segment.raw))
             if wants_reply:
-                result += self._send((origin,), messages.Held(key))
+                result += self._send((origin,), messages.Held(key, segment.ack))
             return result
-        ended = self._ended_if_not_held(now_ms, key)
+        ended = self._ended_if_not_held(now_ms, key, segment.ack)
         if ended is not None:
             return self._log_denial(flow, key, segment.ack, ended) + self._send(
-                (origin,), messages.NotHeld(key, ended))
-        if self._pending.start(now_ms, key, False, segment.raw, origin):
+                (origin,), messages.NotHeld(key, segment.ack, ended))
+        if self._pending.start_trial(now_ms, segment, origin):
             return [
                 actions.SendToTarget(segment.raw),
                 actions.StartTimer(RETURN_TIMEOUT_MS)
@@ -601,20 +624,21 @@
     def _on_owner_query(self, now_ms: int, origin: ids.Address,
                         ask: messages.Ask) -> actions.Actions:
         result: actions.Actions = []
-        not_held: list[bytes] = []
-        unsure: list[bytes] = []
+        not_held: list[tuple[bytes, int]] = []
+        unsure: list[tuple[bytes, int]] = []
         for key, ack in ask.flows:
             flow = self._current_flow(key)
             if flow is not None and flow.acknowledges(ack):
-                result += self._send((origin,), messages.Held(key))
+                result += self._send((origin,), messages.Held(key, ack))
                 continue
-            ended = self._ended_if_not_held(now_ms, key)
+            ended = self._ended_if_not_held(now_ms, key, ack)
             if ended is not None:
                 result += self._log_denial(flow, key, ack, ended)
             if ended:
-                result += self._send((origin,), messages.NotHeld(key, True))
+                result += self._send((origin,),
+                                     messages.NotHeld(key, ack, True))
             else:
-                (unsure if ended is None else not_held).append(key)
+                (unsure if ended is None else not_held).append((key, ack))
         if not_held or unsure:
             denial = messages.Denial(tuple(not_held), tuple(unsure))
             result += self._send((origin,), denial)
@@ -646,12 +670,13 @@
             return flow
         return None
 
-    def _ended_if_not_held(self, now_ms: int, key: bytes) -> bool | None:
+    def _ended_if_not_held(self, now_ms: int, key: bytes,
+                           ack: int) -> bool | None:
         """Returns whether a flow that the target does not hold has ended.
 
         The caller has found that the packet does not belong to a flow in the
         table. If the table has a flow with this key, the packet acknowledges
-        sequence numbers of another target, which holds the flow.
+        sequence numbers of another one, which the target does not hold as well.
 
         Returns:
           True if the target held the flow and it has ended, False if the target
@@ -659,7 +684,7 @@
         """
         if self._current_flow(key) is not None:
             return False
-        ended = self._pending.denied_flow_ended(now_ms, key)
+        ended = self._pending.denied_flow_ended(now_ms, key, ack)
         if (ended is None and self._table.get(key) is None and
                 self._has_complete_table(now_ms)):
             return False
@@ -671,30 +696,34 @@
         result: actions.Actions = [
             actions.SendToTarget(raw) for raw in delivery.buffered_packets
         ]
-        return result + self._send(delivery.origins, messages.Held(key))
+        return result + self._send(delivery.origins,
+                                   messages.Held(key, delivery.ack))
 
     def _on_returned(self, now_ms: int,
                      segment: segment_module.Segment) -> actions.Actions:
-        delivery = self._pending.finish(segment.key)
+        key, ack = segment.key, segment.ack
         if segment.is_opening:
+            opening = self._pending.finish_opening(key)
             raw = self._packets.restore(segment)
             return [
-                action for origin in (delivery.origins if delivery else ())
+                action for origin in (opening.origins if opening else ())
                 for action in self._refuse(origin, Reason.RETURNED, raw)
             ]
-        flow = self._table.remove(now_ms, segment.key)
-        ended = flow is not None and flow.is_open
-        self._pending.add_denial(now_ms, segment.key, ended)
-        origins = delivery.origins if delivery else tuple(self._balancers)
-        return self._log_denial(
-            flow, segment.key, segment.ack, ended) + self._send(
-                origins, messages.NotHeld(segment.key, ended))
+        trial = self._pending.finish_trial(key, ack)
+        flow = self._table.get(key)
+        ended = False
+        if flow is not None and flow.acknowledges(ack):
+            self._table.remove(now_ms, key)
+            ended = flow.is_open
+        self._pending.add_denial(now_ms, key, ack, ended)
+        origins = trial.origins if trial else tuple(self._balancers)
+        return self._log_denial(flow, key, ack, ended) + self._send(
+            origins, messages.NotHeld(key, ack, ended))
 
     def _on_unanswered(
             self, now_ms: int, key: bytes,
             delivery: pending_deliveries.PendingDelivery) -> actions.Actions:
-        flow = self._table.get(key)
-        if flow is not None and flow.server_first is not None:
+        if self._is_copy(key, delivery.seq):
             return []
         result = self._probe(now_ms)
         for origin in delivery.origins:
@@ -771,7 +800,7 @@
                      cause: str) -> actions.Actions:
         result: actions.Actions = []
         for key, ack in flows:
-            self._pending.add_denial(now_ms, key, True)
+            self._pending.add_denial(now_ms, key, ack, True)
             result.append(
                 actions.SendToClient(self._packets.client_host(key),
                                      self._packets.build_reset(key, ack)))
--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -85,9 +85,13 @@
       declined: Requests at the targets that have sent the opening packet back
         because they are busy, by name.
       is_accepted: Whether a later packet than the opening packet has come.
+      client_first: Number of the opening packet; None if the balancer has not
+        seen it.
+      ack: The client's acknowledgement number in its last packet; None before a
+        later packet than the opening packet.
     """
     __slots__ = ('agent', 'last_packet_ms', 'failed_targets', 'declined',
-                 'is_accepted')
+                 'is_accepted', 'client_first', 'ack')
 
     def __init__(self, agent: ids.Address, now_ms: int):
         self.agent = agent
@@ -95,6 +99,32 @@
         self.failed_targets: set[str] = set()
         self.declined: dict[str, int] = {}
         self.is_accepted = False
+        self.client_first: int | None = None
+        self.ack: int | None = None
+
+    def has_number(self, ack: int) -> bool:
+        """Returns whether an acknowledgement number may be of this flow."""
+        return self.ack is not None and segment_module.is_near(self.ack, ack)
+
+    def is_opened_by(self, segment: segment_module.Segment) -> bool:
+        """Returns whether an opening packet is this flow's or a copy of it.
+
+        A client may use an address and port again for a later flow.
+        """
+        if self.client_first is None:
+            return not self.is_accepted
+        return self.client_first == segment.seq
+
+
+class _EndedFlow(typing.NamedTuple):
+    """A flow that has ended at its target.
+
+    Attributes:
+      until_ms: Time until which the record is kept.
+      ack: The client's last acknowledgement number.
+    """
+    until_ms: int
+    ack: int
 
 
 class ColdRateTolerance(typing.NamedTuple):
@@ -132,7 +162,7 @@
         self._zones_out: frozenset[ids.ZoneName] = frozenset()
         self._zones_out_revision = ids.StoreRevision(-1)
         self._flows: dict[bytes, _Flow] = {}
-        self._ended: dict[bytes, int] = {}
+        self._ended: dict[bytes, _EndedFlow] = {}
         self._searches: dict[bytes, owner_search.OwnerSearch] = {}
         # Acknowledgement numbers of flows without a route that wait for the
         # current configuration.
@@ -279,10 +309,12 @@
         if flow is not None:
             flow.last_packet_ms = now_ms
             flow.is_accepted = True
+            flow.ack = segment.ack
             tag = messages.service_tag(route.shares[0].service)
             data = messages.encode_forwarded_packet(tag, False, segment.raw)
             return [actions.SendToPeer(flow.agent, data)]
-        if segment.key in self._ended:
+        ended = self._ended.get(segment.key)
+        if ended is not None and segment_module.is_near(ended.ack, segment.ack):
             if segment.is_reset:
                 return []
             return self._reset(segment.key, segment.ack, 'flow ended')
@@ -339,7 +371,7 @@
                                     messages.REPORT_SPACING_MS)
             return self._compare_knowledge(now_ms, view, message.knowledge)
         if isinstance(message, messages.Held):
-            return self._on_held(now_ms, origin, message.key)
+            return self._on_held(now_ms, origin, message)
         if isinstance(message, messages.NotHeld):
             return self._on_not_held(now_ms, origin, message)
         if isinstance(message, messages.Denial):
@@ -370,8 +402,8 @@
 
     def on_tick(self, now_ms: int) -> actions.Actions:
         """Sends hellos and removes old flows; called every 250 ms."""
-        for key, until_ms in tuple(self._ended.items()):
-            if until_ms <= now_ms:
+        for key, ended in tuple(self._ended.items()):
+            if ended.until_ms <= now_ms:
                 del self._ended[key]
         if now_ms - self._hello_sent_ms >= HELLO_PERIOD_MS:
             self._expire_flows(now_ms)
@@ -416,6 +448,15 @@
                     segment: segment_module.Segment) -> actions.Actions:
         flow = self._flows.get(segment.key)
         copies = segment.ack
+        if flow is None or not flow.is_opened_by(segment):
+            # What is known of an earlier flow does not hold for this one.
+            flow = None
+            self._flows.pop(segment.key, None)
+            self._searches.pop(segment.key, None)
+            self._ended.pop(segment.key, None)
+        elif flow.is_accepted:
+            # A late copy: the client has acknowledged a target.
+            return []
         if flow is not None and copies:
             # The client retransmits, so the chosen target has not answered.
             # Another one is chosen.
@@ -462,7 +503,7 @@
             flow = self._flows[segment.key] = _Flow(view.agent, now_ms)
         flow.agent = view.agent
         flow.last_packet_ms = now_ms
-        flow.is_accepted = False
+        flow.client_first = segment.seq
         view.openings_since_report += 1
         log_event = actions.LogEvent(
             'flow placed', {
@@ -493,7 +534,7 @@
         route = self._cfg.routes.get(self._packets.service_address(segment.key))
         flow = self._flows.get(segment.key)
         if (route is None or flow is None or flow.agent != view.agent or
-                flow.is_accepted):
+                flow.is_accepted or flow.client_first != segment.seq):
             return None
         return route, segment, flow
 
@@ -538,7 +579,7 @@
     def _find_owner(self, now_ms: int, route: routes.Route,
                     segment: segment_module.Segment) -> actions.Actions:
         search = self._searches.get(segment.key)
-        if search is not None:
+        if search is not None and search.is_for(segment.ack):
             search.buffer_packet(segment.raw)
             return []
         if len(self._searches) - len(self._unproven) >= MAX_SEARCHES:
@@ -593,7 +634,8 @@
                     'ms': now_ms - search.started_ms
                 }))
         if search.verdict is owner_search.Verdict.NO_OWNER:
-            self._ended[key] = now_ms + ENDED_FLOW_TTL_MS
+            self._ended[key] = _EndedFlow(now_ms + ENDED_FLOW_TTL_MS,
+                                          search.ack)
             result += self._reset(key, search.ack, 'no owner')
         return result
 
@@ -634,15 +676,20 @@
         return [view.agent for view in views]
 
     def _on_held(self, now_ms: int, origin: ids.Address,
-                 key: bytes) -> actions.Actions:
-        flow = self._flows.get(key)
-        if flow is None:
-            flow = self._flows[key] = _Flow(origin, now_ms)
-        flow.agent = origin
+                 message: messages.Held) -> actions.Actions:
+        key = message.key
+        search = self._searches.get(key)
+        if search is not None and not search.is_for(message.ack):
+            return []
+        if search is None and key in self._flows:
+            # The flow was found or opened meanwhile.
+            return []
+        flow = self._flows[key] = _Flow(origin, now_ms)
         flow.is_accepted = True
-        search = self._searches.pop(key, None)
+        flow.ack = message.ack
         if search is None:
             return []
+        del self._searches[key]
         log_event = actions.LogEvent(
             'owner found', {
                 'flow': self._packets.describe(key),
@@ -666,18 +713,24 @@
         key = message.key
         flow = self._flows.get(key)
         search = self._searches.get(key)
+        if search is not None and not search.is_for(message.ack):
+            search = None
         if message.ended:
-            if flow is not None and flow.agent != origin:
+            if flow is not None and (flow.agent != origin or
+                                     not flow.has_number(message.ack)):
                 return []
             self._flows.pop(key, None)
-            self._searches.pop(key, None)
-            self._ended[key] = now_ms + ENDED_FLOW_TTL_MS
+            self._ended[key] = _EndedFlow(now_ms + ENDED_FLOW_TTL_MS,
+                                          message.ack)
+            if search is not None:
+                del self._searches[key]
             if search is None:
                 # The next packet has the acknowledgement number that a reset
                 # needs.
                 return []
             return self._reset(key, search.ack, 'owner ended')
-        if flow is not None and flow.agent == origin:
+        if (flow is not None and flow.agent == origin and
+                flow.has_number(message.ack)):
             del self._flows[key]
         if search is None:
             return []
@@ -702,11 +755,11 @@
     def _on_denial(self, now_ms: int, origin: ids.Address,
                    message: messages.Denial) -> actions.Actions:
         result: actions.Actions = []
-        for keys, is_denied in ((message.not_held, True), (message.unsure,
-                                                           False)):
-            for key in keys:
+        for flows, is_denied in ((message.not_held, True), (message.unsure,
+                                                            False)):
+            for key, ack in flows:
                 search = self._searches.get(key)
-                if search is None:
+                if search is None or not search.is_for(ack):
                     continue
                 if is_denied:
                     search.on_denied(origin)
--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -57,9 +57,12 @@
       opened_ms: Time at which the agent first saw the flow.
       last_packet_ms: Time of the last packet in either direction.
       target: Identity of the target's incarnation at `opened_ms`.
+      client_first: Number of the opening packet; None if the agent has not
+        seen it.
       server_first: Initial sequence number of the server; None if the agent
         started later than the flow.
-      server_next: Sequence number after the last byte from the server.
+      server_next: Sequence number after the last byte from the server; None
+        before its first packet.
       client_next: Sequence number after the last byte from the client.
       client_ack: The client's last acknowledgement number.
       is_open: Whether the client has acknowledged this server, or the server
@@ -72,18 +75,19 @@
       client_closed: Whether the client has sent its last byte.
       server_closed: Whether the server has sent its last byte.
     """
-    __slots__ = ('key', 'opened_ms', 'last_packet_ms', 'target', 'server_first',
-                 'server_next', 'client_next', 'client_ack', 'is_open', 'phase',
-                 'client_closed', 'server_closed', 'request_count',
-                 'request_started_ms', 'request_id')
+    __slots__ = ('key', 'opened_ms', 'last_packet_ms', 'target', 'client_first',
+                 'server_first', 'server_next', 'client_next', 'client_ack',
+                 'is_open', 'phase', 'client_closed', 'server_closed',
+                 'request_count', 'request_started_ms', 'request_id')
 
     def __init__(self, key: bytes, now_ms: int, target: str):
         self.key = key
         self.opened_ms = now_ms
         self.last_packet_ms = now_ms
         self.target = target
+        self.client_first: int | None = None
         self.server_first: int | None = None
-        self.server_next = 0
+        self.server_next: int | None = None
         self.client_next: int | None = None
         self.client_ack = 0
         self.is_open = False
@@ -110,15 +114,28 @@
         Several servers may answer copies of one opening packet, each with its
         own initial sequence number. The client acknowledges only the server
         that it chose, so a number outside this server's range is for another
-        one.
+        one, or for an earlier or later flow of the same addresses and ports.
         """
-        if self.server_first is None:
+        if self.server_next is None:
             return True
+        if self.server_first is None:
+            return segment_module.is_near(self.server_next, ack)
         sent = (self.server_next -
                 self.server_first) % segment_module.SEQUENCE_MODULUS
         return 0 < (ack -
                     self.server_first) % segment_module.SEQUENCE_MODULUS <= sent
 
+    def is_accepted_with(self, seq: int) -> bool:
+        """Returns whether an acceptance with the number `seq` is this flow's.
+
+        A target that accepts an opening packet with another number holds a
+        later flow of the same addresses and ports.
+        """
+        if self.server_first is not None:
+            return self.server_first == seq
+        return (self.server_next is None or
+                segment_module.is_near(self.server_next, seq))
+
 
 class _Acceptance(typing.NamedTuple):
     accepted_ms: int
@@ -234,15 +251,10 @@
             flow.is_open = True
         if segment.is_accepting and flow.server_first is None:
             flow.server_first = segment.seq
-            flow.server_next = (segment.seq +
-                                1) % segment_module.SEQUENCE_MODULUS
             if flow.phase is FlowPhase.IDLE and flow.client_next is None:
                 self._set_phase(now_ms, flow, FlowPhase.ACCEPTED)
                 self._accepted.append(_Acceptance(now_ms, flow))
-        end = (segment.seq + segment.length +
-               segment.is_closing) % segment_module.SEQUENCE_MODULUS
-        if segment_module.follows(flow.server_next, end):
-            flow.server_next = end
+        self._advance(flow, segment)
         if segment.length and flow.phase is not FlowPhase.CLOSED:
             self._set_phase(now_ms, flow, FlowPhase.IDLE)
         if segment.is_closing:
@@ -254,6 +266,19 @@
             flow.client_closed = True
         return is_break
 
+    def _advance(self, flow: Flow, segment: segment_module.Segment) -> None:
+        """Updates the number after the last byte from the server.
+
+        A far number belongs to an earlier flow of the same addresses and ports.
+        """
+        end = (segment.seq + segment.length + segment.is_accepting +
+               segment.is_closing) % segment_module.SEQUENCE_MODULUS
+        if flow.server_next is None:
+            flow.server_next = end
+        elif (segment_module.follows(flow.server_next, end) and
+              segment_module.is_near(flow.server_next, end)):
+            flow.server_next = end
+
     def expire(self, now_ms: int) -> None:
         """Removes flows that have been idle or closed for too long.
 
--- a/figdrum/flows/messages.py
+++ b/figdrum/flows/messages.py
@@ -13,8 +13,8 @@
 >>> decode(encode_forwarded_packet(service_tag('fieldbook'), True, b'datagram'))
 ForwardedPacket(tag=3219963083, wants_reply=True, raw=b'datagram', \
 may_decline=False, is_idempotent=False)
->>> decode(encode(NotHeld(b'0123456789ab', ended=True)))
-NotHeld(key=b'0123456789ab', ended=True)
+>>> decode(encode(NotHeld(b'0123456789ab', ack=7, ended=True)))
+NotHeld(key=b'0123456789ab', ack=7, ended=True)
 """
 
 import functools
@@ -61,21 +61,28 @@
 class Denial(typing.NamedTuple):
     """An agent's answer to `Ask` for flows that its target may not hold.
 
+    Flows have the key and acknowledgement number of the query.
+
     Attributes:
-      not_held: Keys of flows that the target does not hold.
-      unsure: Keys of flows for which the agent does not know.
+      not_held: Flows that the target does not hold.
+      unsure: Flows for which the agent does not know.
     """
-    not_held: tuple[bytes, ...]
-    unsure: tuple[bytes, ...]
+    not_held: tuple[tuple[bytes, int], ...]
+    unsure: tuple[tuple[bytes, int], ...]
 
 
 class Held(typing.NamedTuple):
     """The agent's target holds the flow.
 
+    A client may use an address and port again, so that the key alone does not
+    identify a flow.
+
     Attributes:
       key: Key of the flow.
+      ack: The client's acknowledgement number in the packet or query.
     """
     key: bytes
+    ack: int
 
 
 class NotHeld(typing.NamedTuple):
@@ -83,9 +90,11 @@
 
     Attributes:
       key: Key of the flow.
+      ack: The client's acknowledgement number in the packet or query.
       ended: Whether the target held the flow and it has ended.
     """
     key: bytes
+    ack: int
     ended: bool
 
 
@@ -282,8 +291,13 @@
     return checks.octets(value, FLOW_KEY_BYTES, FLOW_KEY_BYTES)
 
 
-def _keys(value: object) -> tuple[bytes, ...]:
-    return tuple(_key(key) for key in checks.sequence(value))
+def _ack(value: object) -> int:
+    return checks.integer(value, 0, checks.MAX_UINT32)
+
+
+def _flows(value: object) -> tuple[tuple[bytes, int], ...]:
+    return tuple((_key(key), _ack(ack))
+                 for key, ack in map(checks.sequence, checks.sequence(value)))
 
 
 def _raw(value: object) -> bytes:
@@ -295,21 +309,19 @@
 
 
 def _check_ask(flows: object) -> Ask:
-    return Ask(
-        tuple((_key(key), checks.integer(ack, 0, checks.MAX_UINT32))
-              for key, ack in checks.sequence(flows)))
+    return Ask(_flows(flows))
 
 
 def _check_denial(not_held: object, unsure: object) -> Denial:
-    return Denial(_keys(not_held), _keys(unsure))
+    return Denial(_flows(not_held), _flows(unsure))
 
 
-def _check_held(key: object) -> Held:
-    return Held(_key(key))
+def _check_held(key: object, ack: object) -> Held:
+    return Held(_key(key), _ack(ack))
 
 
-def _check_not_held(key: object, ended: object) -> NotHeld:
-    return NotHeld(_key(key), checks.boolean(ended))
+def _check_not_held(key: object, ack: object, ended: object) -> NotHeld:
+    return NotHeld(_key(key), _ack(ack), checks.boolean(ended))
 
 
 def _check_refused(reason: object, raw: object) -> Refused:
--- a/figdrum/flows/owner_search.py
+++ b/figdrum/flows/owner_search.py
@@ -155,6 +155,13 @@
         self._known.update(added)
         self._unqueried += added
 
+    def is_for(self, ack: int) -> bool:
+        """Returns whether an acknowledgement number is of the searched flow.
+
+        Flows may have the same addresses and ports one after the other.
+        """
+        return segment.is_near(self.ack, ack)
+
     def buffer_packet(self, raw: bytes) -> None:
         """Buffers a later packet of the flow unless the buffer is full."""
         if len(self.buffered_packets) < segment.PACKETS_IN_FLIGHT:
--- a/figdrum/flows/pending_deliveries.py
+++ b/figdrum/flows/pending_deliveries.py
@@ -18,90 +18,123 @@
       sent_ms: Time at which it was sent to the target.
       is_opening: Whether it is an opening packet.
       raw: The datagram.
+      seq: Its sequence number.
+      ack: Its acknowledgement number, which tells apart the flows that the same
+        addresses and ports have one after the other.
       origins: Balancers that are notified of the result.
       buffered_packets: Later packets of the flow, buffered until the result is
         known.
     """
-    __slots__ = ('sent_ms', 'is_opening', 'raw', 'origins', 'buffered_packets')
+    __slots__ = ('sent_ms', 'is_opening', 'raw', 'seq', 'ack', 'origins',
+                 'buffered_packets')
 
-    def __init__(self, now_ms: int, is_opening: bool, raw: bytes):
+    def __init__(self, now_ms: int, packet: segment.Segment):
         self.sent_ms = now_ms
-        self.is_opening = is_opening
-        self.raw = raw
+        self.is_opening = packet.is_opening
+        self.raw = packet.raw
+        self.seq = packet.seq
+        self.ack = packet.ack
         self.origins: set[ids.Address] = set()
         self.buffered_packets: list[bytes] = []
 
 
 class _Denial(typing.NamedTuple):
     until_ms: int
+    ack: int
     ended: bool
 
 
 class PendingDeliveries:
     """Pending deliveries, and flows that the target is known not to hold.
 
-    Attributes:
-      opening_count: Number of opening packets among the deliveries.
+    An opening packet and a later one of the same addresses and ports may belong
+    to two flows, so they are kept apart.
     """
 
     def __init__(self):
-        self._deliveries: dict[bytes, PendingDelivery] = {}
+        self._openings: dict[bytes, PendingDelivery] = {}
+        self._trials: dict[bytes, PendingDelivery] = {}
         self._denials: dict[bytes, _Denial] = {}
-        self.opening_count = 0
 
     def __bool__(self) -> bool:
-        return bool(self._deliveries)
+        return bool(self._openings or self._trials)
+
+    @property
+    def opening_count(self) -> int:
+        """Number of opening packets among the deliveries."""
+        return len(self._openings)
+
+    def start_opening(self, now_ms: int, packet: segment.Segment,
+                      origin: ids.Address) -> None:
+        """Records an opening packet, which is sent to the target at once."""
+        delivery = self._openings.get(packet.key)
+        if delivery is None or delivery.seq != packet.seq:
+            delivery = self._openings[packet.key] = PendingDelivery(
+                now_ms, packet)
+        delivery.origins.add(origin)
+        self._denials.pop(packet.key, None)
 
-    def start(self, now_ms: int, key: bytes, is_opening: bool, raw: bytes,
-              origin: ids.Address) -> bool:
-        """Records a packet; returns whether to send it to the target now.
+    def start_trial(self, now_ms: int, packet: segment.Segment,
+                    origin: ids.Address) -> bool:
+        """Records a later packet; returns whether to send it to the target now.
 
-        Copies of an opening packet are sent at once. Other packets of a flow
-        are buffered until the result of the first one is known.
+        Packets are buffered until the result of a flow's first one is known. A
+        packet of another flow is dropped; its client retransmits it.
         """
-        delivery = self._deliveries.get(key)
-        is_first = delivery is None
+        delivery = self._trials.get(packet.key)
         if delivery is None:
-            delivery = self._deliveries[key] = PendingDelivery(
-                now_ms, is_opening, raw)
-            self.opening_count += is_opening
-        delivery.origins.add(origin)
-        if is_opening:
-            self._denials.pop(key, None)
+            delivery = self._trials[packet.key] = PendingDelivery(
+                now_ms, packet)
+            delivery.origins.add(origin)
             return True
-        if not is_first and len(
-                delivery.buffered_packets) < segment.PACKETS_IN_FLIGHT:
-            delivery.buffered_packets.append(raw)
-        return is_first
-
-    def finish(self, key: bytes) -> PendingDelivery | None:
-        """Removes and returns the pending delivery of a flow, or None."""
-        delivery = self._deliveries.pop(key, None)
-        if delivery is not None:
-            self.opening_count -= delivery.is_opening
-        return delivery
+        if segment.is_near(delivery.ack, packet.ack):
+            delivery.origins.add(origin)
+            if len(delivery.buffered_packets) < segment.PACKETS_IN_FLIGHT:
+                delivery.buffered_packets.append(packet.raw)
+        return False
+
+    def finish_opening(self, key: bytes) -> PendingDelivery | None:
+        """Removes and returns an opening packet, or None."""
+        return self._openings.pop(key, None)
+
+    def finish_trial(self, key: bytes, number: int) -> PendingDelivery | None:
+        """Removes and returns a later packet, or None.
+
+        Args:
+          key: Key of the flow.
+          number: A recent number of the server in the flow; a packet of another
+            flow is not returned.
+        """
+        delivery = self._trials.get(key)
+        if delivery is None or not segment.is_near(delivery.ack, number):
+            return None
+        return self._trials.pop(key)
 
     def all(self) -> collections.abc.Iterable[tuple[bytes, PendingDelivery]]:
         """Returns a snapshot of the pending deliveries by flow key."""
-        return tuple(self._deliveries.items())
+        return (*self._openings.items(), *self._trials.items())
 
-    def add_denial(self, now_ms: int, key: bytes, ended: bool) -> None:
+    def add_denial(self, now_ms: int, key: bytes, ack: int,
+                   ended: bool) -> None:
         """Records that the target does not hold a flow.
 
         Args:
           now_ms: Time.
           key: Key of the flow.
+          ack: The client's last acknowledgement number.
           ended: Whether the target held the flow before.
         """
-        self._denials[key] = _Denial(now_ms + DENIAL_TTL_MS, ended)
+        self._denials[key] = _Denial(now_ms + DENIAL_TTL_MS, ack, ended)
 
-    def denied_flow_ended(self, now_ms: int, key: bytes) -> bool | None:
+    def denied_flow_ended(self, now_ms: int, key: bytes,
+                          ack: int) -> bool | None:
         """Returns whether a flow that is not held has ended.
 
         The result is None if there is no current record of the flow.
         """
         denial = self._denials.get(key)
-        if denial is None or denial.until_ms <= now_ms:
+        if (denial is None or denial.until_ms <= now_ms or
+                not segment.is_near(denial.ack, ack)):
             return None
         return denial.ended
 
--- a/figdrum/flows/segment.py
+++ b/figdrum/flows/segment.py
@@ -19,8 +19,16 @@
 
 SEQUENCE_MODULUS = 1 << 32
 
-# Largest number of packets that one end of a flow has in flight.
+# Largest number of packets that one end of a flow has in flight, and the most
+# data in one, in bytes.
 PACKETS_IN_FLIGHT = 16
+MAX_DATA_BYTES = 1_200
+
+# Distance in bytes between numbers of one flow that are in use at about the
+# same time. Packets may arrive late, so it covers several times the data that
+# can be in flight. Initial numbers of servers are random, so the number of
+# another flow is rarely that near.
+NUMBER_WINDOW = 4 * PACKETS_IN_FLIGHT * MAX_DATA_BYTES
 
 
 def follows(earlier: int, later: int) -> bool:
@@ -28,6 +36,16 @@
     return 0 < (later - earlier) % SEQUENCE_MODULUS < SEQUENCE_MODULUS // 2
 
 
+def is_near(one: int, other: int) -> bool:
+    """Returns whether two numbers may be of the same flow, modulo 2**32.
+
+    >>> is_near(0xFFFFFFF0, 0x10), is_near(1, 1_000_000)
+    (True, False)
+    """
+    return ((one - other + NUMBER_WINDOW) % SEQUENCE_MODULUS
+            <= 2 * NUMBER_WINDOW)
+
+
 class Segment:
     """One packet of a flow.
 
--- a/figdrum/flows/tests/simulation.py
+++ b/figdrum/flows/tests/simulation.py
@@ -51,6 +51,8 @@
         self.started_ms = 1
         self.sequence = 0
         self.warmup_left_ms = 0
+        # The client's first number of each flow, and the target's own.
+        self.client_first: dict[bytes, int] = {}
         self.first_seq: dict[bytes, int] = {}
         self.open: set[bytes] = set()
         self.queue: collections.deque[tuple[bytes, int]] = collections.deque()
@@ -70,11 +72,13 @@
         key = segment.key
         if segment.is_opening:
             self.opening_times_ms.append(self.sim.now_ms)
+            if self.client_first.get(key) != segment.seq:
+                self._forget(key)
+                self.client_first[key] = segment.seq
             seq = self.first_seq.setdefault(key, self.sim.rng.getrandbits(31))
             self._send(packets.build(packets.ACCEPTING, key, seq, 0))
             return
-        first = self.first_seq.get(key)
-        if first is None or not 0 < segment.ack - first < 1_000_000:
+        if not self.holds(key, segment.ack):
             self.strays[key] += 1
             self._send(bytes((raw[0] | packets.RETURNED,)) + raw[1:])
             return
@@ -86,6 +90,20 @@
             self._on_request(key, segment.seq)
         if segment.is_closing:
             self._send(packets.build(packets.CLOSING, key, segment.ack, 0))
+            self._forget(key)
+
+    def holds(self, key: bytes, ack: int) -> bool:
+        """Returns whether it holds the flow that a client acknowledges."""
+        first = self.first_seq.get(key)
+        return first is not None and 0 < ack - first < 1_000_000
+
+    def _forget(self, key: bytes) -> None:
+        self.open.discard(key)
+        self.first_seq.pop(key, None)
+        self.client_first.pop(key, None)
+        for flow, seq in tuple(self.answered):
+            if flow == key:
+                del self.answered[flow, seq]
 
     def _on_request(self, key: bytes, seq: int) -> None:
         if (key, seq) in self.answered:
@@ -104,6 +122,7 @@
         """Restarts the target, which loses its flows."""
         self.started_ms = self.sim.now_ms
         self.instance = f'{self.name}-{self.started_ms}'
+        self.client_first.clear()
         self.first_seq.clear()
         self.open.clear()
         self.queue.clear()
@@ -491,13 +510,42 @@
         self.sim = sim
         self.balancer = balancer
         self.key = packets.flow_key(number, service)
+        self._first_seq = 0
         self._seq = 1
         self._ack = 0
+        # Packets that the client of this address and port got before the flow.
+        self._earlier_packets = 0
 
     def open(self, copies: int = 0) -> None:
         """Sends the opening packet."""
-        self.sim.send(self.balancer,
-                      packets.build(packets.OPENING, self.key, 0, copies))
+        self.sim.send(
+            self.balancer,
+            packets.build(packets.OPENING, self.key, self._first_seq, copies))
+
+    def open_again(self) -> None:
+        """Opens another flow from the same address and port."""
+        self._first_seq += 1_000_000
+        self._seq = self._first_seq + 1
+        self._ack = 0
+        self._earlier_packets = len(self.sim.to_client[self.key])
+        self.open()
+
+    def close(self, acknowledges: bool = True) -> None:
+        """Sends the closing packet, and acknowledges the target's.
+
+        Args:
+          acknowledges: Whether the acknowledgement arrives. The target does not
+            hold the flow any more, and returns it.
+        """
+        self._note_ack()
+        self.sim.send(
+            self.balancer,
+            packets.build(packets.CLOSING, self.key, self._seq, self._ack))
+        self.sim.run(20)
+        if acknowledges:
+            self.sim.send(
+                self.balancer,
+                packets.build(0, self.key, self._seq + 1, self._ack + 1))
 
     def request(self) -> None:
         """Sends a request that fits in one packet."""
@@ -515,16 +563,33 @@
     @property
     def answers(self) -> int:
         """Number of answers that the client got."""
-        return sum(1 for _, raw in self.sim.to_client[self.key]
+        return sum(1 for raw in self._packets()
                    if self.sim.format.parse_client(raw).length)
 
+    @property
+    def is_held(self) -> bool:
+        """Whether a target holds the flow that the client has opened last."""
+        return any(
+            t.holds(self.key, self._ack) for t in self.sim.targets.values())
+
+    @property
+    def resets(self) -> int:
+        """Number of resets that the client got."""
+        return sum(1 for raw in self._packets()
+                   if self.sim.format.parse_client(raw).is_reset)
+
     @property
     def owner(self) -> Target:
         """The target that holds the flow."""
         return next(t for t in self.sim.targets.values() if self.key in t.open)
 
     def _note_ack(self) -> None:
-        for _, raw in self.sim.to_client[self.key]:
+        for raw in self._packets():
             segment = self.sim.format.parse_client(raw)
             if segment.is_accepting and not self._ack:
                 self._ack = segment.seq + 1
+
+    def _packets(self) -> list[bytes]:
+        """Packets that the client got since it opened its last flow."""
+        received = self.sim.to_client[self.key][self._earlier_packets:]
+        return [raw for _, raw in received]
--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -315,7 +315,7 @@
     unknown = packets.flow_key(3)
     result = agent.on_message(5_000, BALANCER,
                               messages.encode(messages.Ask(((unknown, 1001),))))
-    assert messages.Denial((), (unknown,)) in _sent(result)
+    assert messages.Denial((), ((unknown, 1001),)) in _sent(result)
 
 
 # A heartbeat may arrive after its sender has crashed, so flows that the next
@@ -359,7 +359,7 @@
     result = _forward_packet(agent, 4_100, data)
     assert _delivered(result) == [data]
     returned = bytes((data[0] | packets.RETURNED,)) + data[1:]
-    assert messages.NotHeld(KEY, True) in _sent(
+    assert messages.NotHeld(KEY, 1001, True) in _sent(
         agent.on_target_packet(4_101, returned))
 
 
@@ -457,7 +457,7 @@
     agent.on_target_packet(11, packets.build(packets.ACCEPTING, KEY, 1000, 8))
     result = _forward_packet(agent, 20, packets.build(0, KEY, 8, 777_001))
     assert not _delivered(result)
-    assert _sent(result) == [messages.NotHeld(KEY, False)]
+    assert _sent(result) == [messages.NotHeld(KEY, 777001, False)]
 
 
 def test_restarted_agent_forwards_packets_of_unknown_flows():
@@ -468,7 +468,7 @@
                                       wants_reply=True)) == [data]
     returned = bytes((data[0] | packets.RETURNED,)) + data[1:]
     assert _sent(agent.on_target_packet(
-        11, returned)) == [messages.NotHeld(KEY, False)]
+        11, returned)) == [messages.NotHeld(KEY, 1001, False)]
     # Later packets of a denied flow are not sent to the target.
     assert not _delivered(_forward_packet(agent, 300, data, wants_reply=True))
 
@@ -482,14 +482,14 @@
     assert not _delivered(_forward_packet(agent, 11, second))
     result = agent.on_target_packet(12, packets.build(0, KEY, 1001, 58))
     assert _delivered(result) == [second]
-    assert _sent(result) == [messages.Held(KEY)]
+    assert _sent(result) == [messages.Held(KEY, 1001)]
 
 
 def test_flow_is_held_if_a_live_target_does_not_return_its_packet():
     agent = _make_agent(is_first_start=False)
     _send_heartbeat(agent, 0)
     _forward_packet(agent, 10, packets.build(0, KEY, 8, 1001), wants_reply=True)
-    assert messages.Held(KEY) in _sent(
+    assert messages.Held(KEY, 1001) in _sent(
         agent.on_timer(10 + agent_module.RETURN_TIMEOUT_MS))
 
 
@@ -518,7 +518,7 @@
     assert [a.raw for a in result if isinstance(a, actions.SendToClient)
            ] == [packets.build(packets.RESET, KEY, 1001, 0)]
     later = _forward_packet(agent, 150, packets.build(0, KEY, 8, 1001, 50))
-    assert _sent(later) == [messages.NotHeld(KEY, True)]
+    assert _sent(later) == [messages.NotHeld(KEY, 1001, True)]
 
 
 def test_flow_that_opened_elsewhere_is_not_reset_with_the_target():
@@ -583,9 +583,9 @@
 
 
 @pytest.mark.parametrize('stored_target, warmup_left_ms, expected', [
-    ('i-0@0', 500, messages.Denial((KEY,), ())),
-    ('i-0@0', 0, messages.Denial((), (KEY,))),
-    ('i-1@1', 500, messages.Denial((), (KEY,))),
+    ('i-0@0', 500, messages.Denial(((KEY, 1001),), ())),
+    ('i-0@0', 0, messages.Denial((), ((KEY, 1001),))),
+    ('i-1@1', 500, messages.Denial((), ((KEY, 1001),))),
 ])
 def test_table_is_complete_if_no_earlier_agent_admitted_flows(
         stored_target, warmup_left_ms, expected):
@@ -603,7 +603,7 @@
     agent.on_stored_target(20, '')
     result = agent.on_message(30, BALANCER,
                               messages.encode(messages.Ask(((KEY, 1001),))))
-    assert messages.Denial((KEY,), ()) in _sent(result)
+    assert messages.Denial(((KEY, 1001),), ()) in _sent(result)
 
 
 def test_flows_of_a_target_that_was_lost_with_its_agent_are_reset():
--- a/figdrum/flows/tests/test_odd_messages.py
+++ b/figdrum/flows/tests/test_odd_messages.py
@@ -25,9 +25,9 @@
 KNOWLEDGE = messages.Knowledge(3, ids.StoreRevision(9), ('b',))
 MESSAGES = (
     messages.Ask(((KEY, 7),)),
-    messages.Denial((KEY,), (KEY,)),
-    messages.Held(KEY),
-    messages.NotHeld(KEY, True),
+    messages.Denial(((KEY, 7),), ((KEY, 7),)),
+    messages.Held(KEY, 7),
+    messages.NotHeld(KEY, 7, True),
     messages.Refused('cold', RAW),
     messages.Declined(3, RAW),
     messages.Hello(KNOWLEDGE, 8, 4),
