Take an agent for the first of its machine only if none has registered

Callers saw: open flows were reset though their targets held them, seconds after an agent had been killed and started again. Cause: the setting first_start says that the whole deployment starts for the first time, so that no flows exist. A process that ends is started with the settings in effect; if the file is still the one of the first start, the new process took its empty table for complete and denied all flows that its target held. Each other agent denied them too, rightly, and balancers reset them. Class: a statement about the past, taken for one about now. Change: the table is complete from a first start only if the store has had no registration of this agent; one that cannot be read proves nothing. Conclusion: a candidate for the users' cases; their settings files are not known here.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -101,14 +101,15 @@
     """What the agent knows of its registration in the store.
 
     Attributes:
-      at_start: Identity of the target that the store held when the agent
-        started, empty if there was none; None until it was read.
+      is_read: Whether the store's entry of when the agent started is known.
+      at_start: Identity of the target in it, None without an entry.
       target: Identity of the target that the store is known to hold.
       next_check_ms: Time from which a balancer's request to check it counts.
     """
-    __slots__ = ('at_start', 'target', 'next_check_ms')
+    __slots__ = ('is_read', 'at_start', 'target', 'next_check_ms')
 
     def __init__(self, now_ms: int):
+        self.is_read = False
         self.at_start: str | None = None
         self.target = ''
         self.next_check_ms = now_ms
@@ -127,10 +128,9 @@
         self.status = target_status.TargetStatus(service, heartbeat_period_ms)
         self._packets = packets
         self._tag = messages.service_tag(service)
+        self._is_first_start = is_first_start
         # The table has all flows that were opened since this time.
         self._complete_since_ms = now_ms
-        if is_first_start:
-            self._mark_table_complete(now_ms)
         self._table = flow_table.FlowTable(now_ms)
         self._cold_limit = cold_limit.ColdLimit()
         self._breaker = failure_breaker.FailureBreaker()
@@ -370,7 +370,7 @@
         return self._reset_flows(now_ms, lost,
                                  'target lost before the agent started')
 
-    def on_stored_target(self, now_ms: int, identity: str) -> None:
+    def on_stored_target(self, now_ms: int, identity: str | None) -> None:
         """Handles the registration that the store held when the agent started.
 
         Explanation
@@ -381,12 +381,19 @@
         incarnation while the target is warming up, no earlier process has
         admitted flows to it, and this agent has seen all of them.
 
+        A process that starts again may have the settings of its first start. If
+        an earlier one has registered itself, this one is not the first.
+
         Args:
           now_ms: Time.
-          identity: Identity of the registered incarnation, empty if none is
-            registered.
+          identity: Identity of the registered incarnation, empty if the agent
+            had none when it registered, None if it has not registered.
         """
-        self._own_entry.at_start = self._own_entry.target = identity
+        self._own_entry.is_read = True
+        self._own_entry.at_start = identity
+        self._own_entry.target = identity or ''
+        if self._is_first_start and identity is None:
+            self._mark_table_complete(now_ms)
         self._check_table_complete(now_ms)
 
     def _on_registration_check(self, now_ms: int) -> actions.Actions:
@@ -400,8 +407,8 @@
         self._own_entry.target = identity
 
     def _check_table_complete(self, now_ms: int) -> None:
-        if (self._own_entry.at_start is not None and
-                self._is_other_target(self._own_entry.at_start) and
+        if (self._own_entry.is_read and
+                self._is_other_target(self._own_entry.at_start or '') and
                 self.status.is_warming_up(now_ms)):
             self._mark_table_complete(now_ms)
 
--- a/figdrum/flows/tests/simulation.py
+++ b/figdrum/flows/tests/simulation.py
@@ -281,7 +281,7 @@
         agent = agent_module.Agent(self.now_ms, self.format, target.zone,
                                    target.service, HEARTBEAT_MS, is_first_start)
         self.agents[address] = agent
-        agent.on_stored_target(self.now_ms, self.stored.get(address, ''))
+        agent.on_stored_target(self.now_ms, self.stored.get(address))
         self._tick(address, agent)
 
     def restart_agent(self, address: ids.Address) -> None:
--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -19,8 +19,11 @@
 
 
 def _make_agent(is_first_start: bool = True) -> agent_module.Agent:
-    return agent_module.Agent(0, packets.TestFormat(), ids.ZoneName('a'),
-                              SERVICE, HEARTBEAT_MS, is_first_start)
+    agent = agent_module.Agent(0, packets.TestFormat(), ids.ZoneName('a'),
+                               SERVICE, HEARTBEAT_MS, is_first_start)
+    if is_first_start:
+        agent.on_stored_target(0, None)
+    return agent
 
 
 def _make_knowledge(revision: int, *zones_out: str) -> messages.Knowledge:
@@ -597,10 +600,25 @@
     assert expected in _sent(result)
 
 
+# A process may be started again with the settings file of its first start,
+# which still says that the whole deployment starts.
+@pytest.mark.parametrize('stored_target', (None, '', 'i-1@1', 'i-0@0'))
+def test_agent_that_starts_again_as_the_first_one_denies_nothing(stored_target):
+    # None stands for a store that has not answered.
+    agent = agent_module.Agent(0, packets.TestFormat(), ids.ZoneName('a'),
+                               SERVICE, HEARTBEAT_MS, True)
+    if stored_target is not None:
+        agent.on_stored_target(0, stored_target)
+    _send_heartbeat(agent, 10)
+    result = agent.on_message(20, BALANCER,
+                              messages.encode(messages.Ask(((KEY, 1001),))))
+    assert messages.Denial((), ((KEY, 1001),)) in _sent(result)
+
+
 def test_table_is_complete_if_the_store_responds_after_the_first_heartbeat():
     agent = _make_agent(is_first_start=False)
     _send_heartbeat(agent, 10, warmup_left_ms=500, stored=False)
-    agent.on_stored_target(20, '')
+    agent.on_stored_target(20, None)
     result = agent.on_message(30, BALANCER,
                               messages.encode(messages.Ask(((KEY, 1001),))))
     assert messages.Denial(((KEY, 1001),), ()) in _sent(result)
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -169,10 +169,12 @@
 
     def _on_registration(self, value: object) -> None:
         registration = registrations.decode(self._object_name, value)
-        identity = registration.target if registration else ''
-        self._agent.on_stored_target(self.clock.now_ms(), identity)
         if registration is None:
+            # An entry that cannot be read may have had any target.
+            if not self._registration_writer.has_object:
+                self._agent.on_stored_target(self.clock.now_ms(), None)
             return
+        self._agent.on_stored_target(self.clock.now_ms(), registration.target)
         self._query_health(
             functools.partial(self._restore_registration, registration))
 
--- a/figdrum/registry/object_writer.py
+++ b/figdrum/registry/object_writer.py
@@ -25,6 +25,10 @@
     A write without a response may have taken effect, or may do so later.
     Therefore the object is read before the next write. A value that the store
     already has is not written again.
+
+    Attributes:
+      has_object: Whether the store had the object, readable or not, by the last
+        answer.
     """
 
     def __init__(self, store: object_store.ObjectStore, kind: str, name: str,
@@ -39,6 +43,7 @@
         self._wanted: typing.Any = None
         self._stored: typing.Any = None
         self._revision: ids.StoreRevision | None = None
+        self.has_object = False
         self._is_call_pending = False
         self._is_unverified = False
         self._on_loaded: OnLoaded | None = None
@@ -125,6 +130,7 @@
         self._backoff.reset()
         self._revision = entry.revision if entry else ids.StoreRevision(0)
         self._stored = entry.value if entry else None
+        self.has_object = entry is not None
         if self._is_unverified:
             self._is_unverified = False
             self._revision = None
--- a/spec/flow_owners.py
+++ b/spec/flow_owners.py
@@ -311,7 +311,7 @@
                                               self.format, ZONE, target.service,
                                               HEARTBEAT_MS, is_first)
         known = self.stored.get(address)
-        agent.on_stored_target(self.now_ms, known.target if known else '')
+        agent.on_stored_target(self.now_ms, known.target if known else None)
         heartbeat = target_lib.Heartbeat(target.name, target.service,
                                          target_lib.TargetState.READY, 1,
                                          target.warmup_ms, 1)
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -43,6 +43,8 @@
       spare_machines: Machines that are not started at the beginning.
       version: Version of the configuration written last.
       proxies: Proxy between a machine and the store, by machine name.
+      keeps_settings: Whether a process that starts again gets the settings file
+        of its first start.
     """
 
     def __init__(self, reactor: typing.Any, seed: int, network: int,
@@ -100,6 +102,8 @@
                 flow_holders=self.flow_holders) for n in range(client_count)
         ]
         self.version = 1
+        # Drawn apart, so that the faults of earlier seeds stay as they are.
+        self.keeps_settings = random.Random(f'{seed} settings').random() < 0.5
         self.proxies: dict[str, proxy_module.Proxy] = {}
         self._store_addresses: dict[str, str] = {}
 
@@ -253,7 +257,8 @@
                         'process ended', self.now_ms(),
                         f'{machine.name}: {process.returncode}')
                 self.note_disturbance(machine, 1.0)
-                self.reactor.callLater(RESTART_S, self.launch, machine)
+                self.reactor.callLater(RESTART_S, self.launch, machine,
+                                       self.keeps_settings)
         self.reactor.callLater(0.25, self.watch_processes)
 
     def end(self) -> None:
