Take a restored store's list for complete only some time after the first contact

Callers saw: open flows were reset by a balancer that started just after a restore of the store. Cause: the guard against a list that lacks the youngest registrations compared eras that the process itself had seen. One that starts after the restore has seen one era only. Its first list, and a 'current' read 0.1 s after its start, lacked agents that had not written again yet. Class: a current read of a source that has lost data, taken for complete. Change: an era above 0 at the first contact counts as a restore, whose time is not known: reads are not current for 10 s. A failure of the store within that time puts it off. In a restored store an agent takes its entry for no proof, and registers at its start if it has none, before its target's heartbeat. An agent that no balancer greets checks its entry after 8 s and not 20 s. Cost: in a restored store, lost flows are dropped and not reset for 10 s after a balancer's start. A store that was never restored sees no further call.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -101,7 +101,8 @@
     """What the agent knows of its registration in the store.
 
     Attributes:
-      is_read: Whether the store's entry of when the agent started is known.
+      is_read: Whether the store's entry of when the agent started is known. That
+        of a store that was restored may be older than the agent's last one.
       at_start: Identity of the target in it, None without an entry.
       target: Identity of the target that the store is known to hold.
       next_check_ms: Time from which a balancer's request to check it counts.
@@ -370,7 +371,10 @@
         return self._reset_flows(now_ms, lost,
                                  'target lost before the agent started')
 
-    def on_stored_target(self, now_ms: int, identity: str | None) -> None:
+    def on_stored_target(self,
+                         now_ms: int,
+                         identity: str | None,
+                         is_restored: bool = False) -> actions.Actions:
         """Handles the registration that the store held when the agent started.
 
         Explanation
@@ -384,17 +388,27 @@
         A process that starts again may have the settings of its first start. If
         an earlier one has registered itself, this one is not the first.
 
+        A store that was restored may lack what an earlier process has written.
+        So it proves nothing, and an agent that it lacks registers at once: the
+        target may hold flows, whose owner balancers look for among the
+        registered agents.
+
         Args:
           now_ms: Time.
           identity: Identity of the registered incarnation, empty if the agent
             had none when it registered, None if it has not registered.
+          is_restored: Whether the store was ever restored from a copy.
         """
+        self._own_entry.target = identity or ''
+        if is_restored:
+            return [actions.SaveRegistration()
+                   ] if identity is None and not self.status.identity else []
         self._own_entry.is_read = True
         self._own_entry.at_start = identity
-        self._own_entry.target = identity or ''
         if self._is_first_start and identity is None:
             self._mark_table_complete(now_ms)
         self._check_table_complete(now_ms)
+        return []
 
     def _on_registration_check(self, now_ms: int) -> actions.Actions:
         if now_ms < self._own_entry.next_check_ms:
--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -615,6 +615,23 @@
     assert messages.Denial((), ((KEY, 1001),)) in _sent(result)
 
 
+# A store that was restored may have the registration of an earlier target, or
+# none, though a process before this one has admitted flows to the target.
+@pytest.mark.parametrize('stored_target', (None, '', 'i-0@0'))
+@pytest.mark.parametrize('is_first_start', (False, True))
+def test_entry_in_a_restored_store_does_not_complete_the_table(
+        stored_target, is_first_start):
+    agent = agent_module.Agent(0, packets.TestFormat(), ids.ZoneName('a'),
+                               SERVICE, HEARTBEAT_MS, is_first_start)
+    result = agent.on_stored_target(0, stored_target, is_restored=True)
+    # Balancers look for the owners of flows among the registered agents.
+    assert _has(result, actions.SaveRegistration) == (stored_target is None)
+    _send_heartbeat(agent, 10, warmup_left_ms=500)
+    result = agent.on_message(20, BALANCER,
+                              messages.encode(messages.Ask(((KEY, 1001),))))
+    assert messages.Denial((), ((KEY, 1001),)) in _sent(result)
+
+
 def test_table_is_complete_if_the_store_responds_after_the_first_heartbeat():
     agent = _make_agent(is_first_start=False)
     _send_heartbeat(agent, 10, warmup_left_ms=500, stored=False)
--- a/figdrum/node/agent_process.py
+++ b/figdrum/node/agent_process.py
@@ -22,9 +22,9 @@
 # waits for a slot.
 HEALTH_TIMEOUT_MS = 400
 
-# Time in ms without a hello after which an agent checks that its registration
-# is still in the store. Balancers send a hello every 2.5 s.
-HELLO_TIMEOUT_MS = 20_000
+# Time in ms between two checks of the registration by an agent that no balancer
+# greets. The first one comes once the last balancer has been silent for 8 s.
+UNKNOWN_AGENT_CHECK_MS = 20_000
 
 # Share of the store's write rate that all agents together use when they check
 # what they have stored after a restore, and the longest time in ms that this
@@ -60,7 +60,8 @@
             self.log, self.rng)
         self._is_check_due = False
         self.adapter.store.on_restored(self._check_after_restore)
-        self._last_hello_ms = self.clock.now_ms()
+        self._next_unknown_check_ms = (self.clock.now_ms() +
+                                       UNKNOWN_AGENT_CHECK_MS)
         # Random within the period, so that agents do not all write at once.
         self._next_record_ms = self.clock.now_ms() + self.rng.randint(
             1, flow_records.MIN_WRITE_PERIOD_MS)
@@ -86,9 +87,9 @@
         if now_ms >= self._next_record_ms:
             self._record_flows(now_ms)
         if self._agent.has_balancers:
-            self._last_hello_ms = now_ms
-        elif now_ms - self._last_hello_ms >= HELLO_TIMEOUT_MS:
-            self._last_hello_ms = now_ms
+            self._next_unknown_check_ms = now_ms
+        elif now_ms >= self._next_unknown_check_ms:
+            self._next_unknown_check_ms = now_ms + UNKNOWN_AGENT_CHECK_MS
             self._registration_writer.verify()
 
     def on_timer(self) -> None:
@@ -172,12 +173,17 @@
         if registration is None:
             # An entry that cannot be read may have had any target.
             if not self._registration_writer.has_object:
-                self._agent.on_stored_target(self.clock.now_ms(), None)
+                self._on_stored_target(None)
             return
-        self._agent.on_stored_target(self.clock.now_ms(), registration.target)
+        self._on_stored_target(registration.target)
         self._query_health(
             functools.partial(self._restore_registration, registration))
 
+    def _on_stored_target(self, identity: str | None) -> None:
+        self._execute(
+            self._agent.on_stored_target(self.clock.now_ms(), identity,
+                                         self.adapter.store.era > 0))
+
     def _on_stored(self, value: object) -> None:
         registration = registrations.decode(self._object_name, value)
         if registration is not None:
--- a/figdrum/registry/mirror.py
+++ b/figdrum/registry/mirror.py
@@ -229,8 +229,8 @@
     def _apply_listing(self, listing: object_store.Listing) -> None:
         found = {entry.name for entry in listing.entries}
         era = revisions.era(listing.revision)
-        if 0 <= revisions.era(self.revision) < era:
-            self._side_reads.on_restored()
+        if max(0, revisions.era(self.revision)) < era:
+            self._side_reads.on_restored(self.revision < 0)
         self._apply(
             listing.entries,
             tuple(name for name, revision in self.revisions.items()
@@ -398,6 +398,7 @@
         self._timers.call_later(self._backoff.next_ms(), call)
 
     def _note_failure(self, exc: errors.StoreError) -> None:
+        self._side_reads.on_store_failure()
         if self._is_connected:
             self._is_connected = False
             self._log.write('store lost', kind=self._kind, reason=str(exc))
--- a/figdrum/registry/side_reads.py
+++ b/figdrum/registry/side_reads.py
@@ -23,6 +23,12 @@
 # Its writer writes it again within about 2 s.
 RESTORE_GRACE_MS = 3_000
 
+# Time in ms after a process has first seen a restored store in which it does
+# not take the store's objects for complete: the restore may have come just
+# before. An agent that no balancer knows finds out by itself only after 8 s
+# without a balancer and a check that takes 1 s.
+FIRST_CONTACT_GRACE_MS = 10_000
+
 # Called with whether the copy is current.
 OnRead = collections.abc.Callable[[bool], None]
 
@@ -63,7 +69,8 @@
         self._is_refreshing = False
         self._current_read_ms = clock.now_ms() - MIN_CURRENT_READ_INTERVAL_MS
         self._next_current_check_ms = clock.now_ms()
-        self._restored_ms: int | None = None
+        # Time until which the store may lack objects after a restore.
+        self._incomplete_until_ms = clock.now_ms()
         self._created_ms = clock.now_ms()
 
     def try_start_current_check(
@@ -80,9 +87,27 @@
         self._next_current_check_ms = now_ms + period_ms()
         return True
 
-    def on_restored(self) -> None:
-        """Records that the store was restored from an earlier copy."""
-        self._restored_ms = self._clock.now_ms()
+    def on_restored(self, is_first_contact: bool) -> None:
+        """Records that the store was restored from an earlier copy.
+
+        Args:
+          is_first_contact: Whether this process has not seen an earlier era, so
+            that it cannot know when the store was restored.
+        """
+        grace_ms = (FIRST_CONTACT_GRACE_MS
+                    if is_first_contact else RESTORE_GRACE_MS)
+        self._incomplete_until_ms = max(self._incomplete_until_ms,
+                                        self._clock.now_ms() + grace_ms)
+
+    def on_store_failure(self) -> None:
+        """Records that the store has not answered.
+
+        Writers may not have reached it either, and need more time.
+        """
+        if self._is_restore_recent():
+            self._incomplete_until_ms = max(
+                self._incomplete_until_ms,
+                self._clock.now_ms() + RESTORE_GRACE_MS)
 
     def refresh(self) -> None:
         """Lists the objects.
@@ -155,13 +180,13 @@
     ) -> bool:
         """Applies a read that is current; returns whether it is complete."""
         if isinstance(result, errors.StoreError):
+            self.on_store_failure()
             return False
-        is_restored = (0 <= revisions.era(self._copy.revision) < revisions.era(
-            result.revision))
+        is_restored = (max(0, revisions.era(self._copy.revision))
+                       < revisions.era(result.revision))
         self._copy.add(result.entries if isinstance(result, object_store.Listing
                                                    ) else result.changed)
         return not (is_restored or self._is_restore_recent())
 
     def _is_restore_recent(self) -> bool:
-        return (self._restored_ms is not None and
-                self._clock.now_ms() - self._restored_ms < RESTORE_GRACE_MS)
+        return self._clock.now_ms() < self._incomplete_until_ms
