--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -7,6 +7,7 @@
 
 from twisted.internet import protocol
 
+from standins.soak import flow_checker as flow_checker_module
 from standins.soak import layout
 from standins.soak import link as link_module
 from standins.soak import observations as observations_module
@@ -32,6 +33,11 @@
 # Requests that a client sends on one flow.
 REQUESTS_PER_FLOW = 20
 
+# Source ports that a client with few ports uses in turn, as a kernel hands out
+# ports again.
+FIRST_PORT = 30_001
+PORT_COUNT = 4
+
 # The same pause during a burst of requests.
 BURST_THINK_TIME_S = 0.03
 
@@ -74,6 +80,7 @@
 
     Attributes:
       link: Link that carries its packets, with the faults of that link.
+      has_few_ports: Whether it uses its ports again.
       is_bursting: Whether it opens a flow for each request, with short pauses.
     """
 
@@ -81,8 +88,7 @@
                  service: wire.Address, is_unsafe: bool, is_counted: bool,
                  router: Router, rng: random.Random,
                  observations: observations_module.Observations,
-                 flow_holders: typing.Callable[[wire.Address, wire.Address],
-                                               list[str]]):
+                 flow_checker: flow_checker_module.FlowChecker):
         self._reactor = reactor
         self._host = host
         self._zone = zone
@@ -91,11 +97,14 @@
         self._is_counted = is_counted
         self.link = link_module.Link(reactor, rng)
         self.is_bursting = False
+        self.has_few_ports = False
         self._router = router
         self._rng = rng
         self._observations = observations
-        self._flow_holders = flow_holders
-        self._source_port = 30_000
+        self._flow_checker = flow_checker
+        self._source_port = FIRST_PORT - 1
+        self._first_seq = 0
+        self._server_first = 0
         self._request_count = 0
         self._timers: list[typing.Any] = []
         self._is_flow_open = False
@@ -130,7 +139,8 @@
             self._observations.note_violation('changed packet', self._now_ms(),
                                               f'{self._host}: {packet}')
         if packet.flags & wire.SYN:
-            self._on_accepted(packet)
+            if packet.ack == self._first_seq + 1:
+                self._on_accepted(packet)
         elif (packet.data and self._is_request_pending and
               packet.seq == self._ack):
             self._on_answer(packet)
@@ -139,6 +149,12 @@
     def _is_request_pending(self) -> bool:
         return self._deadline is not None and self._deadline.active()
 
+    @property
+    def _flow(self) -> flow_checker_module.Flow:
+        return flow_checker_module.Flow((self._host, self._source_port),
+                                        self._first_seq, self._server_first,
+                                        self._service)
+
     def _now_ms(self) -> int:
         return int(self._reactor.seconds() * 1_000)
 
@@ -161,8 +177,11 @@
         self._cancel_timers()
         self._close_flow()
         self._source_port += 1
+        if self.has_few_ports and self._source_port >= FIRST_PORT + PORT_COUNT:
+            self._source_port = FIRST_PORT
         self._is_flow_open = False
-        self._seq = 1
+        self._first_seq = self._rng.getrandbits(31)
+        self._seq = self._first_seq + 1
         self._ack = 0
         self._send_opening(0)
         for copy_number, delay_s in enumerate(SYN_RETRANSMIT_TIMES_S, 1):
@@ -174,13 +193,14 @@
             self._send(wire.FIN | wire.ACK, self._seq, self._ack)
 
     def _send_opening(self, copy_number: int) -> None:
-        self._send(wire.SYN, 0, copy_number)
+        self._send(wire.SYN, self._first_seq, copy_number)
 
     def _on_accepted(self, packet: wire.Packet) -> None:
         if self._is_flow_open or not self._is_request_pending:
             return
         self._cancel_timers()
         self._is_flow_open = True
+        self._server_first = packet.seq
         self._ack = packet.seq + 1
         self._send(wire.ACK, self._seq, self._ack)
         self._send_request()
@@ -212,12 +232,7 @@
         if was_open:
             if not -76_800 <= packet.seq - self._ack <= 76_800:
                 return
-            flow_holders = self._flow_holders((self._host, self._source_port),
-                                              self._service)
-            if flow_holders:
-                self._observations.note_violation(
-                    'open flow reset', self._now_ms(),
-                    f'{self._host}:{self._source_port} held by {flow_holders}')
+            self._flow_checker.check_reset(self._now_ms(), self._flow)
         self._is_flow_open = False
         self._cancel_timers()
         if not self._is_request_pending:
@@ -244,7 +259,9 @@
         src = (self._host, self._source_port)
         node = self._router.choose(self._zone, f'{src}')
         if flags & wire.SYN:
-            self._observations.note_opening(src, self._now_ms(), node.name)
+            self._observations.note_opening(src, seq, self._now_ms(), node.name)
+        else:
+            self._flow_checker.note_sent(self._now_ms(), self._flow, node.name)
         self.link.transmit(
             functools.partial(self._write, (node.host, layout.PACKET_PORT)),
             wire.encode(flags, src, self._service, seq, ack, data))
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -12,6 +12,7 @@
 from twisted.internet import threads
 
 from standins.soak import clients as clients_module
+from standins.soak import flow_checker as flow_checker_module
 from standins.soak import layout
 from standins.soak import observations as observations_module
 from standins.soak import opening_checker as opening_checker_module
@@ -57,6 +58,8 @@
         self.network = network
         self.opening_checker = opening_checker_module.OpeningChecker(
             self.observations)
+        self.flow_checker = flow_checker_module.FlowChecker(
+            self.observations, self.flow_holders)
         self.processes: dict[str, subprocess.Popen] = {}
         self.missed_checks: dict[str, int] = {}
         self._directory = directory
@@ -84,7 +87,8 @@
         self.servers = {
             m.name:
                 servers_module.Server(reactor, m, self.rng, self.observations,
-                                      self.opening_checker) for m in self.agents
+                                      self.opening_checker, self.flow_checker)
+            for m in self.agents
         }
         self.clients = [
             clients_module.Client(
@@ -99,8 +103,12 @@
                 router=self.router,
                 rng=self.rng,
                 observations=self.observations,
-                flow_holders=self.flow_holders) for n in range(client_count)
+                flow_checker=self.flow_checker) for n in range(client_count)
         ]
+        # Drawn apart, so that the faults of earlier seeds stay as they are.
+        has_few_ports = random.Random(f'{seed} ports').random() < 0.5
+        for client in self.clients:
+            client.has_few_ports = has_few_ports
         self.version = 1
         # Drawn apart, so that the faults of earlier seeds stay as they are.
         self.keeps_settings = random.Random(f'{seed} settings').random() < 0.5
@@ -212,21 +220,19 @@
             machine.name,
             self.now_ms() + int(duration_s * 1_000))
 
-    def flow_holders(self, client: wire.Address,
-                     service: wire.Address) -> list[str]:
-        """Returns names of running servers that hold an open flow of a client.
+    def flow_holders(
+            self,
+            flow: flow_checker_module.Flow) -> list[flow_checker_module.Holder]:
+        """Returns the running servers that hold an open flow of a client.
 
-        Args:
-          client: The client's address.
-          service: The service's address. If its route may have been removed, no
-            server counts as a holder.
+        There are none if the route of the flow's service may have been removed.
         """
-        if not self.opening_checker.is_routed(self.now_ms(), service):
+        if not self.opening_checker.is_routed(self.now_ms(), flow.service):
             return []
         return [
-            s.name
+            flow_checker_module.Holder(s.name, s.machine.name)
             for s in self.servers.values()
-            if s.is_alive and client in s.flows and s.flows[client].is_open
+            if s.holds(flow)
         ]
 
     def check_unused_servers(self) -> None:
--- a/standins/soak/observations.py
+++ b/standins/soak/observations.py
@@ -44,7 +44,7 @@
       executions: Number of executions of each request.
       disturbed_until_ms: End of the last disturbance, by machine name or STORE.
       outcomes: Number of requests by outcome.
-      openings: Opening packets, by client address.
+      openings: Opening packets, by client address and sequence number.
     """
 
     def __init__(self):
@@ -54,7 +54,7 @@
         self.executions: collections.Counter[str] = collections.Counter()
         self.disturbed_until_ms: dict[str, int] = {}
         self.outcomes: collections.Counter[str] = collections.Counter()
-        self.openings: dict[wire.Address, Opening] = {}
+        self.openings: dict[tuple[wire.Address, int], Opening] = {}
 
     def note_violation(self, rule: str, at_ms: int, what: str) -> None:
         """Records a violation of a guarantee."""
@@ -73,10 +73,10 @@
         return now_ms - self.disturbed_until_ms.get(
             name, -layout.RECONNECT_MS) >= layout.RECONNECT_MS
 
-    def note_opening(self, src: wire.Address, at_ms: int,
+    def note_opening(self, src: wire.Address, seq: int, at_ms: int,
                      balancer: str) -> None:
         """Records that an opening packet, or a copy of it, was sent."""
-        opening = self.openings.setdefault(src, Opening(at_ms, set()))
+        opening = self.openings.setdefault((src, seq), Opening(at_ms, set()))
         opening.balancers.add(balancer)
 
     def note_execution(self, request: str, is_unsafe: bool, at_ms: int) -> None:
--- a/standins/soak/opening_checker.py
+++ b/standins/soak/opening_checker.py
@@ -54,7 +54,7 @@
                 v.services.get(packet.dst) == machine.service
                 for v in self._versions):
             self._observations.note_violation('wrong service', now_ms, what)
-        opening = self._observations.openings.get(packet.src)
+        opening = self._observations.openings.get((packet.src, packet.seq))
         if opening is not None:
             machines = [
                 machine.name, observations_module.STORE, *opening.balancers
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -11,6 +11,7 @@
 from twisted.web import resource
 from twisted.web import server as web_server
 
+from standins.soak import flow_checker as flow_checker_module
 from standins.soak import layout
 from standins.soak import link as link_module
 from standins.soak import observations as observations_module
@@ -37,22 +38,26 @@
     """State of a flow at a server.
 
     Attributes:
+      client_first: Sequence number of the opening packet.
       initial_seq: Sequence number of the acceptance.
       next_seq: Sequence number of the next byte sent.
       expected_seq: Sequence number of the next request.
       answers: Packets sent as answers, by sequence number of the request; a
         retransmitted request gets the same answer.
       is_open: Whether a packet followed the opening packet.
+      is_closed: Whether the client has closed it.
     """
-    __slots__ = ('initial_seq', 'next_seq', 'expected_seq', 'answers',
-                 'is_open')
+    __slots__ = ('client_first', 'initial_seq', 'next_seq', 'expected_seq',
+                 'answers', 'is_open', 'is_closed')
 
-    def __init__(self, initial_seq: int):
+    def __init__(self, client_first: int, initial_seq: int):
+        self.client_first = client_first
         self.initial_seq = initial_seq
         self.next_seq = initial_seq + 1
-        self.expected_seq = 1
+        self.expected_seq = client_first + 1
         self.answers: dict[int, bytes] = {}
         self.is_open = False
+        self.is_closed = False
 
 
 # One object holds the whole state of a server.
@@ -80,13 +85,15 @@
     def __init__(self, reactor: typing.Any, machine: layout.Machine,
                  rng: random.Random,
                  observations: observations_module.Observations,
-                 opening_checker: opening_checker_module.OpeningChecker):
+                 opening_checker: opening_checker_module.OpeningChecker,
+                 flow_checker: flow_checker_module.FlowChecker):
         resource.Resource.__init__(self)
         self.machine = machine
         self._reactor = reactor
         self._rng = rng
         self._observations = observations
         self._opening_checker = opening_checker
+        self._flow_checker = flow_checker
         self.link = link_module.Link(reactor, rng)
         self._incarnation_count = 0
         self._udp: typing.Any = None
@@ -181,18 +188,29 @@
         if (acknowledged_ms is not None and
                 now_ms - acknowledged_ms > layout.DRAIN_MS):
             self._observations.note_violation('drain', now_ms, self.name)
-        if packet.src not in self.flows:
+        flow = self.flows.get(packet.src)
+        is_new = flow is None or flow.client_first != packet.seq
+        if is_new:
             self.last_opening_ms = now_ms
             if now_ms - self.started_ms < WARMUP_S * 1_000:
                 self._check_cold_limit(now_ms)
-        if self.state != 'ready' and packet.src not in self.flows:
+        if self.state != 'ready' and is_new:
             self._send(wire.bounce(raw))
             return
-        flow = self.flows.setdefault(packet.src,
-                                     _Flow(self._rng.getrandbits(31)))
+        if is_new:
+            # The client does not use the port for an earlier flow any more.
+            flow = self.flows[packet.src] = _Flow(packet.seq,
+                                                  self._rng.getrandbits(31))
         self._send(
             wire.encode(wire.SYN | wire.ACK, packet.dst, packet.src,
-                        flow.initial_seq, 1))
+                        flow.initial_seq, packet.seq + 1))
+
+    def holds(self, flow: flow_checker_module.Flow) -> bool:
+        """Returns whether it holds a flow that its client has accepted."""
+        known = self.flows.get(flow.client)
+        return (self.is_alive and known is not None and not known.is_closed and
+                known.client_first == flow.first_seq and
+                known.initial_seq == flow.server_first)
 
     def _check_cold_limit(self, now_ms: int) -> None:
         taken = self._cold_openings
@@ -206,13 +224,21 @@
     def _on_flow_packet(self, packet: wire.Packet, raw: bytes) -> None:
         flow = self.flows.get(packet.src)
         if flow is None or not 0 < packet.ack - flow.initial_seq < 1 << 24:
+            self._flow_checker.note_stray(self.now_ms(), packet, self.name)
             self._send(wire.bounce(raw))
             return
+        self._flow_checker.note_held(self.now_ms(), packet.src,
+                                     flow.client_first)
         flow.is_open = True
         if packet.flags & wire.FIN:
+            flow.is_closed = True
             self._send(
                 wire.encode(wire.FIN | wire.ACK, packet.dst, packet.src,
                             flow.next_seq, packet.seq + 1))
+        elif packet.data and flow.is_closed:
+            self._send(
+                wire.encode(wire.RST, packet.dst, packet.src, packet.ack, 0))
+            return
         if not packet.data:
             return
         answer = flow.answers.get(packet.seq)
--- a/standins/soak/tests/test_clients.py
+++ b/standins/soak/tests/test_clients.py
@@ -5,6 +5,7 @@
 from twisted.internet import task
 
 from standins.soak import clients
+from standins.soak import flow_checker
 from standins.soak import layout
 from standins.soak import observations as observations_module
 from standins.soak import wire
@@ -56,7 +57,8 @@
                             router=clients.Router(front),
                             rng=random.Random(1),
                             observations=observations,
-                            flow_holders=lambda _, __: [])
+                            flow_checker=flow_checker.FlowChecker(
+                                observations, lambda _: []))
     client.start()
     clock.advance(1.0)
     return client
@@ -64,7 +66,7 @@
 
 def _accept(opening: wire.Packet) -> bytes:
     return wire.encode(wire.SYN | wire.ACK, SERVICE, opening.src, INITIAL_SEQ,
-                       1)
+                       opening.seq + 1)
 
 
 def test_answer_after_the_deadline_starts_no_second_request():
