Do not take a refused health connection for the end of a target's flows

Cause: a health request whose connection is refused ended all flows of the target. The endpoint for health and the socket for flows are two: a target that drains may close the first long before its last flow, and some kernels refuse connections while the queue of accepted ones is full. Class: a failure of one thing, taken for the end of another. Change: the target gets no new flows. Its flows end by its machine's refusal of a datagram, by its word on each packet, or with its next incarnation. Test: test_health_connection_without_answer_resets_nothing; the case False fails before.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -462,6 +462,10 @@
                         alive: bool | None) -> actions.Actions:
         """Handles the result of a health probe.
 
+        A target that gets no new flows is enough without a response. Its flows
+        stay: it may have closed its health endpoint before its last flow, and
+        some systems refuse connections while too many wait.
+
         Args:
           now_ms: Time.
           alive: True if the target responded, False if its machine refused the
@@ -470,15 +474,15 @@
         if alive:
             self.status.last_heard_ms = now_ms
             return []
-        if alive is None:
-            if self.status.was_heard_since_probe():
-                return []
-            self.status.state = TargetState.DOWN
-            return self._announce_state(now_ms, 'health probe timed out')
-        return self.on_target_gone(now_ms)
+        if self.status.was_heard_since_probe():
+            return []
+        self.status.state = TargetState.DOWN
+        return self._announce_state(
+            now_ms, 'health probe timed out'
+            if alive is None else 'health connection refused')
 
     def on_target_gone(self, now_ms: int) -> actions.Actions:
-        """Marks the target as down: nothing listens at its address."""
+        """Marks the target as down: no process has a socket for its flows."""
         if self.status.state is TargetState.DOWN and not self.flow_count:
             return []
         self.status.state = TargetState.DOWN
--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -524,6 +524,21 @@
     assert _sent(later) == [messages.NotHeld(KEY, 1001, True)]
 
 
+# A target that is draining may have stopped listening for health requests, and
+# some kernels refuse connections while too many wait to be accepted.
+@pytest.mark.parametrize('alive', (False, None))
+def test_health_connection_without_answer_resets_nothing(alive):
+    agent = _make_agent()
+    _send_heartbeat(agent, 0, state=target_module.TargetState.DRAINING)
+    _open_flow(agent, 10)
+    agent.status.try_start_probe(90)
+    result = agent.on_probe_result(100, alive)
+    assert not _has(result, actions.SendToClient)
+    assert agent.status.state is target_module.TargetState.DOWN
+    later = _forward_packet(agent, 150, packets.build(0, KEY, 8, 1001, 50))
+    assert actions.SendToTarget(packets.build(0, KEY, 8, 1001, 50)) in later
+
+
 def test_flow_that_opened_elsewhere_is_not_reset_with_the_target():
     agent = _make_agent()
     _send_heartbeat(agent, 0)
