Wait for a slow agent before a search sends a flow's packet to further targets

Callers saw: packets of an open flow went to other back ends, and none to its own; the request got no answer. Cause: an agent that had not answered a query within 60 ms was given up for the whole search. If agents have restarted and cannot tell without their targets, the packet went to the targets of all others, one after the other, and each further search did the same once the agents' denials had expired. The owner's agent, which answers each time a little too late, never got it. The agents' answers were also taken in the order of their arrival, so that the owner's came last. Class: a time bound that holds on an idle machine, taken for proof that a process is away. Change: an agent without an answer is slow for 300 ms. Meanwhile further agents are queried, at most two targets get the packet, a late answer counts, and a retransmission repeats the query. Agents that have missed reports are queried with the first ones, without waiting for them. Agents that cannot tell get the packet in the flow's order.

--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -10,7 +10,6 @@
 denied is reset only after the store's current registrations were read.
 """
 
-import itertools
 import typing
 
 from figdrum.core import errors
@@ -390,7 +389,7 @@
                    if search.verdict is owner_search.Verdict.OPEN]
         for key, search in running:
             search.expire_queries(now_ms)
-            for agent in search.silent:
+            for agent in (*search.slow, *search.silent):
                 view = self.targets.by_agent(agent)
                 if view is not None:
                     view.record_unanswered(search.started_ms)
@@ -581,17 +580,24 @@
         search = self._searches.get(segment.key)
         if search is not None and search.is_for(segment.ack):
             search.buffer_packet(segment.raw)
-            return []
+            return [
+                _make_query(query.agent, [(segment.key, search.ack)])
+                for query in search.repeat_queries(now_ms)
+            ]
         if len(self._searches) - len(self._unproven) >= MAX_SEARCHES:
             return []
         tags = {messages.service_tag(share.service) for share in route.shares}
-        agents = (view.agent
-                  for view in self.targets.all_in_flow_order(segment.key, tags)
-                  if not view.is_silent(now_ms))
-        first = list(itertools.islice(agents, owner_search.INITIAL_QUERY_COUNT))
+        first: list[ids.Address] = []
+        silent: set[ids.Address] = set()
+        for view in self.targets.all_in_flow_order(segment.key, tags):
+            first.append(view.agent)
+            if view.is_silent(now_ms):
+                silent.add(view.agent)
+            if len(first) - len(silent) == owner_search.INITIAL_QUERY_COUNT:
+                break
         tag = messages.service_tag(routes.pick_service(route, segment.key))
         search = owner_search.OwnerSearch(now_ms, first, segment.raw,
-                                          segment.ack, tag)
+                                          segment.ack, tag, silent)
         self._searches[segment.key] = search
         return self._continue_search(now_ms, segment.key, search) + [
             actions.StartTimer(owner_search.QUERY_TIMEOUT_MS)
--- a/figdrum/flows/owner_search.py
+++ b/figdrum/flows/owner_search.py
@@ -10,6 +10,10 @@
 agents get the packet one after the other, since a flow's packets should reach
 as few targets as possible that do not hold it.
 
+An agent that does not answer at once is slow, and may be the owner's. The
+search goes on with the others, but few of them get the packet before a slow
+agent counts as silent.
+
 The list of agents may lag, and an agent that it lacks may hold the flow. Before
 the search ends without an owner, it needs a list that was read after its start.
 
@@ -35,7 +39,6 @@
 ([], <Verdict.NO_OWNER: 'no owner'>)
 """
 
-import collections
 import collections.abc
 import enum
 import typing
@@ -51,11 +54,19 @@
 # probably none does, so the others get it in parallel.
 MAX_SERIAL_DELIVERIES = 8
 
+# Targets that get the packet while a slow agent may still answer. Three packets
+# of a flow at other targets only, within 2 s, count as a broken flow.
+MAX_DELIVERIES_BESIDE_SLOW = 2
+
 # Time in ms within which an agent answers. Queries are batched for 10 ms, the
 # agent may wait 15 ms for its target, and the rest covers scheduling delays of
-# both processes.
+# both processes. An agent that takes longer is slow.
 QUERY_TIMEOUT_MS = 60
 
+# Time in ms after which a slow agent counts as silent. On a crowded machine a
+# process may wait that long for the processor.
+SILENCE_TIMEOUT_MS = 300
+
 # Period of the checks for agents that have not answered, in ms.
 TIMEOUT_CHECK_PERIOD_MS = 10
 
@@ -104,14 +115,22 @@
       buffered_packets: Later packets of the flow, buffered until the search
         ends.
       silent: Agents that did not answer in time.
+      slow: Agents that have not answered yet but still may, with the time of
+        the last query in ms.
       query_count: Number of agents queried so far.
       needs_all_agents: Whether the first agents have denied the flow, and the
         search goes on once it has got all agents.
       verdict: Result of the search.
     """
 
-    def __init__(self, now_ms: int, first: list[ids.Address], raw: bytes,
-                 ack: int, tag: int):
+    # pylint: disable-next=too-many-positional-arguments
+    def __init__(self,
+                 now_ms: int,
+                 first: list[ids.Address],
+                 raw: bytes,
+                 ack: int,
+                 tag: int,
+                 unresponsive: collections.abc.Container[ids.Address] = ()):
         """Creates a search.
 
         Args:
@@ -120,22 +139,27 @@
           raw: The packet that started the search.
           ack: The client's acknowledgement number in that packet.
           tag: `messages.service_tag` of the service of the flow's route.
+          unresponsive: Those of `first` that have missed reports or answers. The
+            search does not wait for them before it queries others.
         """
+        self._unresponsive = unresponsive
         self.started_ms = now_ms
         self.raw = raw
         self.ack = ack
         self.tag = tag
         self.buffered_packets: list[bytes] = []
         self.silent: list[ids.Address] = []
+        self.slow: dict[ids.Address, int] = {}
         self.query_count = 0
         self.verdict = Verdict.OPEN
         self.needs_all_agents = False
         self._unqueried = first
-        self._known = set(first)
+        # Place of each agent in the order of likely owners.
+        self._order = {agent: place for place, agent in enumerate(first)}
         self._has_all_agents = False
         self._has_current_agents = False
         self._pending: dict[ids.Address, int] = {}
-        self._unsure: collections.deque[ids.Address] = collections.deque()
+        self._unsure: list[ids.Address] = []
         self._delivered_to: set[ids.Address] = set()
 
     def add_agents(self,
@@ -151,8 +175,10 @@
         self._has_all_agents = True
         self._has_current_agents = is_current
         self.verdict = Verdict.OPEN
-        added = [agent for agent in agents if agent not in self._known]
-        self._known.update(added)
+        added = [agent for agent in agents if agent not in self._order]
+        self._order.update(
+            (agent, place)
+            for place, agent in enumerate(added, len(self._order)))
         self._unqueried += added
 
     def is_for(self, ack: int) -> bool:
@@ -169,20 +195,48 @@
 
     def on_denied(self, agent: ids.Address) -> None:
         """Records that an agent's target does not hold the flow."""
-        self._pending.pop(agent, None)
+        self._on_answer(agent)
 
     def on_unsure(self, agent: ids.Address) -> None:
         """Records that an agent does not know whether its target holds it."""
-        if self._pending.pop(agent, None) is not None:
+        # An answer to an earlier query says nothing about the packet itself.
+        if agent not in self._delivered_to and self._on_answer(agent):
             self._unsure.append(agent)
+            self._unsure.sort(key=self._order.__getitem__)
+
+    def _on_answer(self, agent: ids.Address) -> bool:
+        """Returns whether an answer of the agent was expected."""
+        if agent in self.silent:
+            self.silent.remove(agent)
+            return True
+        return (self._pending.pop(agent, None) is not None or
+                self.slow.pop(agent, None) is not None)
 
     def expire_queries(self, now_ms: int) -> None:
-        """Adds agents that have not answered in time to `silent`."""
+        """Moves agents that have not answered in time to `slow` or `silent`."""
         for agent, sent_ms in tuple(self._pending.items()):
             if now_ms - sent_ms >= QUERY_TIMEOUT_MS:
                 del self._pending[agent]
+                self.slow[agent] = sent_ms
+        for agent, sent_ms in tuple(self.slow.items()):
+            if now_ms - sent_ms >= SILENCE_TIMEOUT_MS:
+                del self.slow[agent]
                 self.silent.append(agent)
 
+    def repeat_queries(self, now_ms: int) -> list[OwnerQuery]:
+        """Returns new queries to the slow agents; for a retransmitted packet.
+
+        The processes may have started after the last query. An agent that has
+        got the packet itself answers once its target has.
+        """
+        agents = [
+            agent for agent, sent_ms in self.slow.items()
+            if (agent not in self._delivered_to and now_ms -
+                sent_ms >= QUERY_TIMEOUT_MS)
+        ]
+        self.slow.update((agent, now_ms) for agent in agents)
+        return [OwnerQuery(agent, True) for agent in agents]
+
     def steps(self, now_ms: int) -> list[OwnerQuery | TrialDelivery]:
         """Returns the next steps.
 
@@ -192,12 +246,16 @@
         if self._pending:
             return []
         if self._unsure:
+            if (self.slow and
+                    len(self._delivered_to) >= MAX_DELIVERIES_BESIDE_SLOW):
+                return []
             count = 1
             if len(self._delivered_to) >= MAX_SERIAL_DELIVERIES:
                 count = len(self._unsure)
+            agents, self._unsure = self._unsure[:count], self._unsure[count:]
             return [
-                self._start_step(now_ms, TrialDelivery(self._unsure.popleft()))
-                for _ in range(count)
+                self._start_step(now_ms, TrialDelivery(agent))
+                for agent in agents
             ]
         if self._unqueried:
             is_urgent = not self._has_all_agents
@@ -210,6 +268,8 @@
         if not self._has_all_agents:
             self.needs_all_agents = True
             return []
+        if self.slow:
+            return []
         if self.silent or not self.query_count:
             self.verdict = Verdict.UNKNOWN
         elif not self._has_current_agents:
@@ -227,5 +287,8 @@
             step: OwnerQuery | TrialDelivery) -> OwnerQuery | TrialDelivery:
         if isinstance(step, TrialDelivery):
             self._delivered_to.add(step.agent)
-        self._pending[step.agent] = now_ms
+        if (isinstance(step, OwnerQuery) and step.agent in self._unresponsive):
+            self.slow[step.agent] = now_ms
+        else:
+            self._pending[step.agent] = now_ms
         return step
--- a/figdrum/flows/tests/simulation.py
+++ b/figdrum/flows/tests/simulation.py
@@ -193,6 +193,8 @@
         self.sent_bytes = 0
         self.removed_registrations: list[str] = []
         self.silent: set[ids.Address] = set()
+        # Additional delay of messages to a process and from it.
+        self.delays_ms: dict[ids.Address, int] = {}
         # Pairs of processes that cannot reach each other.
         self.cut: set[tuple[ids.Address, ids.Address]] = set()
         self.cfg: routes.Configuration | None = None
@@ -496,7 +498,9 @@
                     action.address,
                     controller.on_message(self.now_ms, origin, action.data))
 
-        self.after(HOP_MS, deliver)
+        self.after(
+            HOP_MS + self.delays_ms.get(origin, 0) +
+            self.delays_ms.get(action.address, 0), deliver)
 
 
 class Client:
@@ -554,6 +558,11 @@
                       packets.build(0, self.key, self._seq, self._ack, 50))
         self._seq += 50
 
+    def repeat_request(self) -> None:
+        """Sends the last request again."""
+        self._seq -= 50
+        self.request()
+
     def acknowledge(self) -> None:
         """Acknowledges the target's answer to the opening packet."""
         self._note_ack()
--- a/figdrum/flows/tests/test_owner_search.py
+++ b/figdrum/flows/tests/test_owner_search.py
@@ -255,3 +255,39 @@
     # 46 agents, a query and an answer each, 16 bytes per flow in both. The
     # limit is twice that.
     assert (sim.sent_bytes - sent_before) / 100 < 46 * 2 * 16 * 2
+
+
+def _send_until_answered(sim: simulation.Simulation,
+                         client: simulation.Client) -> None:
+    """Sends a request, and its copies as the users' clients do."""
+    answers = client.answers
+    client.request()
+    for delay_ms in (200, 400, 800):
+        sim.run(delay_ms)
+        if client.answers > answers:
+            return
+        client.repeat_request()
+    sim.run(600)
+
+
+# On a crowded machine an agent may take longer to answer than a search waits.
+# The packet then reached one target after the other, but not its own.
+@pytest.mark.parametrize('delay_ms', (40, 80, 120))
+def test_flow_of_a_slow_agent_reaches_few_other_targets(sim, delay_ms):
+    clients = _open_flows(sim, 30)
+    owners = [client.owner for client in clients]
+    for address in sim.targets:
+        sim.restart_agent(address)
+    for client, owner in zip(clients, owners):
+        sim.delays_ms = {(owner.name, 2): delay_ms}
+        client.balancer = ('front-2', 1)
+        _send_until_answered(sim, client)
+    strays = [
+        sum(t.strays[client.key]
+            for t in sim.targets.values())
+        for client in clients
+    ]
+    assert max(strays) <= 2
+    # A copy of the request is answered, too.
+    assert all(client.answers >= 2 for client in clients)
+    assert not any(sim.resets(client.key) for client in clients)
--- a/spec/flow_owners.py
+++ b/spec/flow_owners.py
@@ -37,7 +37,7 @@
 
 # Time that passes in one step. An agent that has not answered by then counts as
 # silent.
-STEP_MS = search_lib.QUERY_TIMEOUT_MS
+STEP_MS = search_lib.SILENCE_TIMEOUT_MS
 
 KEY = packets.flow_key(1)
 ZONE = ids.ZoneName('a')
