--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -101,8 +101,8 @@
     """What the agent knows of its registration in the store.
 
     Attributes:
-      is_read: Whether the store's entry of when the agent started is known. That
-        of a store that was restored may be older than the agent's last one.
+      is_read: Whether the store's entry of when the agent started is known.
+        That of a store that was restored may be older than the last one.
       at_start: Identity of the target in it, None without an entry.
       target: Identity of the target that the store is known to hold.
       next_check_ms: Time from which a balancer's request to check it counts.
--- a/figdrum/flows/owner_search.py
+++ b/figdrum/flows/owner_search.py
@@ -104,6 +104,8 @@
     agent: ids.Address
 
 
+# One object holds the whole state of a search.
+# pylint: disable-next=too-many-instance-attributes
 class OwnerSearch:
     """State of the search for the owner of one flow.
 
@@ -139,8 +141,8 @@
           raw: The packet that started the search.
           ack: The client's acknowledgement number in that packet.
           tag: `messages.service_tag` of the service of the flow's route.
-          unresponsive: Those of `first` that have missed reports or answers. The
-            search does not wait for them before it queries others.
+          unresponsive: Those of `first` that have missed reports or answers.
+            The search does not wait for them before it queries others.
         """
         self._unresponsive = unresponsive
         self.started_ms = now_ms
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -19,7 +19,6 @@
 from standins.soak import proxy as proxy_module
 from standins.soak import servers as servers_module
 from standins.soak import store as store_module
-from standins.soak import wire
 
 READY_PERIOD_S = 0.5
 READY_TIMEOUT_S = 0.4
--- a/standins/soak/flow_checker.py
+++ b/standins/soak/flow_checker.py
@@ -7,8 +7,8 @@
 from standins.soak import observations as observations_module
 from standins.soak import wire
 
-# Packets of a flow at other servers that violate the guarantee if its own server
-# has got none for as long.
+# Packets of a flow at other servers within `layout.REORDER_MS` that violate the
+# guarantee if its own server has got none meanwhile.
 STRAY_LIMIT = 3
 
 
