Let neither a taken metrics port nor an error of an earlier datagram end a process

Cause: the port of the metrics was bound like those of the flows, and errors other than 'refused' that the kernel reports for earlier datagrams were not caught. Class: a failure of what a process can do without, taken for one of its own. Change: the process runs on, logs 'metrics not served' and tries again each 5 s. Read errors of UDP sockets are counted.

--- a/figdrum/node/node.py
+++ b/figdrum/node/node.py
@@ -21,6 +21,10 @@
 METRICS_PORT = 9_464
 METRICS_PATH = '/metrics'
 
+# Time in ms after which a process tries again to listen for requests of its
+# metrics, if another process has the port.
+METRICS_RETRY_MS = 5_000
+
 # Period of the checks whether the settings file has changed, in ms. It may
 # change without a SIGHUP.
 SETTINGS_CHECK_PERIOD_MS = 1_000
@@ -55,8 +59,7 @@
                        role=self._role,
                        zone=self.cfg.zone,
                        first_start=agent_cfg.first_start if agent_cfg else None)
-        http_server.HttpServer(self.loop, (host, METRICS_PORT),
-                               self._on_metrics)
+        self._serve_metrics((host, METRICS_PORT))
         self.loop.on_signal(signal.SIGHUP, self._reload)
         self.loop.on_signal(signal.SIGTERM, self.on_stop)
         self.loop.call_every(SETTINGS_CHECK_PERIOD_MS,
@@ -133,6 +136,15 @@
         self._timer = None
         self.on_timer()
 
+    def _serve_metrics(self, address: ids.Address) -> None:
+        try:
+            http_server.HttpServer(self.loop, address, self._on_metrics)
+        except OSError as exc:
+            # Flows do not depend on metrics.
+            self.log.write('metrics not served', reason=exc.strerror)
+            self.loop.call_later(METRICS_RETRY_MS,
+                                 lambda: self._serve_metrics(address))
+
     def _on_metrics(self, req: http_server.Request) -> http_server.Response:
         if req.path != METRICS_PATH:
             return http_server.Response(404)
--- a/figdrum/runtime/udp.py
+++ b/figdrum/runtime/udp.py
@@ -27,6 +27,8 @@
       unsent_count: Number of datagrams that the kernel did not accept.
       refused_count: Number of sends and reads that failed because a receiver
         had no socket.
+      failed_read_count: Number of reads with another error, which the kernel
+        reports for datagrams sent before.
     """
 
     def __init__(self, loop: loop_module.Loop, address: ids.Address,
@@ -41,6 +43,7 @@
         self._loop = loop
         self.unsent_count = 0
         self.refused_count = 0
+        self.failed_read_count = 0
         loop.watch(self._sock, self._read)
 
     @property
@@ -73,6 +76,9 @@
             except ConnectionRefusedError:
                 self.refused_count += 1
                 continue
+            except OSError:
+                self.failed_read_count += 1
+                continue
             self._on_datagram(data, address)
 
 
@@ -81,6 +87,8 @@
 
     Attributes:
       unsent_count: Number of datagrams that the kernel did not accept.
+      failed_read_count: Number of errors of datagrams sent before, other than
+        that nothing listens.
     """
 
     def __init__(self, loop: loop_module.Loop, host: str, peer: ids.Address,
@@ -91,6 +99,7 @@
         self._sock.connect(peer)
         self._on_refused = on_refused
         self.unsent_count = 0
+        self.failed_read_count = 0
         loop.watch(self._sock, self._read)
 
     def send(self, data: bytes) -> None:
@@ -111,3 +120,5 @@
             return
         except ConnectionRefusedError:
             self._on_refused()
+        except OSError:
+            self.failed_read_count += 1
