Let only agents that were heard lately hold up a search

Change: an agent that does not answer is slow only if it was heard within 2.5 s or two of its report periods; otherwise it is silent after 60 ms, as before.

--- a/figdrum/flows/balancer.py
+++ b/figdrum/flows/balancer.py
@@ -392,11 +392,16 @@
     def on_timer(self, now_ms: int) -> actions.Actions:
         """Sends batched queries and continues searches that have timed out."""
         result = self._send_queries()
+
+        def is_heard(agent: ids.Address) -> bool:
+            view = self.targets.by_agent(agent)
+            return view is not None and view.was_heard_lately(now_ms)
+
         running = [(key, search)
                    for key, search in self._searches.items()
                    if search.verdict is owner_search.Verdict.OPEN]
         for key, search in running:
-            search.expire_queries(now_ms)
+            search.expire_queries(now_ms, is_heard)
             for agent in (*search.slow, *search.silent):
                 view = self.targets.by_agent(agent)
                 if view is not None:
@@ -596,16 +601,19 @@
             return []
         tags = {messages.service_tag(share.service) for share in route.shares}
         first: list[ids.Address] = []
-        silent: set[ids.Address] = set()
+        unresponsive: set[ids.Address] = set()
         for view in self.targets.all_in_flow_order(segment.key, tags):
-            first.append(view.agent)
             if view.is_silent(now_ms):
-                silent.add(view.agent)
-            if len(first) - len(silent) == owner_search.INITIAL_QUERY_COUNT:
+                if not view.was_heard_lately(now_ms):
+                    continue
+                unresponsive.add(view.agent)
+            first.append(view.agent)
+            if (len(first) -
+                    len(unresponsive) == owner_search.INITIAL_QUERY_COUNT):
                 break
         tag = messages.service_tag(routes.pick_service(route, segment.key))
         search = owner_search.OwnerSearch(now_ms, first, segment.raw,
-                                          segment.ack, tag, silent)
+                                          segment.ack, tag, unresponsive)
         self._searches[segment.key] = search
         return self._continue_search(now_ms, segment.key, search) + [
             actions.StartTimer(owner_search.QUERY_TIMEOUT_MS)
--- a/figdrum/flows/owner_search.py
+++ b/figdrum/flows/owner_search.py
@@ -10,9 +10,9 @@
 agents get the packet one after the other, since a flow's packets should reach
 as few targets as possible that do not hold it.
 
-An agent that does not answer at once is slow, and may be the owner's. The
-search goes on with the others, but few of them get the packet before a slow
-agent counts as silent.
+An agent that was heard lately and does not answer at once is slow, and may be
+the owner's. The search goes on with the others, but few of them get the packet
+before a slow agent counts as silent.
 
 The list of agents may lag, and an agent that it lacks may hold the flow. Before
 the search ends without an owner, it needs a list that was read after its start.
@@ -60,7 +60,8 @@
 
 # Time in ms within which an agent answers. Queries are batched for 10 ms, the
 # agent may wait 15 ms for its target, and the rest covers scheduling delays of
-# both processes. An agent that takes longer is slow.
+# both processes. An agent that takes longer is slow, or silent if it was not
+# heard lately.
 QUERY_TIMEOUT_MS = 60
 
 # Time in ms after which a slow agent counts as silent. On a crowded machine a
@@ -141,8 +142,9 @@
           raw: The packet that started the search.
           ack: The client's acknowledgement number in that packet.
           tag: `messages.service_tag` of the service of the flow's route.
-          unresponsive: Those of `first` that have missed reports or answers.
-            The search does not wait for them before it queries others.
+          unresponsive: Those of `first` that were heard lately, but have missed
+            reports or answers. The search does not wait for them before it
+            queries others.
         """
         self._unresponsive = unresponsive
         self.started_ms = now_ms
@@ -214,14 +216,21 @@
         return (self._pending.pop(agent, None) is not None or
                 self.slow.pop(agent, None) is not None)
 
-    def expire_queries(self, now_ms: int) -> None:
-        """Moves agents that have not answered in time to `slow` or `silent`."""
+    def expire_queries(
+            self, now_ms: int,
+            is_heard: collections.abc.Callable[[ids.Address], bool]) -> None:
+        """Moves agents that have not answered in time to `slow` or `silent`.
+
+        Args:
+          now_ms: Time.
+          is_heard: Returns whether an agent was heard lately.
+        """
         for agent, sent_ms in tuple(self._pending.items()):
             if now_ms - sent_ms >= QUERY_TIMEOUT_MS:
                 del self._pending[agent]
                 self.slow[agent] = sent_ms
         for agent, sent_ms in tuple(self.slow.items()):
-            if now_ms - sent_ms >= SILENCE_TIMEOUT_MS:
+            if (now_ms - sent_ms >= SILENCE_TIMEOUT_MS or not is_heard(agent)):
                 del self.slow[agent]
                 self.silent.append(agent)
 
--- a/figdrum/flows/target_view.py
+++ b/figdrum/flows/target_view.py
@@ -12,6 +12,12 @@
 # agent gets new flows only if there is no other.
 MAX_MISSED_REPORTS = 3
 
+# Time in ms, and in periods of its reports, since the last message of an agent
+# within which it may only be slow if it does not answer. One that has started
+# again reports after the next hello, which comes within 2.5 s.
+HEARD_LATELY_MS = 2_500
+HEARD_LATELY_REPORTS = 2
+
 # Time in ms within which an agent's first report is expected after a hello.
 FIRST_REPORT_TIMEOUT_MS = 300
 
@@ -85,6 +91,14 @@
                      if self.report else FIRST_REPORT_TIMEOUT_MS)
         return self.silence_ms(now_ms) > MAX_MISSED_REPORTS * period_ms
 
+    def was_heard_lately(self, now_ms: int) -> bool:
+        """Returns whether the agent may only be slow if it does not answer."""
+        if self.last_heard_ms is None or self.report is None:
+            return False
+        limit_ms = max(HEARD_LATELY_MS,
+                       HEARD_LATELY_REPORTS * self.report.period_ms)
+        return now_ms - self.last_heard_ms <= limit_ms
+
     def silence_ms(self, now_ms: int) -> int:
         """Returns the time since the agent's last message, in ms."""
         since_ms = (self.last_heard_ms
