Do not count a flow that its client has closed as load

Cause: a flow counted for 65 s if the closing packet of the client or of the server was lost, and its target looked loaded to balancers that choose by flows. Test: test_flow_that_its_client_has_closed_soon_counts_no_more fails before.

--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -282,7 +282,8 @@
     def expire(self, now_ms: int) -> None:
         """Removes flows that have been idle or closed for too long.
 
-        A request whose client has been silent for too long no longer counts.
+        A request whose client has been silent for too long no longer counts, and
+        neither does a flow that the client has closed.
         """
         if now_ms - self._expired_ms < EXPIRY_PERIOD_MS:
             return
@@ -292,8 +293,12 @@
             limit_ms = CLOSED_FLOW_TTL_MS if flow.is_closed else IDLE_TIMEOUT_MS
             if silence_ms > limit_ms:
                 self.remove(now_ms, flow.key)
-            elif flow.is_busy and silence_ms > ABANDONED_REQUEST_MS:
-                self._abandon(now_ms, flow)
+            elif silence_ms > ABANDONED_REQUEST_MS:
+                if flow.is_busy:
+                    self._abandon(now_ms, flow)
+                elif flow.client_closed:
+                    # The server's closing packet, or the client's, was lost.
+                    self._set_phase(now_ms, flow, FlowPhase.CLOSED)
 
     def _record_request(self, now_ms: int, flow: Flow,
                         segment: segment_module.Segment) -> None:
--- a/figdrum/flows/tests/test_flow_table.py
+++ b/figdrum/flows/tests/test_flow_table.py
@@ -136,3 +136,20 @@
     table.record_client_packet(11, flow, closing)
     assert not table.record_target_packet(12, flow,
                                           _target_packet(packets.RESET, 1001))
+
+
+# Flows whose closing packets were lost counted as load for 65 s, so that their
+# target got no new flows for as long (soak, 'unused server').
+def test_flow_that_its_client_has_closed_soon_counts_no_more():
+    table, flow = _open_flow(0)
+    table.record_client_packet(10, flow, _client_packet(8, 50))
+    table.record_target_packet(20, flow, _target_packet(0, 1001, 100))
+    closing = FORMAT.parse_client(
+        packets.build(packets.CLOSING, KEY, 58, 1101, 0))
+    table.record_client_packet(30, flow, closing)
+    table.expire(flow_table.ABANDONED_REQUEST_MS)
+    assert table.active_count == 1
+    table.expire(flow_table.ABANDONED_REQUEST_MS + 1_100)
+    assert table.active_count == 0
+    # A late packet of the flow still finds it.
+    assert table.get(KEY) is flow
