Scope a flow that is taken for held by its number, too

Cause: an agent that has started again takes a flow for held if its target does not return the packet in time. Change: the client's acknowledgement number is a lower bound of the server's. Test: test_flow_taken_for_held_says_nothing_about_a_later_one fails without the change.

--- a/figdrum/flows/agent.py
+++ b/figdrum/flows/agent.py
@@ -504,7 +504,9 @@
             elif waited_ms >= RETURN_TIMEOUT_MS and self.status.is_alive(
                     now_ms):
                 self._pending.finish_trial(key, delivery.ack)
-                self._table.open(now_ms, key, self.status.identity)
+                flow = self._table.open(now_ms, key, self.status.identity)
+                # The server has sent what the client acknowledges.
+                flow.server_next = delivery.ack
                 result.append(
                     actions.LogEvent('flow taken for held', {
                         'flow': self._packets.describe(key),
--- a/figdrum/flows/tests/test_agent.py
+++ b/figdrum/flows/tests/test_agent.py
@@ -630,6 +630,20 @@
     assert messages.Denial((), ((KEY, 1001),)) in _sent(result)
 
 
+# An agent that has taken a flow for held without a word of its target answered
+# for all later flows of the same address and port.
+def test_flow_taken_for_held_says_nothing_about_a_later_one():
+    agent = _make_agent(is_first_start=False)
+    _send_heartbeat(agent, 0)
+    _forward_packet(agent, 10, packets.build(0, KEY, 8, 1001, 50), True)
+    result = agent.on_timer(10 + agent_module.RETURN_TIMEOUT_MS)
+    assert messages.Held(KEY, 1001) in _sent(result)
+    queries = messages.Ask(((KEY, 1101), (KEY, 900_001_001)))
+    result = agent.on_message(40, BALANCER, messages.encode(queries))
+    assert messages.Held(KEY, 1101) in _sent(result)
+    assert messages.Held(KEY, 900_001_001) not in _sent(result)
+
+
 # A store that was restored may have the registration of an earlier target, or
 # none, though a process before this one has admitted flows to the target.
 @pytest.mark.parametrize('stored_target', (None, '', 'i-0@0'))
