--- a/standins/soak/program.py
+++ b/standins/soak/program.py
@@ -15,12 +15,15 @@
 from figdrum.flows import agent
 from figdrum.flows import balancer
 from figdrum.flows import cold_limit
+from figdrum.flows import flow_table
 from figdrum.flows import messages
 from figdrum.flows import owner_search
+from figdrum.flows import segment as segment_module
 from figdrum.flows import target
 from figdrum.flows import target_view
 from figdrum.registry import mirror
 from figdrum.registry import object_writer
+from figdrum.registry import side_reads
 from standins.soak import layout
 
 
@@ -122,6 +125,29 @@
     platform_store._decode_era = lambda response: 0
 
 
+def _without_numbers() -> None:
+    """Tells flows apart by their addresses and ports alone."""
+    segment_module.is_near = lambda one, other: True
+    flow_table.Flow.is_accepted_with = lambda self, seq: True
+
+
+def _without_first_contact() -> None:
+    """Takes the first list of a restored store for complete."""
+    side_reads.FIRST_CONTACT_GRACE_MS = 0
+
+
+def _without_own_entry() -> None:
+    """Takes each agent with the settings of a first start for the first."""
+    on_stored_target = agent.Agent.on_stored_target
+
+    def ignore_entry(self, now_ms, identity, is_restored=False):
+        if self._is_first_start:
+            self._mark_table_complete(now_ms)
+        return on_stored_target(self, now_ms, identity, is_restored)
+
+    agent.Agent.on_stored_target = ignore_entry
+
+
 MECHANISMS: dict[str, typing.Callable[[], None]] = {
     'owner-search': _without_owner_search,
     'certainty': _without_certainty,
@@ -132,6 +158,9 @@
     'read-back': _without_read_back,
     'watch-check': _without_watch_check,
     'era': _without_era,
+    'numbers': _without_numbers,
+    'first-contact': _without_first_contact,
+    'own-entry': _without_own_entry,
 }
 
 
