--- a/figdrum/flows/flow_table.py
+++ b/figdrum/flows/flow_table.py
@@ -282,8 +282,8 @@
     def expire(self, now_ms: int) -> None:
         """Removes flows that have been idle or closed for too long.
 
-        A request whose client has been silent for too long no longer counts, and
-        neither does a flow that the client has closed.
+        A request whose client has been silent for too long no longer counts,
+        and neither does a flow that the client has closed.
         """
         if now_ms - self._expired_ms < EXPIRY_PERIOD_MS:
             return
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -110,6 +110,7 @@
         self.version = 1
         # Drawn apart, so that the faults of earlier seeds stay as they are.
         self.keeps_settings = random.Random(f'{seed} settings').random() < 0.5
+        self.store.era = random.Random(f'{seed} first era').choice((0, 1))
         states_names = random.Random(f'{seed} name header').random() < 0.75
         for server in self.servers.values():
             server.states_name = states_names
--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -57,7 +57,8 @@
     """Stores objects by kind and name, with revisions and watches.
 
     Attributes:
-      era: Number of times that a copy was loaded, plus 1.
+      era: Number that rises by one each time that a copy is loaded; answers
+        name it unless it is 0.
       revision: Revision of the last change.
       faults: Faults of the calls that arrive from now on.
       calls: Number of calls so far.
@@ -261,7 +262,8 @@
         self._watches = [w for w in self._watches if w[2] is not req]
 
     def _set_era(self, req: server.Request) -> None:
-        req.setHeader(b'Store-Era', str(self.era).encode())
+        if self.era:
+            req.setHeader(b'Store-Era', str(self.era).encode())
 
     def _send(self, req: server.Request, status: int, body: typing.Any) -> None:
         if req.channel is None:
