--- a/figdrum/flows/tests/simulation.py
+++ b/figdrum/flows/tests/simulation.py
@@ -606,3 +606,15 @@
         """Packets that the client got since it opened its last flow."""
         received = self.sim.to_client[self.key][self._earlier_packets:]
         return [raw for _, raw in received]
+
+
+def open_flows(sim: Simulation, count: int) -> list[Client]:
+    """Opens flows through the balancer `front-1`; each has sent a request."""
+    clients = [Client(sim, ('front-1', 1), number) for number in range(count)]
+    for client in clients:
+        client.open()
+        sim.run(20)
+        client.request()
+        sim.run(100)
+    assert all(client.answers == 1 for client in clients)
+    return clients
--- a/figdrum/flows/tests/test_owner_search.py
+++ b/figdrum/flows/tests/test_owner_search.py
@@ -21,23 +21,8 @@
     return sim
 
 
-def _open_flows(sim: simulation.Simulation,
-                count: int) -> list[simulation.Client]:
-    clients = [
-        simulation.Client(sim, ('front-1', 1), number)
-        for number in range(count)
-    ]
-    for client in clients:
-        client.open()
-        sim.run(20)
-        client.request()
-        sim.run(100)
-    assert all(client.answers == 1 for client in clients)
-    return clients
-
-
 def test_another_balancer_finds_each_flow(sim):
-    clients = _open_flows(sim, 30)
+    clients = simulation.open_flows(sim, 30)
     for client in clients:
         client.balancer = ('front-2', 1)
         client.request()
@@ -47,7 +32,7 @@
 
 
 def test_each_flow_is_found_after_all_processes_restart(sim):
-    clients = _open_flows(sim, 30)
+    clients = simulation.open_flows(sim, 30)
     for address in sim.targets:
         sim.restart_agent(address)
     sim.restart_balancer(('front-1', 1))
@@ -68,7 +53,7 @@
 
 
 def test_open_flow_stays_at_its_target_when_its_route_changes_service(sim):
-    clients = _open_flows(sim, 10)
+    clients = simulation.open_flows(sim, 10)
     for number in range(3):
         sim.add_target(f'other-{number}', service='two')
     sim.configure(2, {1: [('two', 1.0)]})
@@ -83,7 +68,7 @@
 
 
 def test_flow_of_a_replaced_target_is_reset_once(sim):
-    clients = _open_flows(sim, 20)
+    clients = simulation.open_flows(sim, 20)
     owner = clients[0].owner
     owner.restart()
     sim.send_heartbeat((owner.name, 2))
@@ -97,7 +82,7 @@
 
 
 def test_flow_is_not_reset_while_an_agent_is_silent(sim):
-    clients = _open_flows(sim, 20)
+    clients = simulation.open_flows(sim, 20)
     owner = clients[0].owner
     sim.silent.add((owner.name, 2))
     sim.run(50)
@@ -125,7 +110,7 @@
     sim.undelivered.add((('front-2', 1), ('new', 2)))
     sim.add_target('new')
     sim.run(500)
-    clients = _open_flows(sim, 30)
+    clients = simulation.open_flows(sim, 30)
     return [client for client in clients if client.owner.name == 'new']
 
 
@@ -199,7 +184,7 @@
 
 
 def test_flow_of_a_dropped_route_is_reset_once(sim):
-    client, = _open_flows(sim, 1)
+    client, = simulation.open_flows(sim, 1)
     sim.configure(2, {2: [('one', 1.0)]})
     client.request()
     client.acknowledge()
@@ -223,7 +208,7 @@
 
 def test_flows_lost_with_all_machines_are_reset_without_stray_packets(sim):
     """All machines lose power, and clients continue to use lost flows."""
-    clients = _open_flows(sim, 30)
+    clients = simulation.open_flows(sim, 30)
     for address, target in sim.targets.items():
         target.restart()
         target.warmup_left_ms = 2_000
@@ -274,7 +259,7 @@
 # The packet then reached one target after the other, but not its own.
 @pytest.mark.parametrize('delay_ms', (40, 80, 120))
 def test_flow_of_a_slow_agent_reaches_few_other_targets(sim, delay_ms):
-    clients = _open_flows(sim, 30)
+    clients = simulation.open_flows(sim, 30)
     owners = [client.owner for client in clients]
     for address in sim.targets:
         sim.restart_agent(address)
--- a/figdrum/flows/tests/test_reused_ports.py
+++ b/figdrum/flows/tests/test_reused_ports.py
@@ -22,20 +22,6 @@
     return sim
 
 
-def _open_flows(sim: simulation.Simulation) -> list[simulation.Client]:
-    clients = [
-        simulation.Client(sim, ('front-1', 1), number)
-        for number in range(FLOWS)
-    ]
-    for client in clients:
-        client.open()
-        sim.run(20)
-        client.request()
-        sim.run(100)
-    assert all(client.answers == 1 for client in clients)
-    return clients
-
-
 def _use_again(sim: simulation.Simulation,
                client: simulation.Client,
                later_balancer: str = 'front-1',
@@ -59,7 +45,7 @@
 @pytest.mark.parametrize('targets', (1, 7))
 def test_flow_from_a_used_port_is_served(targets, acknowledges, wait_ms):
     sim = _simulate(targets)
-    clients = _open_flows(sim)
+    clients = simulation.open_flows(sim, FLOWS)
     for client in clients:
         if acknowledges is not None:
             client.close(acknowledges)
@@ -74,7 +60,7 @@
 def test_balancer_that_carried_the_earlier_flow_finds_the_later_one(
         acknowledges, wait_ms):
     sim = _simulate(7)
-    clients = _open_flows(sim)
+    clients = simulation.open_flows(sim, FLOWS)
     for client in clients:
         client.balancer = ('front-2', 1)
         client.request()
@@ -95,7 +81,7 @@
 def test_flow_from_a_used_port_may_have_the_same_first_number(
         targets, wait_ms, acknowledges):
     sim = _simulate(targets)
-    clients = _open_flows(sim)
+    clients = simulation.open_flows(sim, FLOWS)
     for client in clients:
         client.close(acknowledges)
         sim.run(wait_ms)
@@ -106,7 +92,7 @@
 
 def test_restarted_agents_do_not_take_the_earlier_flow_for_the_later_one():
     sim = _simulate(7)
-    clients = _open_flows(sim)
+    clients = simulation.open_flows(sim, FLOWS)
     for address in sim.targets:
         sim.restart_agent(address)
     sim.run(50)
