--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -851,7 +851,10 @@
 
     async def post(self, host: str, path: str, value) -> int:
         """Sends a POST request to a `control` address."""
-        body = json.dumps(value).encode()
+        return await self.post_raw(host, path, json.dumps(value).encode())
+
+    async def post_raw(self, host: str, path: str, body: bytes) -> int:
+        """Sends a POST request with a body to a `control` address."""
         head = (f'POST {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: '
                 f'application/json\r\nContent-Length: {len(body)}\r\n\r\n')
         return await self.call(host, 'control', head.encode() + body, 1.0)
