--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -29,6 +29,11 @@
 KEY = b'known to the two ends of a flow only'
 
 HEARTBEAT_MS = 1_200
+# Of servers: requests at a time, and the work of one, which takes longer while
+# a server is cold; as in the site file sahil-fit.
+SLOTS = 2
+WORK_S = 0.02
+COLD_FACTOR = 1.6
 ZONES = ('zone-a', 'zone-b')
 SYN_TIMES_S = (0.0, 0.2, 0.6)
 SYN_END_S = 1.4
@@ -388,7 +393,7 @@
         self.flows: dict[tuple[bytes, int], Flow] = {}
         # Opening packets that it took while cold: sent and arrived, in ms.
         self.cold_openings: list[tuple[int, int]] = []
-        self.work_s = 0.01
+        self._slots = asyncio.Semaphore(SLOTS)
         self._health = None
         self._udp = None
         self._beats: asyncio.Task | None = None
@@ -399,6 +404,7 @@
         """Starts an incarnation, which holds and knows nothing of before."""
         host, net = self.machine.host, self.site.network
         self.flows = {}
+        self._slots = asyncio.Semaphore(SLOTS)
         self.seq = 0
         self.state = 'ready'
         self.born_ms = int(time.time() * 1_000)
@@ -447,7 +453,7 @@
             'address': self.site.network.at(self.machine.host, 'app'),
             'zone': self.machine.zone,
             'version': 'v1',
-            'slots': 2,
+            'slots': SLOTS,
             'state': state,
             'warmupLeftMs': max(0, self.cold_until_ms - now_ms()),
             'seq': self.seq,
@@ -507,7 +513,9 @@
         name = packet.data.split(b'X-Attempt-Id: ')[1].split(b'\r\n')[0]
         born_ms = self.born_ms
         self.site.runs[name.decode()] += 1
-        await asyncio.sleep(self.work_s)
+        async with self._slots:
+            is_cold = now_ms() < self.cold_until_ms
+            await asyncio.sleep(WORK_S * (COLD_FACTOR if is_cold else 1))
         if not self.is_up or born_ms != self.born_ms:
             return
         body = b'x' * 200
