--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -12,6 +12,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -19,6 +20,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 import zlib
 
@@ -890,12 +892,13 @@
                 f'cold; the bound is {bound}')
 
     def end(self) -> None:
-        """Kills all processes that this script has started."""
+        """Kills all processes that this script has started; removes its folder."""
         for machine in self.machines:
             if machine.process is not None and machine.process.poll() is None:
                 machine.process.kill()
             if machine.process is not None:
                 machine.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(run_case, folder: pathlib.Path, seed: int = 1) -> None:
@@ -911,11 +914,16 @@
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def run() -> None:
-        site = Site(folder, seed)
+        try:
+            site = Site(folder, seed)
+        except OSError as exc:
+            print(exc, flush=True)
+            os._exit(2)
         site.record.write(f'trouble: {has_trouble}')
         try:
             broken = await asyncio.wait_for(run_case(site, has_trouble), 110)
-        except asyncio.TimeoutError:
+        except Exception:  # A fault of the stand-ins is no result.
+            site.record.write(traceback.format_exc())
             broken = None
         finally:
             site.end()
