Tests of bundles: the program is built by build.sh

Cause: the fixture of test_bundle.py wrote the bundles itself, beside links to the libraries, so its processes did not run what a deployment runs, and other test modules could not use it.

Change: built_program.py runs platform/build.sh in a copy of the sources, with the libraries of the test's interpreter, and starts a role with the options of deploy/system.toml. The assertions are the same; the modules that a process imports are read from its standard error.

--- a/deploy/bundle/tests/test_bundle.py
+++ b/deploy/bundle/tests/test_bundle.py
@@ -1,25 +1,19 @@
 """A start from a bundle, and that bundled code does what the sources do."""
 
 import collections
-import contextlib
 import importlib
 import json
-import pathlib
-import re
 import shutil
 import socket
-import subprocess
 import sys
 import types
 import typing
 
-import httptools
 import hypothesis
-import msgpack
 import pytest
-import xxhash
 from hypothesis import strategies
 
+import built_program
 import bundle
 import bundle_loader
 from substitutes import light_collections
@@ -29,117 +23,30 @@
 
 from figdrum.flows import messages
 
-ROOT = pathlib.Path(__file__).parents[3]
-
 # Modules that a role must not import before its first packet.
 SLOW_MODULES = ('base64', 'collections', 'configparser', 'contextlib', 'enum',
                 'functools', 'hashlib', 'json', 'os', 'random', 're',
                 'selectors', 'signal', 'socket', 'statistics', 'typing',
                 'urllib')
 
-START_TIMEOUT_S = 20
-
-
-@pytest.fixture(name='app', scope='session')
-def _app(tmp_path_factory) -> pathlib.Path:
-    """A build as of `build.sh`, with the libraries of this interpreter."""
-    target = tmp_path_factory.mktemp('build') / 'target'
-    for name in ('figdrum', 'platform'):
-        shutil.copytree(ROOT / name,
-                        target / 'app' / name,
-                        ignore=shutil.ignore_patterns('tests', '__pycache__'))
-    shutil.copytree(ROOT / 'deploy' / 'bundle',
-                    target / 'app' / 'platform',
-                    ignore=shutil.ignore_patterns('tests', '__pycache__'),
-                    dirs_exist_ok=True)
-    (target / 'deps').mkdir()
-    for library in (httptools, msgpack, xxhash):
-        folder = pathlib.Path(library.__file__).parent
-        (target / 'deps' / folder.name).symlink_to(folder)
-    subprocess.run([sys.executable, '-S', '-OO', 'bundle.py'],
-                   cwd=target / 'app' / 'platform',
-                   check=True)
-    return target / 'app'
-
-
-def _free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{sock.getsockname()[1]}'
-
-
-class _Settings(dict):
-    """Values of a template: free addresses where nothing else is given."""
-
-    def __missing__(self, key: str) -> str:
-        self[key] = _free_address()
-        return self[key]
-
-
-@contextlib.contextmanager
-def _start(app: pathlib.Path, role: str, folder: pathlib.Path):
-    """Runs a role; yields its settings, its `start` line and a list.
-
-    The list holds the modules that were searched for, once it has ended.
-    """
-    values = _Settings({
-        'nodeName': f'{role}-1',
-        'zone': 'a',
-        'service': 'fieldbook',
-        'platform.writesPerS': '20',
-        'platform.historyS': '60',
-        'bounds.graceS': '6',
-        'bounds.warmupOverage': '1.5',
-        'bounds.warmupSlack': '5',
-        'heartbeatMs': '500',
-        'bootstrap': 'true',
-        'seeds': '',
-        'limits.linkMbps': '',
-        'limits.cpuShare': '',
-        'limits.cores': '',
-    })
-    template = (ROOT / 'platform' / f'{role}.ini').read_text('utf-8')
-    template = template.replace('{{ip}}:{{internalPorts.0}}', '{{internal}}')
-    settings = folder / f'{role}.ini'
-    settings.write_text(
-        re.sub('{{(.*?)}}', lambda match: values[match[1]], template), 'utf-8')
-    imports: list[str] = []
-    with subprocess.Popen([
-            sys.executable, '-S', '-OO', '-X', 'importtime',
-            str(app / 'platform' / 'main.py'), role
-    ],
-                          env={
-                              'FIGDRUM_SETTINGS': str(settings),
-                              'PYTHONPATH': str(app.parent / 'deps')
-                          },
-                          stdout=subprocess.PIPE,
-                          stderr=subprocess.PIPE) as process:
-        try:
-            yield values, json.loads(process.stdout.readline()), imports
-        finally:
-            process.kill()
-            imports += [
-                line.rpartition('|')[2].strip()
-                for line in process.stderr.read().decode().splitlines()
-            ]
-
-
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.partition(':')
-    return host, int(port)
-
 
 # A name that a substitute lacks makes it import the standard module, which
 # costs a start several milliseconds without a failure.
 @pytest.mark.parametrize('role', bundle.ROLES)
 def test_start_imports_no_slow_module(app, role, tmp_path):
-    with _start(app, role, tmp_path) as (values, start, imports):
-        assert (start['event'], start['role']) == ('start', role)
-        with socket.create_connection(_address(values['listen.ready']),
-                                      START_TIMEOUT_S) as sock:
+    with built_program.start(app, role, tmp_path,
+                             ('-X', 'importtime')) as running:
+        assert (running.start['event'], running.start['role']) == ('start',
+                                                                   role)
+        with socket.create_connection(running.address('listen.ready'),
+                                      built_program.TIMEOUT_S) as sock:
             sock.sendall(b'GET /figdrum/ready HTTP/1.1\r\n\r\n')
             status = int(sock.recv(1_000).split()[1])
         assert status == (503 if role == 'balancer' else 200)
+    imports = [
+        line.rpartition('|')[2].strip()
+        for line in running.stderr[0].splitlines()
+    ]
     assert 'encodings.utf_8' in imports
     assert not set(imports).intersection(SLOW_MODULES)
     # All modules of the program and its libraries come from the bundle.
@@ -152,12 +59,12 @@
 # Written-out tuples and the extension modules have to work together.
 def test_agent_from_a_bundle_answers_a_message(app, tmp_path):
     key = bytes(range(12))
-    with _start(app, 'agent', tmp_path) as (values, _, _):
+    with built_program.start(app, 'agent', tmp_path) as running:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             sock.bind(('127.0.0.1', 0))
-            sock.settimeout(START_TIMEOUT_S)
+            sock.settimeout(built_program.TIMEOUT_S)
             sock.sendto(messages.encode(messages.Ask(((key, 7),))),
-                        _address(values['listen.datagramAddr']))
+                        running.address('listen.datagramAddr'))
             answers = [messages.decode(sock.recv(4_096)) for _ in range(2)]
     denials = [a for a in answers if isinstance(a, messages.Denial)]
     # Without a target the agent does not know.
@@ -169,14 +76,14 @@
     other = tmp_path / 'target' / 'app'
     shutil.copytree(app, other, ignore=shutil.ignore_patterns('*.bundle'))
     (other.parent / 'deps').symlink_to(app.parent / 'deps')
-    with _start(other, 'agent', tmp_path) as (_, start, _):
-        assert start['event'] == 'start'
+    with built_program.start(other, 'agent', tmp_path) as running:
+        assert running.start['event'] == 'start'
 
 
 # A module that is needed only later would cost its import of standard modules
 # while packets wait.
 def test_module_that_a_function_imports_is_in_the_bundle(monkeypatch):
-    collector = bundle.Collector(ROOT / 'platform')
+    collector = bundle.Collector(built_program.ROOT / 'platform')
     collector.add('figdrum.core.partial_json')
     collector.add_later()
     name = 'figdrum.core.json_reader'
