light_json: a text that is no JSON does not end the process

The scanner of the C module _json raises most syntax errors by an exception that it looks up in json.decoder among the loaded modules. In CPython 3.11 it returns without an exception if there is none, which the interpreter turns into a SystemError; loads() passed only ValueError and StopIteration on to the standard module. A balancer decodes the store's answers with the same function (partial_json), so one such entry in a list ended it at each start.

Ruled out: the HTTP parser and the decoders of fields, which are not reached.

Change: loads() passes SystemError on to the standard module as well, which raises its own JSONDecodeError. No caller changes.

--- a/deploy/bundle/substitutes/light_json.py
+++ b/deploy/bundle/substitutes/light_json.py
@@ -73,7 +73,9 @@
         value, end = _scan(text, start)
         if not text[end:].strip(_SPACE):
             return value
-    except (ValueError, StopIteration):
+    except (ValueError, StopIteration, SystemError):
+        # The scanner looks its exception up in `json.decoder`, and CPython
+        # raises a SystemError if that is not imported yet.
         pass
     # Options, another encoding, or a malformed text.
     import json  # pylint: disable=import-outside-toplevel
