Settings: a file that is not UTF-8 is refused, as its docstring says

Change: load() raises SettingsError for it. A running process logs `settings refused` and keeps its settings; a start still ends, with that error.

--- a/deploy/bundle/tests/built_program.py
+++ b/deploy/bundle/tests/built_program.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import typing
 
 import httptools
@@ -92,11 +93,13 @@
     Attributes:
       process: The process.
       settings: Values of the placeholders in its settings.
+      path: Path of its settings file.
       start: Its line `start`.
       stderr: Text of its standard error, empty until it has ended.
     """
     process: subprocess.Popen
     settings: dict[str, str]
+    path: pathlib.Path
     start: dict[str, typing.Any]
     stderr: list[str]
 
@@ -105,6 +108,20 @@
         host, _, port = self.settings[placeholder].partition(':')
         return host, int(port)
 
+    def has_logged(self, event: str) -> bool:
+        """Returns whether the process logs an event before it ends.
+
+        It is killed if it does not within `TIMEOUT_S`.
+        """
+        timer = threading.Timer(TIMEOUT_S, self.process.kill)
+        timer.start()
+        try:
+            return any(
+                json.loads(line)['event'] == event
+                for line in self.process.stdout)
+        finally:
+            timer.cancel()
+
 
 @contextlib.contextmanager
 def start(app: pathlib.Path,
@@ -139,7 +156,7 @@
             stderr=subprocess.PIPE) as process:
         try:
             line = json.loads(process.stdout.readline())
-            yield Running(process, values, line, stderr)
+            yield Running(process, values, path, line, stderr)
         finally:
             process.kill()
             stderr.append(process.stderr.read().decode())
--- a/deploy/bundle/tests/test_outside_input.py
+++ b/deploy/bundle/tests/test_outside_input.py
@@ -12,6 +12,7 @@
 import time
 
 import built_program
+import bundle
 import pytest
 
 from figdrum.core import ids
@@ -220,3 +221,16 @@
             if running.process.poll() is not None:
                 return False
     return False
+
+
+# A settings file with other bytes than UTF-8 ended a process that read it anew,
+# though it had the earlier settings.
+@pytest.mark.parametrize('role', bundle.ROLES)
+@pytest.mark.parametrize('data', [b'\xff', b'[process]\nname=\xed\xa0\x80\n'])
+def test_unreadable_settings_are_refused(app, tmp_path, role, data):
+    with built_program.start(app, role, tmp_path) as running:
+        settings = running.path.read_bytes()
+        running.path.write_bytes(data)
+        assert running.has_logged('settings refused')
+        running.path.write_bytes(settings)
+        assert running.has_logged('reload')
--- a/figdrum/settings/node.py
+++ b/figdrum/settings/node.py
@@ -288,3 +288,5 @@
     except OSError as exc:
         raise errors.SettingsError('read settings', path, exc.strerror or
                                    str(exc)) from exc
+    except UnicodeDecodeError as exc:
+        raise errors.SettingsError('read settings', path, str(exc)) from exc
