light_json: loads() refuses a value of another type with a TypeError

No path from outside reaches it today: both callers pass bytes or str.

Change: only str, bytes and bytearray are scanned here; the standard module decides on all else.

--- a/deploy/bundle/substitutes/light_json.py
+++ b/deploy/bundle/substitutes/light_json.py
@@ -65,19 +65,18 @@
 
 def loads(data, **options):
     """Returns the value of a text, which may be bytes."""
-    try:
-        if options:
-            raise ValueError('options of the standard module')
-        text = data if isinstance(data, str) else data.decode()
-        start = len(text) - len(text.lstrip(_SPACE))
-        value, end = _scan(text, start)
-        if not text[end:].strip(_SPACE):
-            return value
-    except (ValueError, StopIteration, SystemError):
-        # The scanner looks its exception up in `json.decoder`, and CPython
-        # raises a SystemError if that is not imported yet.
-        pass
-    # Options, another encoding, or a malformed text.
+    if not options and isinstance(data, (str, bytes, bytearray)):
+        try:
+            text = data if isinstance(data, str) else data.decode()
+            start = len(text) - len(text.lstrip(_SPACE))
+            value, end = _scan(text, start)
+            if not text[end:].strip(_SPACE):
+                return value
+        except (ValueError, StopIteration, SystemError):
+            # The scanner looks its exception up in `json.decoder`, and CPython
+            # raises a SystemError if that is not imported yet.
+            pass
+    # Options, another type or encoding, or a malformed text.
     import json  # pylint: disable=import-outside-toplevel
     return json.loads(data, **options)
 
--- a/deploy/bundle/tests/built_program.py
+++ b/deploy/bundle/tests/built_program.py
@@ -42,6 +42,11 @@
 }
 
 
+def libraries() -> pathlib.Path:
+    """Returns the folder of the libraries that the tests import."""
+    return pathlib.Path(xxhash.__file__).parents[1]
+
+
 def build(folder: pathlib.Path) -> pathlib.Path:
     """Runs `build.sh` in a copy of the sources.
 
@@ -57,11 +62,11 @@
         shutil.copytree(ROOT / name,
                         folder / name,
                         ignore=shutil.ignore_patterns('__pycache__'))
-    libraries = folder / 'target' / 'deps'
+    deps = folder / 'target' / 'deps'
     for library in (httptools, msgpack, xxhash):
         source = pathlib.Path(library.__file__).parent
-        shutil.copytree(source, libraries / source.name)
-    (libraries / '.installed').touch()
+        shutil.copytree(source, deps / source.name)
+    (deps / '.installed').touch()
     interpreters = pathlib.Path(sys.executable).parent
     subprocess.run(['sh', 'platform/build.sh'],
                    cwd=folder,
