light_random: an empty range is an error, as in the standard module

Cause: randint(3, 2) returned 3. An agent spreads its writes by such numbers, so a range that became empty by a wrong setting would give a delay outside of it and no error. Found by test_substitutes.py; no range in use today can be empty.

Change: the standard module raises its error. Test: the cases of random in test_substitutes.py, which fail before the change.

--- a/deploy/bundle/substitutes/light_random.py
+++ b/deploy/bundle/substitutes/light_random.py
@@ -25,6 +25,10 @@
 
     def randint(self, low, high):
         """Returns an integer from `low` to `high`, which are below 2**50."""
+        if low > high:
+            # The standard module raises its own error.
+            import random  # pylint: disable=import-outside-toplevel
+            return random.randint(low, high)
         return low + int(self.random() * (high - low + 1))
 
     def uniform(self, low, high):
--- a/deploy/bundle/tests/test_substitutes.py
+++ b/deploy/bundle/tests/test_substitutes.py
@@ -29,6 +29,12 @@
         'm.dumps((lambda items: items.append(items) or items)([]))',
         'm.JSONEncoder(unknown=1)',
     ],
+    'random': [
+        'm.Random(1).randint(3, 2)',
+        'm.Random(1).randint(5, 5)',
+        'm.Random(1).choice([])',
+        'm.Random(1).sample(range(2), 3)',
+    ],
     'statistics': ['m.median([])', 'm.median(5)', 'm.median([1, "a"])'],
     'heapq': ['m.heappop([])', 'm.heappush(5, 1)', 'm.nsmallest(1, [2, 1])'],
     'collections': [
