--- a/deploy/bundle/substitutes/light_functools.py
+++ b/deploy/bundle/substitutes/light_functools.py
@@ -13,8 +13,12 @@
     return functools._CacheInfo(*figures)  # pylint: disable=protected-access
 
 
-def lru_cache(*, maxsize):
+def lru_cache(*arguments, **options):
     """Returns a decorator that keeps the last results of a function."""
+    if arguments or options.keys() != {'maxsize'}:
+        import functools  # pylint: disable=import-outside-toplevel
+        return functools.lru_cache(*arguments, **options)
+    maxsize = options['maxsize']
 
     def decorate(fn):
         return _functools._lru_cache_wrapper(  # pylint: disable=protected-access
--- a/deploy/bundle/tests/test_substitutes.py
+++ b/deploy/bundle/tests/test_substitutes.py
@@ -35,6 +35,21 @@
         'm.Random(1).choice([])',
         'm.Random(1).sample(range(2), 3)',
     ],
+    'bisect': [
+        'm.bisect([1], 1)',
+        'm.insort([1], 1)',
+        'm.bisect_left([1], "a")',
+        'm.bisect_left([1], 1, -1)',
+    ],
+    'functools': [
+        'm.lru_cache(maxsize=2)(len)(5)',
+        'm.lru_cache(maxsize=2)(len)([])',
+        'm.lru_cache()(len)("a")',
+        'm.lru_cache(len)("a")',
+        'm.lru_cache(maxsize=2, typed=True)(len).cache_parameters()',
+        'm.reduce(max, [])',
+        'm.partial(5)',
+    ],
     'statistics': ['m.median([])', 'm.median(5)', 'm.median([1, "a"])'],
     'heapq': ['m.heappop([])', 'm.heappush(5, 1)', 'm.nsmallest(1, [2, 1])'],
     'collections': [
