Soak: the processes of a build run, and get inputs that cannot be read

Change: `--app DIR` runs the program of a build with the options of the deploy file; `make soak` builds it first. `--unreadable N` sends N heartbeats that end early or have a control character, which must be answered with 400, and puts N such entries into the store.

--- a/Makefile
+++ b/Makefile
@@ -42,9 +42,12 @@
 bench: $(STAMP)
 	$(PY) -m bench
 
+# The processes are those of a build, as on the platform.
 soak: $(STAMP)
+	PATH="$(abspath $(VENV))/bin:$$PATH" sh platform/build.sh
 	$(PY) -m standins.soak --seeds $(SOAK_SEEDS) --faults 12 \
-		--store-faults 2 --extra-faults 4
+		--store-faults 2 --extra-faults 4 --unreadable 8 \
+		--app target/app
 
 dist: $(STAMP)
 	$(PY) -m bench.dist
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -35,7 +35,9 @@
         str(args.balancers), '--faults',
         str(args.faults), '--store-faults',
         str(args.store_faults), '--extra-faults',
-        str(args.extra_faults), '--logs', args.logs, '--without', args.without
+        str(args.extra_faults), '--logs', args.logs, '--without', args.without,
+        '--app', args.app, '--unreadable',
+        str(args.unreadable)
     ]
     if args.judge_time:
         command.append('--judge-time')
@@ -73,9 +75,22 @@
                         default='',
                         choices=['', *program.MECHANISMS],
                         help='mechanism that is switched off, for a trial')
+    parser.add_argument(
+        '--app',
+        default='',
+        help='folder target/app of a build, which runs in place '
+        'of the sources')
+    parser.add_argument(
+        '--unreadable',
+        type=int,
+        default=0,
+        help='heartbeats, and entries in the store, that cannot '
+        'be decoded')
     parser.add_argument('--one', type=int)
     parser.add_argument('--network', type=int, default=20)
     args = parser.parse_args()
+    if args.app and args.without:
+        parser.error('only the sources run with a mechanism off')
     if args.one is not None:
         directory = pathlib.Path(args.logs or tempfile.mkdtemp())
         directory = directory / f'seed-{args.one}'
@@ -89,7 +104,9 @@
                             args.store_faults,
                             extra_fault_count=args.extra_faults,
                             judges_time=args.judge_time,
-                            disabled_mechanism=args.without)
+                            disabled_mechanism=args.without,
+                            app=args.app,
+                            unreadable_count=args.unreadable)
     failed = []
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
         jobs = [
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -64,8 +64,8 @@
 
     def __init__(self, reactor: typing.Any, seed: int, network: int,
                  directory: pathlib.Path, balancers: int, targets: int,
-                 client_count: int, *, disabled_mechanism: str,
-                 is_varied: bool):
+                 client_count: int, *, disabled_mechanism: str, is_varied: bool,
+                 app: str):
         self.reactor = reactor
         self.rng = random.Random(seed)
         self.observations = observations_module.Observations()
@@ -79,6 +79,7 @@
         self.missed_checks: dict[str, int] = {}
         self._directory = directory
         self._disabled_mechanism = disabled_mechanism
+        self._app = app
         self._is_ending = False
         # Size of a machine's log when its process was launched.
         self._log_sizes: dict[str, int] = {}
@@ -264,16 +265,33 @@
             # The process keeps running after this method.
             # pylint: disable-next=consider-using-with
             self.processes[machine.name] = subprocess.Popen(
-                [
-                    sys.executable, '-m', 'standins.soak.program', machine.role,
-                    self._disabled_mechanism
-                ],
+                self._command(machine.role),
                 env={
-                    **os.environ, 'FIGDRUM_SETTINGS': str(path)
+                    **os.environ, 'FIGDRUM_SETTINGS': str(path),
+                    **self._python_path()
                 },
                 stdout=log,
                 stderr=log)
 
+    def _command(self, role: str) -> list[str]:
+        """Returns the command of a process, as the deploy file has it.
+
+        Without a build, or with a mechanism off, the sources run.
+        """
+        if self._app:
+            return [
+                sys.executable, '-S', '-OO', f'{self._app}/platform/main.py',
+                role
+            ]
+        return [
+            sys.executable, '-m', 'standins.soak.program', role,
+            self._disabled_mechanism
+        ]
+
+    def _python_path(self) -> dict[str, str]:
+        """Returns the variable for the libraries of a build."""
+        return {'PYTHONPATH': f'{self._app}/../deps'} if self._app else {}
+
     def signal(self, machine: layout.Machine, number: int) -> None:
         """Sends a signal to the process of a machine, if it is running."""
         process = self.processes.get(machine.name)
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -10,11 +10,17 @@
 from standins.soak import extra_faults as extra_faults_module
 from standins.soak import faults as faults_module
 from standins.soak import layout
+from standins.soak import unreadable_inputs
 
 CLIENTS = 24
 FAULTS_START_S = 5.0
 FAULTS_DURATION_S = 10.0
 
+# Longest time from a fault's start to its end.
+LONGEST_FAULT_S = faults_module.MAX_DURATION_S + max(
+    faults_module.MIN_ZONE_OUT_S,
+    layout.DRAIN_MS / 1_000 + faults_module.MAX_DRAIN_STAY_S)
+
 # Time for which clients go on sending requests after the recovery deadline.
 OBSERVATION_S = 4.0
 
@@ -35,8 +41,8 @@
 
 def run_seed(seed: int, network: int, directory: pathlib.Path, balancers: int,
              targets: int, fault_count: int, store_fault_count: int, *,
-             extra_fault_count: int, judges_time: bool,
-             disabled_mechanism: str) -> int:
+             extra_fault_count: int, judges_time: bool, disabled_mechanism: str,
+             app: str, unreadable_count: int) -> int:
     """Runs a seed; returns 0 if no guarantee was violated, 1 otherwise.
 
     Args:
@@ -54,6 +60,10 @@
         latency target, and not only before their clients give up. A machine
         that is busy with other work delays the answers.
       disabled_mechanism: figdrum mechanism to switch off, or empty for none.
+      app: Folder `target/app` of the build whose processes run; empty to run
+        the sources, as with a mechanism off.
+      unreadable_count: Number of heartbeats and of entries in the store that
+        cannot be decoded.
     """
     deployment = deployment_module.Deployment(
         reactor,
@@ -64,12 +74,10 @@
         targets,
         CLIENTS,
         disabled_mechanism=disabled_mechanism,
-        is_varied=extra_fault_count > 0)
+        is_varied=extra_fault_count > 0,
+        app=app)
     faults = extra_faults_module.ExtraFaults(deployment)
-    longest_s = faults_module.MAX_DURATION_S + max(
-        faults_module.MIN_ZONE_OUT_S,
-        layout.DRAIN_MS / 1_000 + faults_module.MAX_DRAIN_STAY_S)
-    recovered_s = FAULTS_START_S + FAULTS_DURATION_S + longest_s
+    recovered_s = FAULTS_START_S + FAULTS_DURATION_S + LONGEST_FAULT_S
     recovered_s += layout.RECOVERY_MS / 1_000
     observed_s = end_s = recovered_s + OBSERVATION_S
     times: dict[str, int] = {}
@@ -87,6 +95,8 @@
         for service in {client.service for client in deployment.clients}:
             reactor.callLater(observed_s, faults.burst, service, BURST_S)
         end_s += BURST_S + AFTER_BURST_S
+    unreadable_inputs.UnreadableInputs(deployment, seed).schedule(
+        FAULTS_START_S, FAULTS_START_S + FAULTS_DURATION_S, unreadable_count)
     reactor.callLater(
         recovered_s, lambda: times.setdefault('recovered', deployment.now_ms()))
     reactor.callLater(observed_s, deployment.check_unused_servers,
--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -31,6 +31,15 @@
     lost_answer_share: float = 0.0
 
 
+class Raw(typing.NamedTuple):
+    """A spec that is sent as it is.
+
+    Attributes:
+      text: Its text, which need not be JSON.
+    """
+    text: bytes
+
+
 # Period and number of the copies that the store makes of itself.
 COPY_PERIOD_S = 0.5
 MAX_COPIES = 20
@@ -271,10 +280,30 @@
         req.setResponseCode(status)
         self._set_era(req)
         req.setHeader(b'Content-Type', b'application/json')
-        req.write(json.dumps(body).encode())
+        req.write(_encode(body))
         req.finish()
 
 
+def _encode(body: typing.Any) -> bytes:
+    """Returns the JSON text of a body, with raw specs as they are."""
+    texts: list[bytes] = []
+
+    def mark(item: typing.Any) -> typing.Any:
+        if isinstance(item, Raw):
+            texts.append(item.text)
+            return f'@raw {len(texts) - 1}@'
+        if isinstance(item, dict):
+            return {key: mark(value) for key, value in item.items()}
+        if isinstance(item, list):
+            return [mark(value) for value in item]
+        return item
+
+    data = json.dumps(mark(body)).encode()
+    for number, text in enumerate(texts):
+        data = data.replace(f'"@raw {number}@"'.encode(), text)
+    return data
+
+
 def _reset(req: server.Request) -> None:
     if req.channel is not None:
         req.channel.transport.abortConnection()
