Tests of a build: the stand-in of the store states its attributes

The stand-in of test_outside_input.py is a class with documented attributes in place of fields set by a fixture, the unreadable texts name which of them the scanner cannot report, and Running.start is start_line, since start() is the function beside it. No check changes: `pytest deploy` passes (62 tests).

--- a/deploy/bundle/tests/built_program.py
+++ b/deploy/bundle/tests/built_program.py
@@ -99,13 +99,13 @@
       process: The process.
       settings: Values of the placeholders in its settings.
       path: Path of its settings file.
-      start: Its line `start`.
+      start_line: The line of its log with the event `start`.
       stderr: Text of its standard error, empty until it has ended.
     """
     process: subprocess.Popen
     settings: dict[str, str]
     path: pathlib.Path
-    start: dict[str, typing.Any]
+    start_line: dict[str, typing.Any]
     stderr: list[str]
 
     def address(self, placeholder: str) -> tuple[str, int]:
--- a/deploy/bundle/tests/test_bundle.py
+++ b/deploy/bundle/tests/test_bundle.py
@@ -36,8 +36,8 @@
 def test_start_imports_no_slow_module(app, role, tmp_path):
     with built_program.start(app, role, tmp_path,
                              ('-X', 'importtime')) as running:
-        assert (running.start['event'], running.start['role']) == ('start',
-                                                                   role)
+        assert (running.start_line['event'],
+                running.start_line['role']) == ('start', role)
         with socket.create_connection(running.address('listen.ready'),
                                       built_program.TIMEOUT_S) as sock:
             sock.sendall(b'GET /figdrum/ready HTTP/1.1\r\n\r\n')
@@ -77,7 +77,7 @@
     shutil.copytree(app, other, ignore=shutil.ignore_patterns('*.bundle'))
     (other.parent / 'deps').symlink_to(app.parent / 'deps')
     with built_program.start(other, 'agent', tmp_path) as running:
-        assert running.start['event'] == 'start'
+        assert running.start_line['event'] == 'start'
 
 
 # A module that is needed only later would cost its import of standard modules
--- a/deploy/bundle/tests/test_outside_input.py
+++ b/deploy/bundle/tests/test_outside_input.py
@@ -29,9 +29,8 @@
     'born': 1_700_000_000_000
 }
 
-# The scanner of `_json` reports the first group by an exception that it looks
-# up in `json.decoder`, and the others by itself.
 UNREADABLE = {
+    # The scanner of `_json` looks the exception for these up in `json.decoder`.
     'control character': b'{"service":"shop\x01"}',
     'end in a string': b'{"service":"shop","ver',
     'end in an object': b'{"slots":1',
@@ -39,6 +38,7 @@
     'trailing comma': b'{"slots":1,}',
     'name without quotes': b'{slots:1}',
     'escape': b'{"service":"\\q"}',
+    # It raises its own for these, or is not reached.
     'no value': b'{"slots":}',
     'not UTF-8': b'{"service":"\xff"}',
     'number of 5,000 digits': b'{"slots":' + b'9' * 5_000 + b'}',
@@ -69,10 +69,33 @@
 }
 
 
-class _Store(http.server.BaseHTTPRequestHandler):
-    """Answers lists; the first one of each kind has an entry with `odd_spec`.
+class _StoreServer(http.server.ThreadingHTTPServer):
+    """A store that nobody changes.
+
+    Attributes:
+      objects: Specs by kind and name.
+      odd_spec: Text of the spec of a further entry in the first list of each
+        kind; empty for none.
+      listed: Kinds whose first list has had that entry.
+      is_closing: Set at the end, when open watches are answered.
     """
 
+    def __init__(self):
+        super().__init__(('127.0.0.1', 0), _StoreHandler)
+        self.objects = {'config': {'main': CONFIGURATION}}
+        self.odd_spec = b''
+        self.listed: set[str] = set()
+        self.is_closing = threading.Event()
+
+    @property
+    def address(self) -> str:
+        """Address for the settings of a process."""
+        return f'127.0.0.1:{self.server_port}'
+
+
+class _StoreHandler(http.server.BaseHTTPRequestHandler):
+    """Answers a call to a `_StoreServer`."""
+
     protocol_version = 'HTTP/1.1'
 
     # Names of methods are those of the base class.
@@ -125,11 +148,7 @@
 
 @pytest.fixture(name='store')
 def _store():
-    server = http.server.ThreadingHTTPServer(('127.0.0.1', 0), _Store)
-    server.objects = {'config': {'main': CONFIGURATION}}
-    server.listed = set()
-    server.odd_spec = b''
-    server.is_closing = threading.Event()
+    server = _StoreServer()
     thread = threading.Thread(target=server.serve_forever)
     thread.start()
     yield server
@@ -139,11 +158,6 @@
     server.server_close()
 
 
-def _store_address(store: http.server.ThreadingHTTPServer) -> str:
-    host, port = store.server_address
-    return f'{host}:{port}'
-
-
 def _post_heartbeat(running: built_program.Running, body: bytes) -> int:
     """Returns the status of the response to a heartbeat."""
     connection = http.client.HTTPConnection(*running.address('listen.control'),
@@ -174,8 +188,7 @@
 def test_agent_refuses_an_unreadable_heartbeat_and_runs_on(
         app, tmp_path, store, text):
     with built_program.start(app, 'agent', tmp_path,
-                             **{'platform.address': _store_address(store)
-                               }) as running:
+                             **{'platform.address': store.address}) as running:
         assert _post_heartbeat(running, text) == 400
         assert _accepts_heartbeats(running)
         assert running.process.poll() is None
@@ -200,7 +213,7 @@
         }
         store.odd_spec = text
         with built_program.start(app, 'balancer', tmp_path,
-                                 **{'platform.address': _store_address(store)
+                                 **{'platform.address': store.address
                                    }) as running:
             assert _forwards(running, agent)
             assert running.process.poll() is None
