review: a restarted front resets flows of an agent with an odd entry (case 12)

It takes the place of the case of a restarted agent beside a cold server (FAILBACK, case 15 so far), as five cases are the most; CONFIG is case 13 now, DRAIN 14 and FAILBACK after a loss of power 15.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,9 +1,7 @@
-"""A server that has started again under its id, by a clock set back, drains."""
+"""Configurations come in quick succession while the configuration is large."""
 
 import asyncio
-import os
 import pathlib
-import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -11,84 +9,71 @@
 
 import fleet as fleet_module  # noqa: E402
 
-DRAIN_MS = 3_000
-# Largest step of the site files, and the time after which the clock is back.
-STEP_MS = 2_400
-STEP_S = 6.0
-# The server stays up this long before its machine loses power.
-UP_S = 0.9
-DARK_S = 0.5
-PROCESS_LATER_S = 0.2
-# Time for which a leaving server serves after the confirmation.
-SERVE_S = 7.0
-# Work of a request; two slots each of two servers are in use by 90%.
-WORK_S = 0.03
-
-
-async def lose_power(fleet, machine):
-    """Ends a machine's process and server, and starts both again."""
-    server = fleet.servers[machine.name]
-    name = server.name
-    fleet.end_process(machine, signal.SIGKILL)
-    server.stop()
-    machine.process.wait()
-    await asyncio.sleep(DARK_S)
-    await server.start(is_cold=True, name=name)
-    await asyncio.sleep(PROCESS_LATER_S)
-    fleet.launch(machine)
-
-
-async def step_back(fleet, machine):
-    """Sets a machine's time of day back for some seconds."""
-    machine.clock_error_ms = -STEP_MS
-    fleet.record.write('clock step', machine=machine.name, ms=-STEP_MS)
-    await asyncio.sleep(STEP_S)
-    machine.clock_error_ms = 0
-    fleet.record.write('clock step', machine=machine.name, ms=STEP_MS)
+# Smallest link of a front machine in the sheets.
+LINK_MBPS = 5
+# Routes without traffic at first, and those added at once.
+IDLE_ROUTES = 240
+ADDED_ROUTES = 1_600
+# Changes in quick succession: a change each GAP_S for STORM_S.
+GAP_S = 0.33
+STORM_S = 4.0
+CONFIG_APPLY_MS = 5_000
+JUDGED_S = 20
+FLOWS_PER_S = 10
 
 
 async def case(has_trouble):
-    """Returns whether DRAIN held."""
-    fleet = fleet_module.Fleet(FOLDER, ['booking'], ['a', 'b'],
-                               [(zone, 'booking') for zone in 'aba'],
-                               warmup_s=2, cold_per_s=4)
+    """Returns whether CONFIG held."""
+    fleet = fleet_module.Fleet(FOLDER, ['booking', 'catalogue'], ['a', 'a'],
+                               [('a', 'booking')] * 2 + [('a', 'catalogue')],
+                               warmup_s=2, cold_per_s=20,
+                               front_link_mbps=LINK_MBPS)
+    fleet.add_idle_routes(IDLE_ROUTES)
     try:
-        await fleet.start(count=2)
-        for server in fleet.servers.values():
-            server.work_s = WORK_S
-        clients = [fleet_module.ShortFlows(fleet, zone,
+        await fleet.start()
+        clients = [fleet_module.ShortFlows(fleet, 'a',
                                            f'127.{fleet.network}.8.{n}',
-                                           'booking')
-                   for n, zone in enumerate('ab', 1)]
-        for client in clients:
-            await client.start()
-            fleet.spawn(client.run(60, 32))
+                                           service)
+                   for n, service in enumerate(fleet.services, 1)]
+        for flows in clients:
+            await flows.start()
+            fleet.spawn(flows.run(FLOWS_PER_S, 45))
         await asyncio.sleep(2)
-        added = fleet.sides[2]
-        server = fleet.servers[added.name]
-        fleet.launch(added)
-        await asyncio.sleep(0.5)
-        await server.start(is_cold=True)
-        await asyncio.sleep(UP_S)
-        if has_trouble:
-            if os.environ.get('NO_STEP') != '1':
-                fleet.spawn(step_back(fleet, added))
-                await asyncio.sleep(0.01)
-            await lose_power(fleet, added)
-        await asyncio.sleep(STEP_S + 6)
-        fleet.record.write('draining', id=server.name)
-        await server.drain(SERVE_S)
-        await asyncio.sleep(1)
-        late = [ms for ms in server.late_ms if ms > DRAIN_MS]
-        line = (f'{server.name}: {len(late)} of {len(server.late_ms)} opening '
-                f'packets after its confirmation came later than {DRAIN_MS} ms '
-                f'(the last after {max(server.late_ms, default=0):.0f} ms)')
-        fleet.record.write('result', text=line)
-        print(line)
-        for client in clients:
-            print(dict(client.outcomes))
-        if server.drain_confirmed_ms is None:
-            raise RuntimeError('the drain was not confirmed')
+        fleet.add_idle_routes(ADDED_ROUTES)
+        fleet.write_configuration()
+        await asyncio.sleep(6)
+        changes = int(STORM_S / GAP_S) if has_trouble else 0
+        for number in range(changes):
+            fleet.timeout_ms = 5_000 + number
+            fleet.write_configuration()
+            await asyncio.sleep(GAP_S)
+        # The last change removes the route of the second service.
+        fleet.dropped.add('catalogue')
+        fleet.write_configuration()
+        dropped_ms = fleet_module.now_ms()
+        size = fleet.store.size('config', 'main')
+        fleet.record.write('route dropped', service='catalogue',
+                           version=fleet.version)
+        await asyncio.sleep(JUDGED_S)
+        late = [start_ms - dropped_ms
+                for start_ms, outcome in clients[1].requests
+                if start_ms > dropped_ms + CONFIG_APPLY_MS and
+                outcome == 'answered']
+        asked = sum(start_ms > dropped_ms + CONFIG_APPLY_MS
+                    for start_ms, _ in clients[1].requests)
+        print(f'the configuration has {size} bytes')
+        print(f'{len(late)} of {asked} requests that were sent later than '
+              f'{CONFIG_APPLY_MS} ms after their route was dropped were run, '
+              f'the last one {max(late, default=0):.0f} ms after')
+        fleet.record.write('result', late=len(late), asked=asked,
+                           last_ms=f'{max(late, default=0):.0f}')
+        for machine in fleet.fronts:
+            fleet.record.write(
+                'configurations', machine=machine.name, known=[
+                    line.get('version') for line in fleet.log_lines(machine)
+                    if line['event'] == 'configuration'])
+        for flows in clients:
+            print(dict(flows.outcomes))
         return not late
     finally:
         await fleet.close()
--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -129,6 +129,10 @@
         raise OSError(str(exc)) from exc
 
 
+_Change = collections.namedtuple('_Change',
+                                 'revision kind item removed made_ms')
+
+
 class Store:
     """The platform's metadata store."""
 
@@ -138,8 +142,8 @@
         self._history = []
         self._changed = asyncio.Event()
         self.revision = 1
-        # Machines, by loopback address, whose calls get no answer.
-        self.silent_to = set()
+        # How old the answers to calls with `serializable` are.
+        self.lag_ms = 0
         self.address = None
 
     async def start(self, host):
@@ -175,7 +179,8 @@
                     'spec': spec}
             self._objects[kind, name] = item
             removed = False
-        self._history.append((self.revision, kind, item, removed))
+        self._history.append(
+            _Change(self.revision, kind, item, removed, now_ms()))
         self._record.write('store', kind=kind, name=name,
                            revision=self.revision, removed=removed,
                            spec=json.dumps(spec)[:160])
@@ -185,12 +190,9 @@
 
     async def _serve(self, reader, writer):
         try:
-            peer = writer.get_extra_info('peername')[0]
             while True:
                 method, path, _, body = await _read_request(reader)
                 await asyncio.sleep(STORE_DELAY_S)
-                while peer in self.silent_to:
-                    await asyncio.sleep(0.05)
                 status, value = await self._answer(method, path, body)
                 _respond(writer, status, json.dumps(value, separators=(',', ':')).encode())
                 await writer.drain()
@@ -203,14 +205,19 @@
         split = urllib.parse.urlsplit(path)
         query = dict(urllib.parse.parse_qsl(split.query))
         parts = [urllib.parse.unquote(p) for p in split.path.split('/')[3:]]
+        lag_ms = self.lag_ms if query.get('serializable') == '1' else 0
         if method == 'GET' and 'watch' in query:
             return await self._watch(parts[0], int(query['watch']),
-                                     int(query.get('waitMs', 0)))
+                                     int(query.get('waitMs', 0)), lag_ms)
         if method == 'GET' and len(parts) == 1:
-            items = sorted((name, item) for (kind, name), item
-                           in self._objects.items() if kind == parts[0])
-            return 200, {'items': [item for _, item in items],
-                         'hasMore': False, 'storeRevision': self.revision}
+            revision, changes = self._visible(lag_ms)
+            items = {}
+            for change in changes:
+                if change.kind == parts[0]:
+                    items[change.item['meta']['name']] = change
+            return 200, {'items': [items[name].item for name in sorted(items)
+                                   if not items[name].removed],
+                         'hasMore': False, 'storeRevision': revision}
         if method == 'GET':
             item = self._objects.get((parts[0], parts[1]))
             return (200, item) if item else (404, {})
@@ -235,15 +242,26 @@
             return 200, item
         return 200, self._change(parts[0], name, data['spec'])
 
-    async def _watch(self, kind, since, wait_ms):
+    def _visible(self, lag_ms):
+        """Returns the revision and changes that a call with a lag shows."""
+        until_ms = now_ms() - lag_ms
+        changes = [c for c in self._history if c.made_ms <= until_ms]
+        return (changes[-1].revision if changes else 1), changes
+
+    async def _watch(self, kind, since, wait_ms, lag_ms):
         end_ms = now_ms() + wait_ms
         while True:
-            events = [{'object': item, 'removed': removed}
-                      for revision, item_kind, item, removed in self._history
-                      if item_kind == kind and revision > since]
+            revision, changes = self._visible(lag_ms)
+            events = [{'object': c.item, 'removed': c.removed}
+                      for c in changes
+                      if c.kind == kind and c.revision > since]
             left_ms = end_ms - now_ms()
             if events or left_ms <= 0:
-                return 200, {'events': events, 'storeRevision': self.revision}
+                return 200, {'events': events,
+                             'storeRevision': max(since, revision)}
+            if lag_ms:
+                await asyncio.sleep(min(0.05, left_ms / 1_000))
+                continue
             try:
                 await asyncio.wait_for(self._changed.wait(), left_ms / 1_000)
             except asyncio.TimeoutError:
@@ -707,6 +725,12 @@
             self.fleet.record.write('server ended', machine=self.machine.name,
                                     id=self.name)
 
+    def holds(self, flow, server_first):
+        """Returns whether it holds a client's flow that was accepted so."""
+        return self.is_alive and any(
+            src == flow and known.initial == server_first
+            for (src, _), known in self.flows.items())
+
     @property
     def is_cold(self):
         """Whether it is still cold."""
@@ -970,7 +994,8 @@
 
     Attributes:
       outcomes: Number of requests and flows by outcome.
-      resets: Time, port and server number of each reset of an open flow.
+      on_reset: Called with the client's end of an open flow and the server's
+        first number when a reset comes that no server has sent.
     """
 
     def __init__(self, fleet, zone, host, service, pause_s=0.2, first_port=40_000):
@@ -979,7 +1004,7 @@
         self.pause_s = pause_s
         self.port = first_port
         self.outcomes = collections.Counter()
-        self.resets = []
+        self.on_reset = lambda flow, server_first: None
         self.is_stopped = False
         self._server_first = None
         self._first = self._seq = self._ack = 0
@@ -1097,7 +1122,7 @@
                                     by_server=packet.sum == SUM,
                                     open=self._server_first is not None)
             if self._server_first is not None and packet.sum != SUM:
-                self.resets.append((now_ms(), self.flow, self._server_first))
+                self.on_reset(self.flow, self._server_first)
             self._is_reset = True
             self._event.set()
         elif packet.flags & SYN:
