--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -644,7 +644,7 @@
         self.state = 'ready'
         self.flows = {}
         self.incarnation = 0
-        self.started_ms = 0.0
+        self.started_ms = self.cold_from_ms = 0.0
         self.born = 0
         self.warmup_s = 0.0
         self.slots = 2
@@ -676,7 +676,7 @@
         self._queue.clear()
         self.takings, self.late_ms = [], []
         self.drain_confirmed_ms = None
-        self.started_ms = now_ms()
+        self.started_ms = self.cold_from_ms = now_ms()
         self.born = int(time.time() * 1_000) + self.machine.clock_error_ms
         self.warmup_s = self.fleet.warmup_s if is_cold else 0.0
         loop = asyncio.get_running_loop()
@@ -734,7 +734,14 @@
     @property
     def is_cold(self):
         """Whether it is still cold."""
-        return now_ms() - self.started_ms < self.warmup_s * 1_000
+        return now_ms() - self.cold_from_ms < self.warmup_s * 1_000
+
+    def turn_cold(self):
+        """Becomes cold again, as a server of a zone that is out may."""
+        self.cold_from_ms = now_ms()
+        self.warmup_s = self.fleet.warmup_s
+        self.takings = []
+        self.fleet.record.write('turned cold', id=self.name)
 
     async def _on_health(self, reader, writer):
         try:
@@ -756,7 +763,7 @@
         """Sends one check-in."""
         self._seq += 1
         seq, incarnation, state = self._seq, self.incarnation, self.state
-        left_ms = max(0, self.started_ms + self.warmup_s * 1_000 - now_ms())
+        left_ms = max(0, self.cold_from_ms + self.warmup_s * 1_000 - now_ms())
         body = {'service': self.machine.service,
                 'address': f'{self.machine.host}:{self.fleet.ports.app}',
                 'zone': self.machine.zone, 'version': 'v1',
@@ -867,7 +874,7 @@
             count = sum(start_ms <= sent_ms and taken_ms <= start_ms + 1_000
                         for sent_ms, taken_ms in self.takings)
             if count > best:
-                best, when = count, start_ms - self.started_ms
+                best, when = count, start_ms - self.cold_from_ms
         return best, when
 
 
