--- a/review/13/case.py
+++ b/review/13/case.py
@@ -26,15 +26,17 @@
     """Returns whether CONFIG held."""
     fleet = fleet_module.Fleet(FOLDER, ['booking', 'catalogue'], ['a', 'a'],
                                [('a', 'booking')] * 2 + [('a', 'catalogue')],
-                               warmup_s=2, cold_per_s=20,
+                               warmup_s=2,
+                               cold_per_s=20,
                                front_link_mbps=LINK_MBPS)
     fleet.add_idle_routes(IDLE_ROUTES)
     try:
         await fleet.start()
-        clients = [fleet_module.ShortFlows(fleet, 'a',
-                                           f'127.{fleet.network}.8.{n}',
-                                           service)
-                   for n, service in enumerate(fleet.services, 1)]
+        clients = [
+            fleet_module.ShortFlows(fleet, 'a', f'127.{fleet.network}.8.{n}',
+                                    service)
+            for n, service in enumerate(fleet.services, 1)
+        ]
         for flows in clients:
             await flows.start()
             fleet.spawn(flows.run(FLOWS_PER_S, 45))
@@ -52,26 +54,33 @@
         fleet.write_configuration()
         dropped_ms = fleet_module.now_ms()
         size = fleet.store.size('config', 'main')
-        fleet.record.write('route dropped', service='catalogue',
+        fleet.record.write('route dropped',
+                           service='catalogue',
                            version=fleet.version)
         await asyncio.sleep(JUDGED_S)
-        late = [start_ms - dropped_ms
-                for start_ms, outcome in clients[1].requests
-                if start_ms > dropped_ms + CONFIG_APPLY_MS and
-                outcome == 'answered']
+        late = [
+            start_ms - dropped_ms
+            for start_ms, outcome in clients[1].requests
+            if start_ms > dropped_ms + CONFIG_APPLY_MS and outcome == 'answered'
+        ]
         asked = sum(start_ms > dropped_ms + CONFIG_APPLY_MS
                     for start_ms, _ in clients[1].requests)
         print(f'the configuration has {size} bytes')
         print(f'{len(late)} of {asked} requests that were sent later than '
               f'{CONFIG_APPLY_MS} ms after their route was dropped were run, '
               f'the last one {max(late, default=0):.0f} ms after')
-        fleet.record.write('result', late=len(late), asked=asked,
+        fleet.record.write('result',
+                           late=len(late),
+                           asked=asked,
                            last_ms=f'{max(late, default=0):.0f}')
         for machine in fleet.fronts:
-            fleet.record.write(
-                'configurations', machine=machine.name, known=[
-                    line.get('version') for line in fleet.log_lines(machine)
-                    if line['event'] == 'configuration'])
+            fleet.record.write('configurations',
+                               machine=machine.name,
+                               known=[
+                                   line.get('version')
+                                   for line in fleet.log_lines(machine)
+                                   if line['event'] == 'configuration'
+                               ])
         for flows in clients:
             print(dict(flows.outcomes))
         return not late
--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -59,8 +59,8 @@
     flags, pad, dst, src, dport, sport, total, echo, length, seq, ack = (
         _HEAD.unpack_from(raw))
     return Packet(flags, pad, (socket.inet_ntoa(dst), dport),
-                  (socket.inet_ntoa(src), sport), total, echo, length, seq,
-                  ack, raw[_HEAD.size:_HEAD.size + length])
+                  (socket.inet_ntoa(src), sport), total, echo, length, seq, ack,
+                  raw[_HEAD.size:_HEAD.size + length])
 
 
 class Record:
@@ -96,8 +96,10 @@
 
 
 def _respond(writer, status, body=b'', headers=()):
-    lines = [f'HTTP/1.1 {status} X', f'Content-Length: {len(body)}',
-             'Content-Type: application/json']
+    lines = [
+        f'HTTP/1.1 {status} X', f'Content-Length: {len(body)}',
+        'Content-Type: application/json'
+    ]
     lines += [f'{name}: {value}' for name, value in headers]
     writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
 
@@ -166,8 +168,7 @@
 
     def size(self, kind, name):
         """Returns the length of an object in a response."""
-        return len(json.dumps(self._objects[kind, name],
-                              separators=(',', ':')))
+        return len(json.dumps(self._objects[kind, name], separators=(',', ':')))
 
     def _change(self, kind, name, spec):
         self.revision += 1
@@ -175,14 +176,22 @@
             item = self._objects.pop((kind, name))
             removed = True
         else:
-            item = {'meta': {'name': name, 'revision': self.revision},
-                    'spec': spec}
+            item = {
+                'meta': {
+                    'name': name,
+                    'revision': self.revision
+                },
+                'spec': spec
+            }
             self._objects[kind, name] = item
             removed = False
         self._history.append(
             _Change(self.revision, kind, item, removed, now_ms()))
-        self._record.write('store', kind=kind, name=name,
-                           revision=self.revision, removed=removed,
+        self._record.write('store',
+                           kind=kind,
+                           name=name,
+                           revision=self.revision,
+                           removed=removed,
                            spec=json.dumps(spec)[:160])
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -194,7 +203,8 @@
                 method, path, _, body = await _read_request(reader)
                 await asyncio.sleep(STORE_DELAY_S)
                 status, value = await self._answer(method, path, body)
-                _respond(writer, status, json.dumps(value, separators=(',', ':')).encode())
+                _respond(writer, status,
+                         json.dumps(value, separators=(',', ':')).encode())
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
@@ -215,9 +225,15 @@
             for change in changes:
                 if change.kind == parts[0]:
                     items[change.item['meta']['name']] = change
-            return 200, {'items': [items[name].item for name in sorted(items)
-                                   if not items[name].removed],
-                         'hasMore': False, 'storeRevision': revision}
+            return 200, {
+                'items': [
+                    items[name].item
+                    for name in sorted(items)
+                    if not items[name].removed
+                ],
+                'hasMore': False,
+                'storeRevision': revision
+            }
         if method == 'GET':
             item = self._objects.get((parts[0], parts[1]))
             return (200, item) if item else (404, {})
@@ -252,13 +268,16 @@
         end_ms = now_ms() + wait_ms
         while True:
             revision, changes = self._visible(lag_ms)
-            events = [{'object': c.item, 'removed': c.removed}
-                      for c in changes
-                      if c.kind == kind and c.revision > since]
+            events = [{
+                'object': c.item,
+                'removed': c.removed
+            } for c in changes if c.kind == kind and c.revision > since]
             left_ms = end_ms - now_ms()
             if events or left_ms <= 0:
-                return 200, {'events': events,
-                             'storeRevision': max(since, revision)}
+                return 200, {
+                    'events': events,
+                    'storeRevision': max(since, revision)
+                }
             if lag_ms:
                 await asyncio.sleep(min(0.05, left_ms / 1_000))
                 continue
@@ -328,7 +347,6 @@
         self.name, self.role, self.zone = name, role, zone
         self.host, self.service = host, service
         self.process = None
-        self.starts = 0
         # How far the machine's time of day is from the true time.
         self.clock_error_ms = 0
 
@@ -361,8 +379,16 @@
 class Fleet:
     """Machines, store, servers and clients of one case."""
 
-    def __init__(self, folder, services, fronts, sides, *, warmup_s,
-                 cold_per_s, bounds=None, front_link_mbps=None):
+    def __init__(self,
+                 folder,
+                 services,
+                 fronts,
+                 sides,
+                 *,
+                 warmup_s,
+                 cold_per_s,
+                 bounds=None,
+                 front_link_mbps=None):
         """Plans the deployment.
 
         Args:
@@ -382,24 +408,32 @@
         self.deploy = tomllib.loads(
             (ROOT / 'deploy' / 'system.toml').read_text())
         self.warmup_s, self.cold_per_s = warmup_s, cold_per_s
-        self.bounds = {'graceS': GRACE_S, 'evacuateMs': 5_000,
-                       'warmupOverage': 1.5, 'warmupSlack': 5} | (bounds or {})
+        self.bounds = {
+            'graceS': GRACE_S,
+            'evacuateMs': 5_000,
+            'warmupOverage': 1.5,
+            'warmupSlack': 5
+        } | (bounds or {})
         self.fronts = [
             Machine(f'front-{zone}-{n}', 'balancer', zone,
                     f'127.{self.network}.1.{n}')
-            for n, zone in enumerate(fronts, 1)]
+            for n, zone in enumerate(fronts, 1)
+        ]
         self.sides = [
             Machine(f'side-{zone}-{n}', 'agent', zone,
                     f'127.{self.network}.2.{n}', service)
-            for n, (zone, service) in enumerate(sides, 1)]
+            for n, (zone, service) in enumerate(sides, 1)
+        ]
         self._front_link_mbps = front_link_mbps
         self._links = {}
         # Routes without traffic, and services whose route was dropped.
         self.idle_routes = []
         self.dropped = set()
         self.timeout_ms = 5_000
-        self.services = {name: (f'127.{self.network}.9.{n}', 443)
-                         for n, name in enumerate(services, 1)}
+        self.services = {
+            name: (f'127.{self.network}.9.{n}', 443)
+            for n, name in enumerate(services, 1)
+        }
         self.store = Store(self.record)
         self.in_rotation = set()
         self._missed = collections.Counter()
@@ -431,9 +465,9 @@
         self.spawn(self._check_ready())
         deadline = now_ms() + 15_000
         while now_ms() < deadline:
-            if (len(self.in_rotation) == len(self.fronts) and all(
-                    self.servers[m.name].is_confirmed
-                    for m in self.sides[:count])):
+            if (len(self.in_rotation) == len(self.fronts) and
+                    all(self.servers[m.name].is_confirmed
+                        for m in self.sides[:count])):
                 break
             await asyncio.sleep(0.1)
         else:
@@ -447,21 +481,34 @@
     def write_configuration(self):
         """Writes a version of the configuration, as the operator does."""
         self.version += 2
-        self.store.put('config', 'main', {
-            'version': self.version,
-            'routes': [{'name': f'r-{name}', 'hostname': address[0],
-                        'pathPrefix': f'/{address[1]}/', 'service': name,
-                        'routeType': 'safe', 'timeoutMs': self.timeout_ms,
-                        'targetLatencyMs': 500, 'priority': 2,
-                        'maxAttempts': 1}
-                       for name, address in self.services.items()
-                       if name not in self.dropped] +
-                      self.idle_routes,
-            'services': [{'name': name, 'healthPath': '/health',
-                          'maxConns': 2_000, 'warmupS': self.warmup_s,
-                          'coldPerS': self.cold_per_s}
-                         for name in self.services],
-            'limits': {'idleTimeoutMs': 12_000}})
+        self.store.put(
+            'config', 'main', {
+                'version':
+                    self.version,
+                'routes': [{
+                    'name': f'r-{name}',
+                    'hostname': address[0],
+                    'pathPrefix': f'/{address[1]}/',
+                    'service': name,
+                    'routeType': 'safe',
+                    'timeoutMs': self.timeout_ms,
+                    'targetLatencyMs': 500,
+                    'priority': 2,
+                    'maxAttempts': 1
+                }
+                           for name, address in self.services.items()
+                           if name not in self.dropped] + self.idle_routes,
+                'services': [{
+                    'name': name,
+                    'healthPath': '/health',
+                    'maxConns': 2_000,
+                    'warmupS': self.warmup_s,
+                    'coldPerS': self.cold_per_s
+                } for name in self.services],
+                'limits': {
+                    'idleTimeoutMs': 12_000
+                }
+            })
 
     def add_idle_routes(self, count):
         """Adds routes without traffic to the next configuration."""
@@ -469,13 +516,28 @@
         for _ in range(count):
             number = len(self.idle_routes)
             self.idle_routes.append({
-                'name': 'r-' + ''.join(names.choices(
-                    'abcdefghijklmnopqrstuvwxyz0123456789', k=7)),
-                'hostname': f'127.{self.network}.{100 + number // 250}.'
-                            f'{1 + number % 250}',
-                'pathPrefix': '/8443/', 'routeType': 'safe',
-                'timeoutMs': 1_358, 'targetLatencyMs': 226, 'priority': 2,
-                'service': next(iter(self.services)), 'maxAttempts': 2})
+                'name':
+                    'r-' + ''.join(
+                        names.choices('abcdefghijklmnopqrstuvwxyz0123456789',
+                                      k=7)),
+                'hostname':
+                    f'127.{self.network}.{100 + number // 250}.'
+                    f'{1 + number % 250}',
+                'pathPrefix':
+                    '/8443/',
+                'routeType':
+                    'safe',
+                'timeoutMs':
+                    1_358,
+                'targetLatencyMs':
+                    226,
+                'priority':
+                    2,
+                'service':
+                    next(iter(self.services)),
+                'maxAttempts':
+                    2
+            })
 
     def _fields(self, machine, first_start):
         host, ports = machine.host, self.ports
@@ -484,20 +546,42 @@
         if machine.role == 'balancer' and self._front_link_mbps:
             store, mbps = self._links[machine.name], self._front_link_mbps
         return {
-            'nodeName': machine.name, 'zone': machine.zone, 'ip': host,
-            'service': machine.service, 'app': f'{host}:{ports.app}',
-            'heartbeatMs': HEARTBEAT_MS, 'bootstrap': first_start,
-            'seeds': ','.join(f'{m.host}:{ports.control}'
-                              for m in self.fronts[:3]),
+            'nodeName':
+                machine.name,
+            'zone':
+                machine.zone,
+            'ip':
+                host,
+            'service':
+                machine.service,
+            'app':
+                f'{host}:{ports.app}',
+            'heartbeatMs':
+                HEARTBEAT_MS,
+            'bootstrap':
+                first_start,
+            'seeds':
+                ','.join(f'{m.host}:{ports.control}' for m in self.fronts[:3]),
             'internalPorts': [ports.internal, ports.internal + 1],
-            'listen': {'datagramAddr': f'{host}:{ports.packets}',
-                       'ready': f'{host}:{ports.ready}',
-                       'control': f'{host}:{ports.control}',
-                       'outbound': f'{host}:{ports.outbound}'},
-            'platform': {'address': '%s:%d' % store.address,
-                         'writesPerS': 400, 'historyS': 20},
-            'bounds': self.bounds,
-            'limits': {'linkMbps': mbps, 'cpuShare': 0.645, 'cores': 1}}
+            'listen': {
+                'datagramAddr': f'{host}:{ports.packets}',
+                'ready': f'{host}:{ports.ready}',
+                'control': f'{host}:{ports.control}',
+                'outbound': f'{host}:{ports.outbound}'
+            },
+            'platform': {
+                'address': '%s:%d' % store.address,
+                'writesPerS': 400,
+                'historyS': 20
+            },
+            'bounds':
+                self.bounds,
+            'limits': {
+                'linkMbps': mbps,
+                'cpuShare': 0.645,
+                'cores': 1
+            }
+        }
 
     def launch(self, machine, first_start=False):
         """Writes a machine's settings and starts its process."""
@@ -516,20 +600,27 @@
                       (ROOT / role['template']).read_text())
         path = self.directory / f'{machine.name}.ini'
         path.write_text(text)
-        env = {key: os.environ[key] for key in ('PATH', 'HOME', 'LANG')
-               if key in os.environ}
+        env = {
+            key: os.environ[key]
+            for key in ('PATH', 'HOME', 'LANG')
+            if key in os.environ
+        }
         env |= {'FIGDRUM_SETTINGS': str(path), 'PYTHONPATH': 'target/deps'}
         with open(self.directory / f'{machine.name}.log', 'ab') as log:
-            machine.process = subprocess.Popen(role['run'].split(), cwd=ROOT,
-                                               env=env, stdout=log, stderr=log,
+            machine.process = subprocess.Popen(role['run'].split(),
+                                               cwd=ROOT,
+                                               env=env,
+                                               stdout=log,
+                                               stderr=log,
                                                stdin=subprocess.DEVNULL)
-        machine.starts += 1
-        self.record.write('process started', machine=machine.name,
+        self.record.write('process started',
+                          machine=machine.name,
                           pid=machine.process.pid)
 
     def end_process(self, machine, number):
         """Sends a signal to a machine's process."""
-        self.record.write('signal', machine=machine.name,
+        self.record.write('signal',
+                          machine=machine.name,
                           signal=signal.Signals(number).name)
         machine.process.send_signal(number)
 
@@ -539,7 +630,8 @@
         process = machine.process
         while process.poll() is None:
             await asyncio.sleep(0.005)
-        self.record.write('process ended', machine=machine.name,
+        self.record.write('process ended',
+                          machine=machine.name,
                           status=process.returncode)
         await asyncio.sleep(pause_s)
         self.launch(machine)
@@ -561,8 +653,8 @@
 
         async def check(machine):
             try:
-                status, _, _ = await http_call(
-                    (machine.host, self.ports.ready), 'GET', path, b'', 0.4)
+                status, _, _ = await http_call((machine.host, self.ports.ready),
+                                               'GET', path, b'', 0.4)
             except (OSError, asyncio.TimeoutError):
                 status = 0
             if status == 200:
@@ -654,7 +746,6 @@
         # Time from the confirmation that it is draining to each opening packet
         # that it took since.
         self.late_ms = []
-        self.runs = []
         self._running = 0
         self._queue = collections.deque()
         self._transport = None
@@ -684,6 +775,7 @@
         incarnation = self.incarnation
 
         class Protocol(asyncio.DatagramProtocol):
+
             def datagram_received(_, data, addr):  # pylint: disable=E0213
                 if self.incarnation == incarnation and self.is_alive:
                     self._on_packet(data)
@@ -691,8 +783,10 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             Protocol, local_addr=address)
         self._tcp = await asyncio.start_server(self._on_health, *address)
-        self.fleet.record.write('server started', machine=self.machine.name,
-                                id=self.name, born=self.born,
+        self.fleet.record.write('server started',
+                                machine=self.machine.name,
+                                id=self.name,
+                                born=self.born,
                                 warmup_s=self.warmup_s)
         self.fleet.spawn(self._heartbeats(incarnation))
 
@@ -711,7 +805,9 @@
         try:
             await http_call((self.machine.host, self.fleet.ports.control),
                             'POST', f'/figdrum/Instances.Leave/{self.name}',
-                            json.dumps({'born': self.born}).encode())
+                            json.dumps({
+                                'born': self.born
+                            }).encode())
         except (OSError, asyncio.TimeoutError):
             pass
         self.stop()
@@ -722,7 +818,8 @@
             self.is_alive = False
             self._transport.abort()
             self._tcp.close()
-            self.fleet.record.write('server ended', machine=self.machine.name,
+            self.fleet.record.write('server ended',
+                                    machine=self.machine.name,
                                     id=self.name)
 
     def holds(self, flow, server_first):
@@ -764,11 +861,17 @@
         self._seq += 1
         seq, incarnation, state = self._seq, self.incarnation, self.state
         left_ms = max(0, self.cold_from_ms + self.warmup_s * 1_000 - now_ms())
-        body = {'service': self.machine.service,
-                'address': f'{self.machine.host}:{self.fleet.ports.app}',
-                'zone': self.machine.zone, 'version': 'v1',
-                'slots': self.slots, 'state': state,
-                'warmupLeftMs': int(left_ms), 'seq': seq, 'born': self.born}
+        body = {
+            'service': self.machine.service,
+            'address': f'{self.machine.host}:{self.fleet.ports.app}',
+            'zone': self.machine.zone,
+            'version': 'v1',
+            'slots': self.slots,
+            'state': state,
+            'warmupLeftMs': int(left_ms),
+            'seq': seq,
+            'born': self.born
+        }
         path = f'/figdrum/Instances.Heartbeat/{self.name}'
         try:
             status, _, _ = await http_call(
@@ -776,9 +879,13 @@
                 json.dumps(body).encode())
         except (OSError, asyncio.TimeoutError) as exc:
             status = type(exc).__name__
-        self.fleet.record.write('check-in', machine=self.machine.name,
-                                id=self.name, seq=seq, state=state,
-                                warmup_left_ms=int(left_ms), answer=status)
+        self.fleet.record.write('check-in',
+                                machine=self.machine.name,
+                                id=self.name,
+                                seq=seq,
+                                state=state,
+                                warmup_left_ms=int(left_ms),
+                                answer=status)
         if status == 200 and incarnation == self.incarnation:
             self.is_confirmed = True
             if state == 'draining' and self.drain_confirmed_ms is None:
@@ -816,8 +923,9 @@
                 self._send(answer)
         if packet.flags & FIN:
             flow.client_closed = True
-            self._send(encode(FIN | ACK, packet.dst, packet.src, flow.next_seq,
-                              packet.seq + 1))
+            self._send(
+                encode(FIN | ACK, packet.dst, packet.src, flow.next_seq,
+                       packet.seq + 1))
 
     def _on_opening(self, packet):
         key = (packet.src, packet.dst)
@@ -828,14 +936,17 @@
                 self.takings.append((sent_ms, now_ms()))
             if self.drain_confirmed_ms is not None:
                 self.late_ms.append(now_ms() - self.drain_confirmed_ms)
-            self.fleet.record.write(
-                'opening taken', server=self.name, client=packet.src[1],
-                copies=packet.ack, cold=self.is_cold,
-                transit_ms=f'{now_ms() - sent_ms:.1f}')
+            self.fleet.record.write('opening taken',
+                                    server=self.name,
+                                    client=packet.src[1],
+                                    copies=packet.ack,
+                                    cold=self.is_cold,
+                                    transit_ms=f'{now_ms() - sent_ms:.1f}')
             flow = self.flows[key] = _ServerFlow(packet.seq,
                                                  random.getrandbits(31))
-        self._send(encode(SYN | ACK, packet.dst, packet.src, flow.initial,
-                          packet.seq + 1))
+        self._send(
+            encode(SYN | ACK, packet.dst, packet.src, flow.initial,
+                   packet.seq + 1))
 
     def _run_next(self):
         while self._queue and self._running < self.slots:
@@ -843,7 +954,6 @@
             self._running += 1
             request = packet.data.decode().split('X-Attempt-Id: ')[1].split(
                 '\r\n')[0]
-            self.runs.append((now_ms(), request, self.name))
             self.fleet.record.write('run', server=self.name, request=request)
             asyncio.get_running_loop().call_later(
                 self.work_s * (2 if self.is_cold else 1), self._finish, packet,
@@ -863,8 +973,9 @@
         self._send(raw)
         if self.state == 'draining' and not flow.server_closed:
             flow.server_closed = True
-            self._send(encode(FIN | ACK, packet.dst, packet.src, flow.next_seq,
-                              flow.expected))
+            self._send(
+                encode(FIN | ACK, packet.dst, packet.src, flow.next_seq,
+                       flow.expected))
         self._run_next()
 
     def most_in_one_second(self):
@@ -901,12 +1012,14 @@
         client = self
 
         class Protocol(asyncio.DatagramProtocol):
+
             def datagram_received(_, data, addr):  # pylint: disable=E0213
                 client._on_packet(decode(data))
 
         self._transport, _ = await asyncio.get_running_loop(
-        ).create_datagram_endpoint(
-            Protocol, local_addr=(self.host, self.fleet.ports.packets))
+        ).create_datagram_endpoint(Protocol,
+                                   local_addr=(self.host,
+                                               self.fleet.ports.packets))
 
     def close(self):
         """Closes the socket."""
@@ -928,12 +1041,18 @@
         port = self._port
         first = random.getrandbits(31)
         started_ms = now_ms()
-        flow = {'started_ms': started_ms, 'first': first, 'accepted': asyncio.Event(),
-                'answered': asyncio.Event(), 'reset': False, 'server': None}
+        flow = {
+            'started_ms': started_ms,
+            'first': first,
+            'accepted': asyncio.Event(),
+            'answered': asyncio.Event(),
+            'reset': False,
+            'server': None
+        }
         self._flows[port] = flow
-        for number, wait_s in enumerate((SYN_COPIES_S[0],
-                                         SYN_COPIES_S[1] - SYN_COPIES_S[0],
-                                         OPEN_TIMEOUT_S - SYN_COPIES_S[1])):
+        for number, wait_s in enumerate(
+            (SYN_COPIES_S[0], SYN_COPIES_S[1] - SYN_COPIES_S[0],
+             OPEN_TIMEOUT_S - SYN_COPIES_S[1])):
             self.fleet.note_sent((self.host, port))
             self._send(port, SYN, first, number)
             if await self._wait(flow['accepted'], wait_s):
@@ -1005,7 +1124,13 @@
         first number when a reset comes that no server has sent.
     """
 
-    def __init__(self, fleet, zone, host, service, pause_s=0.2, first_port=40_000):
+    def __init__(self,
+                 fleet,
+                 zone,
+                 host,
+                 service,
+                 pause_s=0.2,
+                 first_port=40_000):
         self.fleet, self.zone, self.host = fleet, zone, host
         self.address = fleet.services[service]
         self.pause_s = pause_s
@@ -1028,12 +1153,14 @@
         client = self
 
         class Protocol(asyncio.DatagramProtocol):
+
             def datagram_received(_, data, addr):  # pylint: disable=E0213
                 client._on_packet(decode(data))
 
         self._transport, _ = await asyncio.get_running_loop(
-        ).create_datagram_endpoint(
-            Protocol, local_addr=(self.host, self.fleet.ports.packets))
+        ).create_datagram_endpoint(Protocol,
+                                   local_addr=(self.host,
+                                               self.fleet.ports.packets))
         self.fleet.spawn(self._run())
 
     def close(self):
@@ -1061,9 +1188,9 @@
         self._first = random.getrandbits(31)
         self._is_reset = self._is_closed = False
         self._event.clear()
-        for number, wait_s in enumerate((SYN_COPIES_S[0],
-                                         SYN_COPIES_S[1] - SYN_COPIES_S[0],
-                                         OPEN_TIMEOUT_S - SYN_COPIES_S[1])):
+        for number, wait_s in enumerate(
+            (SYN_COPIES_S[0], SYN_COPIES_S[1] - SYN_COPIES_S[0],
+             OPEN_TIMEOUT_S - SYN_COPIES_S[1])):
             self.fleet.note_sent(self.flow)
             self._send(SYN, self._first, number)
             if await self._wait(wait_s):
@@ -1125,7 +1252,9 @@
                        (packet.seq - self._ack + 76_800) % (1 << 32) <= 153_600)
             if self._server_first is not None and not is_near:
                 return
-            self.fleet.record.write('reset', port=self.port, host=self.host,
+            self.fleet.record.write('reset',
+                                    port=self.port,
+                                    host=self.host,
                                     by_server=packet.sum == SUM,
                                     open=self._server_first is not None)
             if self._server_first is not None and packet.sum != SUM:
@@ -1153,12 +1282,16 @@
     """
 
     async def main():
+        # The processes are ended also if the case is.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM,
+            asyncio.current_task().cancel)
         return await asyncio.wait_for(
             case(os.environ.get('TROUBLE', '1') != '0'), 110)
 
     try:
         held = asyncio.run(main())
-    except Exception as exc:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as exc:  # pylint: disable=broad-except
         print(f'the case could not run: {exc!r}', file=sys.stderr)
         sys.exit(2)
     print('the rule held' if held else 'the rule was broken')
